--- /dev/null
+++ b/crates/garnetdoor-gateway/src/lib.rs
@@ -0,0 +1,9 @@
+//! The gateway itself: garnetdoor's decisions on sockets. It decides nothing; `garnetdoor::balance` does.
+//!
+//! `wire` is what is spoken, `memory` what is kept and the one reducer that changes it, `lifecycle` start and
+//! stop. `docs/gateway.md` tells how they fit.
+
+pub mod config;
+pub mod lifecycle;
+pub mod memory;
+pub mod wire;
--- /dev/null
+++ b/crates/garnetdoor-gateway/src/lifecycle/clock.rs
@@ -0,0 +1,23 @@
+//! The gateway's clock: the Unix time at its start, and from then on a clock that never goes back. Times that
+//! others tell by the Unix clock compare with it as they are.
+
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
+
+use garnetdoor::host::Micros;
+
+#[derive(Clone, Copy)]
+pub struct Clock {
+    began: Instant,
+    unix: Micros,
+}
+
+impl Clock {
+    pub fn start() -> Self {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Clock { began: Instant::now(), unix: unix.as_micros() as Micros }
+    }
+
+    pub fn now(&self) -> Micros {
+        self.unix + self.began.elapsed().as_micros() as Micros
+    }
+}
--- /dev/null
+++ b/crates/garnetdoor-gateway/src/lifecycle/listen.rs
@@ -0,0 +1,58 @@
+//! The listener, and the socket for peers.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::mpsc::Sender;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use may::coroutine;
+use may::net::{TcpListener, TcpStream, UdpSocket};
+
+use crate::memory::event::Event;
+
+/// Connections that were taken and that the reducer's thread has not seen yet.
+pub type Arrived = Arc<Mutex<Vec<TcpStream>>>;
+
+/// Takes connections in a coroutine of its own until it is cancelled.
+pub fn listen(listener: TcpListener, arrived: Arrived, events: Sender<Event>) -> coroutine::JoinHandle<()> {
+    // SAFETY: the coroutine uses no thread-local storage and calls nothing deep.
+    unsafe {
+        coroutine::spawn::<_, ()>(move || {
+            loop {
+                match listener.accept() {
+                    Ok((stream, _)) => {
+                        arrived.lock().unwrap_or_else(PoisonError::into_inner).push(stream);
+                        let _ = events.send(Event::Time);
+                    }
+                    // No descriptor is free, or the client left before it was taken: the next may go better, but
+                    // at once would only spin.
+                    Err(_) => coroutine::sleep(Duration::from_millis(20)),
+                }
+            }
+        })
+    }
+}
+
+/// Binds the address where peers' datagrams arrive and reads them in a coroutine.
+pub fn peers(at: SocketAddr, events: Sender<Event>) -> io::Result<Arc<UdpSocket>> {
+    let socket = Arc::new(UdpSocket::bind(at)?);
+    let reader = socket.clone();
+    // SAFETY: as above.
+    unsafe {
+        coroutine::spawn::<_, ()>(move || {
+            // One more than a message may have, so that a longer one shows.
+            let mut room = [0; 257];
+            loop {
+                match reader.recv_from(&mut room) {
+                    Ok((count, from)) if count <= 256 => {
+                        let _ = events.send(Event::Datagram(from, room[..count].to_vec()));
+                    }
+                    Ok(_) => {}
+                    Err(_) => coroutine::sleep(Duration::from_millis(20)),
+                }
+            }
+        })
+    };
+    Ok(socket)
+}
--- /dev/null
+++ b/crates/garnetdoor-gateway/src/lifecycle/mod.rs
@@ -0,0 +1,6 @@
+//! Start and stop: the clock, the log, the listener, signals, and the loop that drives the reducer.
+
+pub mod clock;
+pub mod listen;
+pub mod log;
+pub mod serve;
--- /dev/null
+++ b/crates/garnetdoor-gateway/src/lifecycle/serve.rs
@@ -0,0 +1,177 @@
+//! The gateway from start to stop. Sockets are `may`'s, on one worker; the reducer has a thread of its own, so
+//! that its stack is large, its timers are exact, and nothing that it does waits for a peer.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::process;
+use std::sync::mpsc::{self, Receiver, RecvTimeoutError, Sender};
+use std::sync::{Arc, PoisonError};
+use std::thread;
+use std::time::Duration;
+
+use may::coroutine::JoinHandle;
+use may::net::{TcpListener, UdpSocket};
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
+
+use super::clock::Clock;
+use super::listen::{self, Arrived};
+use crate::config::Config;
+use crate::log;
+use crate::memory::event::{ConnId, Effect, Event};
+use crate::memory::reducer::Reducer;
+use crate::wire::socket::{self, Link};
+
+/// Words of a coroutine's stack: connections call nothing deep.
+const STACK: usize = 0x1000;
+/// Coroutines kept for new connections.
+const KEPT: usize = 128;
+/// With nothing due, the reducer's thread looks up this often all the same.
+const REST: Duration = Duration::from_secs(1);
+
+/// Serves until it is told to stop; only a start that fails returns.
+pub fn serve(config: Config) -> io::Error {
+    std::panic::set_hook(Box::new(|panic| {
+        // Not by the limited macro: this line must not be left out.
+        eprintln!("garnetdoor: ends by a panic: {panic}");
+        process::exit(101);
+    }));
+    may::config().set_workers(1).set_stack_size(STACK).set_pool_capacity(KEPT).set_worker_pin(false);
+    may::config().set_timeout_ns(1_000_000_000);
+    match start(config) {
+        Ok(mut driver) => driver.run(),
+        Err(error) => error,
+    }
+}
+
+fn start(config: Config) -> io::Result<Driver> {
+    let clock = Clock::start();
+    let (events, inbox) = mpsc::channel();
+    let mut signals = Signals::new([SIGTERM, SIGINT])?;
+    let stop = events.clone();
+    thread::spawn(move || signals.forever().for_each(|_| drop(stop.send(Event::Stop))));
+    let listener = TcpListener::bind(config.listen)
+        .map_err(|error| io::Error::new(error.kind(), format!("listen: {}: {error}", config.listen)))?;
+    let peers = match config.peer_listen {
+        Some(at) => Some(
+            listen::peers(at, events.clone())
+                .map_err(|error| io::Error::new(error.kind(), format!("peer_listen: {at}: {error}")))?,
+        ),
+        None => None,
+    };
+    let (reducer, effects) = Reducer::start(clock.now(), &config);
+    let arrived = Arrived::default();
+    let listener = Some(listen::listen(listener, arrived.clone(), events.clone()));
+    log!("{} serves at {}", config.name, config.listen);
+    let links = BTreeMap::new();
+    let mut driver =
+        Driver { clock, events, inbox, reducer, links, arrived, listener, peers, next_client: 0 };
+    driver.act(effects);
+    Ok(driver)
+}
+
+/// Brings the reducer what happens and does what it asks for.
+struct Driver {
+    clock: Clock,
+    events: Sender<Event>,
+    inbox: Receiver<Event>,
+    reducer: Reducer,
+    links: BTreeMap<ConnId, Arc<Link>>,
+    arrived: Arrived,
+    listener: Option<JoinHandle<()>>,
+    peers: Option<Arc<UdpSocket>>,
+    next_client: u64,
+}
+
+impl Driver {
+    fn run(&mut self) -> io::Error {
+        loop {
+            let due = self.reducer.next().map_or(i64::MAX, |at| at - self.clock.now());
+            let wait = Duration::from_micros(due.max(0) as u64).min(REST);
+            let event = match self.inbox.recv_timeout(wait) {
+                Ok(event) => event,
+                Err(RecvTimeoutError::Timeout) => Event::Time,
+                Err(RecvTimeoutError::Disconnected) => {
+                    return io::Error::other("nothing can happen any more");
+                }
+            };
+            self.take_arrived();
+            self.pass(event);
+        }
+    }
+
+    fn take_arrived(&mut self) {
+        let arrived = std::mem::take(&mut *self.arrived.lock().unwrap_or_else(PoisonError::into_inner));
+        for stream in arrived {
+            self.next_client += 2;
+            let id = ConnId(self.next_client);
+            let link = Link::new(id);
+            self.links.insert(id, link.clone());
+            socket::accepted(link, stream, self.clock, self.events.clone());
+        }
+    }
+
+    fn pass(&mut self, event: Event) {
+        let ended = if let Event::Ended(id) = event { Some(id) } else { None };
+        let effects = self.reducer.reduce(self.clock.now(), event);
+        self.act(effects);
+        if let Some(id) = ended {
+            self.links.remove(&id);
+        }
+    }
+
+    fn act(&mut self, effects: Vec<Effect>) {
+        let mut written = Vec::new();
+        for effect in effects {
+            match effect {
+                Effect::Dial(id, to, within) => {
+                    let link = Link::new(id);
+                    self.links.insert(id, link.clone());
+                    let within = Duration::from_micros(within.max(0) as u64);
+                    socket::dial(link, to, within, self.clock, self.events.clone());
+                }
+                Effect::Write(id, bytes) => {
+                    if self.links.get(&id).is_some_and(|link| link.write(&bytes)) {
+                        written.push(id);
+                    }
+                }
+                Effect::Consumed(id, count) => {
+                    if let Some(link) = self.links.get(&id) {
+                        link.consumed(count);
+                    }
+                }
+                Effect::Finish(id) => {
+                    if let Some(link) = self.links.get(&id) {
+                        link.finish();
+                    }
+                }
+                Effect::Close(id) => {
+                    if let Some(link) = self.links.remove(&id) {
+                        link.close();
+                    }
+                }
+                Effect::Datagram(to, bytes) => {
+                    if let Some(Err(error)) =
+                        self.peers.as_ref().map(|peers| peers.inner().send_to(&bytes, to))
+                    {
+                        log!("datagram to {to} lost: {error}");
+                    }
+                }
+                Effect::Log(text) => log!("{text}"),
+                Effect::StopListening => {
+                    if let Some(listener) = self.listener.take() {
+                        // SAFETY: the coroutine holds nothing but the listener and senders.
+                        unsafe { listener.coroutine().cancel() };
+                    }
+                }
+                Effect::Exit => {
+                    log!("stopped");
+                    process::exit(0);
+                }
+            }
+        }
+        for id in written {
+            self.pass(Event::Written(id));
+        }
+    }
+}
--- /dev/null
+++ b/crates/garnetdoor-gateway/src/memory/event.rs
@@ -0,0 +1,107 @@
+//! What the reducer is told, and what it asks for.
+
+use std::fmt;
+use std::net::SocketAddr;
+
+use garnetdoor::host::Micros;
+
+/// A connection. Those that clients make have even numbers, those that the gateway makes odd ones.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ConnId(pub u64);
+
+impl ConnId {
+    pub fn is_client(self) -> bool {
+        self.0.is_multiple_of(2)
+    }
+}
+
+impl fmt::Display for ConnId {
+    fn fmt(&self, to: &mut fmt::Formatter) -> fmt::Result {
+        write!(to, "c{}", self.0)
+    }
+}
+
+/// What has happened.
+#[derive(Debug)]
+pub enum Event {
+    /// A connection stands, whoever made it.
+    Up(ConnId),
+    /// Bytes, and when they were read.
+    Bytes(ConnId, Micros, Vec<u8>),
+    /// All that was asked to be written has been.
+    Written(ConnId),
+    /// The other side has ended a connection, or it could not be made.
+    Ended(ConnId),
+    Datagram(SocketAddr, Vec<u8>),
+    /// Nothing else has happened; a timer may be due.
+    Time,
+    /// The gateway shall stop.
+    Stop,
+}
+
+/// What is to be done outside.
+#[derive(Debug, PartialEq)]
+pub enum Effect {
+    Dial(ConnId, SocketAddr, Micros),
+    Write(ConnId, Vec<u8>),
+    /// So many bytes of the connection are no longer held.
+    Consumed(ConnId, usize),
+    /// End the sending side once all is written.
+    Finish(ConnId),
+    Close(ConnId),
+    Datagram(SocketAddr, Vec<u8>),
+    Log(String),
+    StopListening,
+    Exit,
+}
+
+macro_rules! reasons {
+    ($($(#[$doc:meta])* $name:ident = $code:literal,)*) => {
+        /// Why a connection ended; the code stands in its log line.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+        pub enum Reason { $($(#[$doc])* $name,)* }
+
+        impl Reason {
+            pub const ALL: &[Reason] = &[$(Reason::$name,)*];
+
+            pub fn code(self) -> &'static str {
+                match self { $(Reason::$name => $code,)* }
+            }
+        }
+    };
+}
+
+reasons! {
+    /// The other side closed it between messages.
+    PeerClosed = "peer-closed",
+    /// The client closed it with a ticket open.
+    ClientLeft = "client-left",
+    /// It never came up.
+    NoConnect = "no-connect",
+    /// It broke while an answer was awaited.
+    Broke = "broke",
+    /// The other side announced its end, or was told of it.
+    LastMessage = "last-message",
+    Malformed = "malformed",
+    TooLarge = "too-large",
+    /// A server spoke with nothing asked.
+    Unasked = "unasked",
+    /// The trip was given up.
+    TimedOut = "timed-out",
+    Stopped = "stopped",
+    /// It stood unused for long.
+    Idle = "idle",
+    /// Room was needed.
+    Shed = "shed",
+    /// The server drains, has gone, or has another address.
+    Unlisted = "unlisted",
+    /// The decisions asked for it.
+    Asked = "asked",
+    /// Nothing came for several periods.
+    Silent = "silent",
+    /// The service refused the call.
+    Refused = "refused",
+    /// The client took or sent its bytes too slowly.
+    Slow = "slow",
+    Stopping = "stopping",
+}
--- /dev/null
+++ b/crates/garnetdoor-gateway/src/memory/mod.rs
@@ -0,0 +1,8 @@
+//! What is kept: connections, idle ones by server, tickets, timers, and the reducer, the only one to change
+//! any of it.
+
+pub mod desk;
+pub mod event;
+pub mod reducer;
+pub mod ticket;
+pub mod timers;
--- /dev/null
+++ b/crates/garnetdoor-gateway/src/memory/reducer.rs
@@ -0,0 +1,503 @@
+//! The one place where anything changes: [`Reducer::reduce`] takes what has happened, lets the decisions act,
+//! and returns what is to be done outside. It reads no clock and touches no socket.
+
+use std::cell::{RefCell, RefMut};
+use std::rc::Rc;
+
+use garnetdoor::balance::Balance;
+use garnetdoor::host::{Condition, Ending, Micros, Taken, TicketId, TripNo};
+
+use super::desk::{Conn, Desk, Handle, Kind, Told, Work};
+use super::event::{ConnId, Effect, Event, Reason};
+use super::ticket::Ticket;
+use super::timers::Timer;
+use crate::config::Config;
+use crate::wire::client::{self, Asked};
+use crate::wire::discovery::{self, List};
+use crate::wire::http::{self, Fault, HELD_MOST, Message, StreamEnd};
+use crate::wire::instance;
+use crate::wire::platform::{self, Notice};
+
+/// How long new connections are taken after the word to stop: a front may still deal some out.
+const STILL_LISTENS: Micros = 500_000;
+/// Held tickets are answered by then at the latest, since SIGKILL follows.
+const STOPS_WITHIN: Micros = 3_600_000;
+
+impl From<Fault> for Reason {
+    fn from(fault: Fault) -> Reason {
+        if fault == Fault::Malformed { Reason::Malformed } else { Reason::TooLarge }
+    }
+}
+
+pub struct Reducer {
+    gate: Balance<Handle>,
+    desk: Rc<RefCell<Desk>>,
+}
+
+impl Reducer {
+    /// Starts the decisions with what the configuration holds; its list comes first, then its news.
+    pub fn start(now: Micros, config: &Config) -> (Self, Vec<Effect>) {
+        let desk = Rc::new(RefCell::new(Desk::new(now, config)));
+        let gate = Balance::start(Handle(desk.clone()), config.seed, config.settings.clone());
+        let mut reducer = Reducer { gate, desk };
+        let known = config.known.as_ref().map(|known| discovery::list_of(known, &reducer.desk().words));
+        match known {
+            Some(Ok(list)) => reducer.list_came(list, false),
+            Some(Err(fault)) => reducer.desk().log(format!("known list left out: {fault}")),
+            None => {}
+        }
+        if let Some(news) = config.news {
+            reducer.gate.news_came(news);
+        }
+        reducer.desk().ask_notices();
+        reducer.tell();
+        let effects = std::mem::take(&mut reducer.desk().effects);
+        (reducer, effects)
+    }
+
+    fn desk(&self) -> RefMut<'_, Desk> {
+        self.desk.borrow_mut()
+    }
+
+    /// When something is due next.
+    pub fn next(&self) -> Option<Micros> {
+        self.desk().timers.next()
+    }
+
+    pub fn reduce(&mut self, now: Micros, event: Event) -> Vec<Effect> {
+        self.desk().now = now;
+        match event {
+            Event::Up(id) => self.up(id),
+            Event::Bytes(id, read, bytes) => self.bytes(id, read, &bytes),
+            Event::Written(id) => self.written(id),
+            Event::Ended(id) => self.ended(id),
+            Event::Datagram(from, bytes) => {
+                // Gateways are known by their addresses; whoever else sends is no peer.
+                let peer = self.desk().peer(from);
+                if let Some(peer) = peer {
+                    self.gate.peer_told(peer, &bytes);
+                }
+            }
+            Event::Time => {}
+            Event::Stop => self.stop(),
+        }
+        self.tell();
+        loop {
+            let due = self.desk().timers.take_due(now);
+            let Some(timer) = due else { break };
+            self.timer(timer);
+            self.tell();
+        }
+        let stopped = |desk: &Desk| {
+            desk.stopping && !desk.listening && desk.tickets.values().all(|ticket| ticket.client.is_none())
+        };
+        let mut desk = self.desk();
+        if stopped(&desk) && !desk.conns.iter().any(|(id, conn)| id.is_client() && conn.unwritten) {
+            desk.effects.push(Effect::Exit);
+        }
+        std::mem::take(&mut desk.effects)
+    }
+
+    /// Tells the decisions what they have not heard yet, in order. What they do may add to it.
+    fn tell(&mut self) {
+        loop {
+            let told = self.desk().told.pop_front();
+            match told {
+                None => return,
+                Some(Told::Trip(id, trip, ending, load)) => {
+                    let desk = self.desk();
+                    let ticket = &desk.tickets[&id];
+                    let took = desk.now - ticket.trips[trip.0 as usize].sent;
+                    let over = ticket.client.is_none();
+                    drop(desk);
+                    self.gate.trip_ended(id, trip, took, ending, over, &load);
+                    self.desk().tidy(id);
+                }
+                Some(Told::Probe(server, ending, took, load)) => {
+                    self.gate.probe_ended(server, ending, took, &load);
+                }
+                Some(Told::Vote(taken)) => self.gate.vote_answered(taken),
+                Some(Told::ListFailed) => self.gate.list_failed(),
+            }
+        }
+    }
+
+    fn timer(&mut self, timer: Timer) {
+        match timer {
+            Timer::Wake(wake) => self.gate.woke(wake),
+            Timer::Trip(id, trip) => self.desk().give_up(id, trip, Ending::TimedOut, Reason::TimedOut),
+            Timer::Conn(id) => {
+                let due = self.desk().is_due(id);
+                if due {
+                    self.stood_too_long(id);
+                }
+            }
+            Timer::Notices => self.desk().ask_notices(),
+            Timer::StopListening => {
+                let mut desk = self.desk();
+                desk.listening = false;
+                desk.effects.push(Effect::StopListening);
+                close_idle_clients(&mut desk);
+            }
+            Timer::Exit => self.desk().effects.push(Effect::Exit),
+        }
+    }
+
+    fn stop(&mut self) {
+        let mut desk = self.desk();
+        if !std::mem::replace(&mut desk.stopping, true) {
+            let now = desk.now;
+            desk.log("stopping".to_owned());
+            desk.timers.set(now + STILL_LISTENS, Timer::StopListening);
+            desk.timers.set(now + STOPS_WITHIN, Timer::Exit);
+            close_idle_clients(&mut desk);
+        }
+    }
+
+    // ---- connections ----
+
+    fn up(&mut self, id: ConnId) {
+        let mut desk = self.desk();
+        if id.is_client() {
+            return desk.client_came(id);
+        }
+        let Some(conn) = desk.conns.get_mut(&id) else { return };
+        let message = conn.pending.take();
+        if let Kind::Server { server, work: Some(work), .. } = &conn.kind {
+            let (server, trip) = (*server, trip_of(work));
+            // Guards against a first byte after a drain's grace, for a dial that took long.
+            if desk.servers.get(&server).is_none_or(|place| place.condition != Condition::Healthy) {
+                if let Some((ticket, trip)) = trip {
+                    desk.give_up(ticket, trip, Ending::ConnectFailed, Reason::Unlisted);
+                }
+                return;
+            }
+            if trip.is_some() {
+                desk.due_at(id, None);
+            }
+        }
+        if let Some(message) = message {
+            desk.write(id, message);
+        }
+    }
+
+    fn written(&mut self, id: ConnId) {
+        let mut desk = self.desk();
+        let Some(conn) = desk.conns.get_mut(&id) else { return };
+        conn.unwritten = false;
+        if let Kind::Client { ticket: None, last: false, .. } = conn.kind {
+            drop(desk);
+            self.client(id);
+        }
+    }
+
+    fn bytes(&mut self, id: ConnId, read: Micros, bytes: &[u8]) {
+        let mut desk = self.desk();
+        let Some(conn) = desk.conns.get_mut(&id) else { return };
+        conn.buffer.push(bytes);
+        conn.heard = read;
+        match conn.kind {
+            Kind::Client { last: true, .. } => desk.consume(id, bytes.len()),
+            Kind::Client { .. } => {
+                drop(desk);
+                self.client(id);
+            }
+            Kind::Server { .. } | Kind::List | Kind::Vote => {
+                drop(desk);
+                self.answered(id, false);
+            }
+            Kind::Watch(_) | Kind::Notices(_) => {
+                drop(desk);
+                self.streamed(id);
+            }
+        }
+    }
+
+    /// The other side has ended a connection.
+    fn ended(&mut self, id: ConnId) {
+        let kept = self.desk().conns.get(&id).map(|conn| !conn.buffer.is_empty() && !conn.unwritten);
+        // An answer without a length ends with its connection.
+        if kept == Some(true) && !id.is_client() && self.answered(id, true) {
+            return;
+        }
+        let Some(conn) = self.desk().conns.get(&id).map(|conn| conn.unwritten) else { return };
+        self.failed(id, if conn && !id.is_client() { Reason::NoConnect } else { Reason::Broke }, true);
+    }
+
+    fn stood_too_long(&mut self, id: ConnId) {
+        let reason = match self.desk().conns.get(&id) {
+            Some(Conn { kind: Kind::Client { last: true, .. }, .. }) => Reason::LastMessage,
+            Some(Conn { kind: Kind::Client { .. }, .. }) => Reason::Slow,
+            Some(Conn { kind: Kind::Server { work: None, .. }, .. }) => Reason::Idle,
+            Some(Conn { kind: Kind::Server { work: Some(_), .. }, unwritten: true, .. }) => Reason::NoConnect,
+            Some(_) => Reason::Silent,
+            None => return,
+        };
+        self.failed(id, reason, false);
+    }
+
+    /// A connection has ended otherwise than by a whole answer, from the other side or for a reason of ours.
+    fn failed(&mut self, id: ConnId, reason: Reason, gone: bool) {
+        let mut desk = self.desk();
+        let Some(conn) = desk.conns.get(&id) else { return };
+        let unwritten = conn.unwritten;
+        let reason = match conn.kind {
+            Kind::Client { ticket: Some(_), .. } if gone => Reason::ClientLeft,
+            Kind::Client { .. } | Kind::Server { work: None, .. } if gone => Reason::PeerClosed,
+            _ => reason,
+        };
+        let ended = if gone { desk.forget(id, reason) } else { desk.close(id, reason) };
+        let Some(conn) = ended else { return };
+        let now = desk.now;
+        match conn.kind {
+            Kind::Client { ticket: Some(ticket), .. } => {
+                if let Some(ticket) = desk.tickets.get_mut(&ticket) {
+                    ticket.client = None;
+                }
+                drop(desk);
+                self.gate.client_left(ticket);
+                self.desk().tidy(ticket);
+            }
+            Kind::Server { server, work: Some(work), .. } => {
+                // Before the last byte is written it has not run; after that it may have.
+                let ending = if unwritten { Ending::ConnectFailed } else { Ending::Reset };
+                match work {
+                    Work::Trip(ticket, trip) => desk.trip_over(ticket, trip, ending, Vec::new()),
+                    Work::Probe(sent) => desk.told.push_back(Told::Probe(server, ending, now - sent, vec![])),
+                }
+            }
+            Kind::List | Kind::Watch(_) => desk.told.push_back(Told::ListFailed),
+            Kind::Vote => {
+                let taken = if unwritten { Taken::Error } else { Taken::Unknown };
+                desk.told.push_back(Told::Vote(taken));
+            }
+            Kind::Notices(_) => desk.ask_notices_later(),
+            Kind::Client { ticket: None, .. } | Kind::Server { work: None, .. } => {}
+        }
+    }
+
+    // ---- clients ----
+
+    /// Takes the next message of a client that has no ticket open and has taken its last answer.
+    fn client(&mut self, id: ConnId) {
+        loop {
+            let mut desk = self.desk();
+            let now = desk.now;
+            let Some(conn) = desk.conns.get(&id) else { return };
+            let Kind::Client { ticket: None, last: false, surplus } = conn.kind else { return };
+            if conn.unwritten {
+                return;
+            }
+            let waited = now - conn.heard;
+            let message = match http::request(conn.buffer.data()) {
+                Ok(Some((message, used))) => {
+                    desk.consume(id, used);
+                    message
+                }
+                Ok(None) if conn.buffer.data().len() < HELD_MOST => return desk.client_waits(id),
+                Ok(None) => return desk.answer(id, client::plain(413, true), true),
+                Err(fault) => {
+                    // Where the next message begins is not known any more.
+                    desk.log(format!("client conn={id} unreadable: {fault:?}"));
+                    return desk.answer(id, client::plain(client::status(fault), true), true);
+                }
+            };
+            let last = !message.keep || desk.stopping || surplus;
+            match client::asked(message, &desk.profiles, waited) {
+                Asked::Health => {
+                    let status = if desk.stopping || desk.servers.is_empty() { 503 } else { 200 };
+                    desk.answer(id, client::plain(status, last), last);
+                }
+                Asked::Wrong(status) => {
+                    desk.log(format!("client conn={id} answered {status}"));
+                    desk.answer(id, client::plain(status, last), last);
+                }
+                Asked::Ticket { .. } if surplus || desk.tickets.len() >= desk.max_open => {
+                    desk.answer(id, client::turned_back(None, last), last);
+                }
+                Asked::Ticket { arrival, request } => {
+                    let until = desk.until(arrival.left);
+                    let ticket = Ticket { client: Some(id), request, until, trips: Vec::new() };
+                    let number = desk.new_ticket(ticket);
+                    if let Some(Conn { kind: Kind::Client { ticket, last: is_last, .. }, .. }) =
+                        desk.conns.get_mut(&id)
+                    {
+                        (*ticket, *is_last) = (Some(number), last);
+                    }
+                    desk.due_at(id, None);
+                    drop(desk);
+                    self.gate.ticket_came(number, arrival);
+                    self.desk().tidy(number);
+                }
+            }
+        }
+    }
+
+    // ---- answers to calls of ours ----
+
+    /// Reads an answer, if it is whole. True if it was, or can't be read.
+    fn answered(&mut self, id: ConnId, ended: bool) -> bool {
+        let mut desk = self.desk();
+        let Some(conn) = desk.conns.get(&id) else { return true };
+        if let Kind::Server { work: None, .. } = conn.kind {
+            drop(desk);
+            self.failed(id, Reason::Unasked, ended);
+            return true;
+        }
+        match http::answer(conn.buffer.data(), ended) {
+            Ok(None) if conn.buffer.data().len() < HELD_MOST => false,
+            Ok(Some((message, used))) => {
+                desk.consume(id, used);
+                drop(desk);
+                self.take_answer(id, message, ended);
+                true
+            }
+            fault => {
+                drop(desk);
+                self.failed(id, fault.err().map_or(Reason::TooLarge, Reason::from), ended);
+                true
+            }
+        }
+    }
+
+    fn take_answer(&mut self, id: ConnId, answer: Message, ended: bool) {
+        let mut desk = self.desk();
+        let now = desk.now;
+        let Some(conn) = desk.conns.get(&id) else { return };
+        match &conn.kind {
+            Kind::Server { server, work: Some(work), .. } => {
+                let (server, trip, ending) = (*server, trip_of(work), instance::ending(&answer));
+                let load = instance::load(&answer, &desk.load_fields);
+                if let Work::Probe(sent) = work {
+                    let sent = *sent;
+                    desk.told.push_back(Told::Probe(server, ending, now - sent, load));
+                } else if let Some((ticket, trip)) = trip {
+                    if ending == Ending::Finished {
+                        desk.finish(ticket, |last| client::finished(&answer.body, last));
+                    }
+                    desk.trip_over(ticket, trip, ending, load);
+                }
+                desk.keep(id, answer.keep && !ended);
+            }
+            Kind::Vote => {
+                let (taken, news) = platform::taken(&answer);
+                desk.log(format!("vote taken: {taken:?}"));
+                desk.close(id, Reason::LastMessage);
+                drop(desk);
+                if let Some(news) = news {
+                    self.gate.news_came(news);
+                }
+                self.gate.vote_answered(taken);
+            }
+            Kind::List if answer.status == 200 => {
+                let list = discovery::list(&answer.body, &desk.words);
+                drop(desk);
+                match list {
+                    Ok(list) => {
+                        self.desk().close(id, Reason::LastMessage);
+                        self.list_came(list, true);
+                    }
+                    Err(fault) => {
+                        self.desk().log(format!("list unreadable: {fault}"));
+                        self.failed(id, Reason::Malformed, false);
+                    }
+                }
+            }
+            Kind::List => {
+                drop(desk);
+                self.failed(id, Reason::Refused, false);
+            }
+            _ => {}
+        }
+    }
+
+    fn list_came(&mut self, list: List, asked: bool) {
+        let whole = list.whole;
+        let listings = self.desk().take_list(list, asked);
+        match listings {
+            Some(listings) if whole => self.gate.list_came(listings),
+            Some(listings) => self.gate.list_changed(listings),
+            None => {}
+        }
+    }
+
+    // ---- streams ----
+
+    fn streamed(&mut self, id: ConnId) {
+        let mut desk = self.desk();
+        let Some(conn) = desk.conns.get_mut(&id) else { return };
+        let (Kind::Watch(stream) | Kind::Notices(stream)) = &mut conn.kind else { return };
+        let fed = stream.feed(conn.buffer.data());
+        let text = std::mem::take(&mut stream.text);
+        let watch = matches!(conn.kind, Kind::Watch(_));
+        match fed {
+            Ok(used) => desk.consume(id, used),
+            Err(end) => {
+                drop(desk);
+                let reason = match end {
+                    StreamEnd::Refused => Reason::Refused,
+                    StreamEnd::Last => Reason::LastMessage,
+                    StreamEnd::Fault(fault) => fault.into(),
+                };
+                return self.failed(id, reason, false);
+            }
+        }
+        let due = if watch { desk.list_due() } else { desk.notices_due() };
+        desk.due_at(id, Some(due));
+        drop(desk);
+        let rest = if watch { self.watched(id, text) } else { self.noticed(text) };
+        let mut desk = self.desk();
+        if let Some(Kind::Watch(stream) | Kind::Notices(stream)) =
+            desk.conns.get_mut(&id).map(|c| &mut c.kind)
+        {
+            stream.text = rest;
+        }
+    }
+
+    /// Takes the whole lines of a watch; returns what is not whole yet.
+    fn watched(&mut self, id: ConnId, mut text: Vec<u8>) -> Vec<u8> {
+        while let Some(end) = text.iter().position(|byte| *byte == b'\n') {
+            let line: Vec<u8> = text.drain(..=end).collect();
+            if line.trim_ascii().is_empty() {
+                continue;
+            }
+            let list = discovery::list(&line, &self.desk().words);
+            match list {
+                Ok(list) => self.list_came(list, true),
+                Err(fault) => {
+                    self.desk().log(format!("list unreadable: {fault}"));
+                    self.failed(id, Reason::Malformed, false);
+                    return Vec::new();
+                }
+            }
+        }
+        text
+    }
+
+    fn noticed(&mut self, mut text: Vec<u8>) -> Vec<u8> {
+        text.retain(|byte| *byte != b'\r');
+        self.desk().notices_work();
+        for notice in platform::told(&mut text) {
+            match notice {
+                Notice::News(news) => self.gate.news_came(news),
+                Notice::Other(text) => self.desk().log(format!("notice left out: {text:?}")),
+            }
+        }
+        text
+    }
+}
+
+fn trip_of(work: &Work) -> Option<(TicketId, TripNo)> {
+    match work {
+        Work::Trip(ticket, trip) => Some((*ticket, *trip)),
+        Work::Probe(_) => None,
+    }
+}
+
+/// Closes the clients' connections that carry nothing; a message that crosses this is sent once more.
+fn close_idle_clients(desk: &mut Desk) {
+    let idle = desk.conns.iter().filter(|(_, conn)| conn.is_idle_client()).map(|(id, _)| *id);
+    for id in idle.collect::<Vec<_>>() {
+        desk.close(id, Reason::Stopping);
+    }
+}
--- /dev/null
+++ b/crates/garnetdoor-gateway/src/memory/ticket.rs
@@ -0,0 +1,33 @@
+//! A ticket and its trips as the sockets know them.
+
+use std::net::SocketAddr;
+
+use garnetdoor::host::{Condition, Micros, ServerId};
+
+use super::event::ConnId;
+use crate::wire::client::Request;
+
+pub struct Trip {
+    pub server: ServerId,
+    pub sent: Micros,
+    /// The connection that it went out on.
+    pub on: Option<ConnId>,
+    pub ended: bool,
+}
+
+pub struct Ticket {
+    /// The client's connection; `None` once the ticket has its final answer or its client has left.
+    pub client: Option<ConnId>,
+    pub request: Request,
+    /// When its last trip is given up.
+    pub until: Micros,
+    pub trips: Vec<Trip>,
+}
+
+/// A server as the list showed it last.
+pub struct Place {
+    pub address: SocketAddr,
+    pub condition: Condition,
+    /// Its idle connections, the one used last at the end.
+    pub idle: Vec<ConnId>,
+}
--- /dev/null
+++ b/crates/garnetdoor-gateway/src/wire/instance.rs
@@ -0,0 +1,45 @@
+//! What servers are sent, and how their answers end a trip.
+
+use std::net::SocketAddr;
+
+use garnetdoor::host::{Ending, Micros};
+
+use super::client::Request;
+use super::http::Message;
+
+pub fn trip(request: &Request, server: SocketAddr, left: Micros) -> Vec<u8> {
+    let Request { method, target, id, body } = request;
+    let left = (left / 1_000).max(1);
+    let length = if body.is_empty() && method == "GET" {
+        String::new()
+    } else {
+        format!("Content-Length: {}\r\n", body.len())
+    };
+    let head = format!(
+        "{method} {target} HTTP/1.1\r\nHost: {server}\r\nReq-Id: {id}\r\nReq-Deadline-Ms: {left}\r\n{length}\r\n"
+    );
+    [head.as_bytes(), body].concat()
+}
+
+pub fn probe(server: SocketAddr) -> Vec<u8> {
+    format!("GET /ping HTTP/1.1\r\nHost: {server}\r\n\r\n").into_bytes()
+}
+
+/// How an answer ends a trip. One with a status of its own says nothing of whether the ticket ran.
+pub fn ending(answer: &Message) -> Ending {
+    match answer.status {
+        200 => Ending::Finished,
+        503 | 504 if answer.header("srv-declined") == Some("1") => Ending::Full,
+        _ => Ending::Error,
+    }
+}
+
+/// The load report, in the order of the settings' fields.
+pub fn load(answer: &Message, fields: &[String]) -> Vec<Option<f64>> {
+    let Some(report) = answer.header("srv-load") else { return Vec::new() };
+    let figure = |field: &String| {
+        let mut pairs = report.split(',').filter_map(|pair| pair.trim().split_once('='));
+        pairs.find(|(name, _)| name == field).and_then(|(_, text)| text.parse().ok())
+    };
+    fields.iter().map(figure).collect()
+}
--- /dev/null
+++ b/crates/garnetdoor-gateway/src/wire/platform.rs
@@ -0,0 +1,112 @@
+//! The platform: votes as forms, answers in XML, and its stream of events.
+
+use std::net::SocketAddr;
+
+use garnetdoor::host::{BuildNo, Micros, News, Phase, StageNo, Taken, Vote};
+use quick_xml::Reader;
+use quick_xml::events::Event;
+
+use super::http::Message;
+
+pub fn vote(platform: SocketAddr, build: BuildNo, stage: StageNo, vote: Vote) -> Vec<u8> {
+    let opinion = match vote {
+        Vote::None => "abstain",
+        Vote::On => "promote",
+        Vote::Hold => "pause",
+        Vote::Back => "abort",
+    };
+    let body = format!("Action=CastVote&image={}&ring={}&opinion={opinion}", build.0, stage.0);
+    let kind = "application/x-www-form-urlencoded";
+    let length = body.len();
+    format!("POST / HTTP/1.1\r\nHost: {platform}\r\nContent-Type: {kind}\r\nContent-Length: {length}\r\n\r\n{body}")
+        .into_bytes()
+}
+
+pub fn notices(platform: SocketAddr) -> Vec<u8> {
+    format!("GET /notices HTTP/1.1\r\nHost: {platform}\r\nAccept: text/event-stream\r\n\r\n").into_bytes()
+}
+
+/// How a vote was taken, and the state told with it.
+pub fn taken(answer: &Message) -> (Taken, Option<News>) {
+    let Some(fields) = leaves(&answer.body) else { return (Taken::Unknown, None) };
+    let field = |name: &str| fields.iter().find(|(field, _)| field == name).map(|(_, text)| text.as_str());
+    match (answer.status, field("Code")) {
+        (200, None) => match news(field) {
+            Some(news) => (Taken::Counted, Some(news)),
+            None => (Taken::Unknown, None),
+        },
+        (400, Some("limit")) => (Taken::Full, None),
+        (400, Some("moot")) => (Taken::Moot, None),
+        (400 | 500, Some("error" | "malformed")) => (Taken::Error, None),
+        _ => (Taken::Unknown, None),
+    }
+}
+
+/// The innermost elements of a document with their texts; `None` where it is not well formed.
+fn leaves(text: &[u8]) -> Option<Vec<(String, String)>> {
+    let mut reader = Reader::from_str(str::from_utf8(text).ok()?);
+    let (mut found, mut inside, mut depth) = (Vec::new(), String::new(), 0);
+    loop {
+        match reader.read_event().ok()? {
+            Event::Start(_) => {
+                depth += 1;
+                inside.clear();
+            }
+            Event::Text(part) => inside.push_str(part.trim()),
+            Event::End(end) => {
+                depth -= 1;
+                let name = end.name().as_ref().to_owned();
+                if !inside.is_empty() {
+                    found.push((name, std::mem::take(&mut inside)));
+                }
+            }
+            Event::Eof => return (depth == 0 && !found.is_empty()).then_some(found),
+            _ => {}
+        }
+    }
+}
+
+/// The state of the newest build from its fields, whatever holds them.
+pub fn news<'a>(field: impl Fn(&str) -> Option<&'a str>) -> Option<News> {
+    let phase = match field("progress")? {
+        "Progressing" => Phase::OnTrial,
+        "Aborting" => Phase::GoingBack,
+        "Healthy" => Phase::Released,
+        "Aborted" => Phase::Withdrawn,
+        _ => return None,
+    };
+    let cap: f64 = field("ceiling")?.parse().ok()?;
+    let lag: f64 = field("lag_ms")?.parse().ok()?;
+    Some(News {
+        build: BuildNo(field("image")?.parse().ok()?),
+        stage: StageNo(field("ring")?.parse().ok()?),
+        phase,
+        cap: (0.0..=1.0).contains(&cap).then_some(cap)?,
+        age: (0.0..9e12).contains(&lag).then_some((lag * 1_000.0) as Micros)?,
+    })
+}
+
+/// One thing told unasked.
+pub enum Notice {
+    News(News),
+    /// Of a kind that is not known here, or unreadable.
+    Other(String),
+}
+
+/// Takes the whole events out of a stream's text, leaving what is not whole yet.
+pub fn told(text: &mut Vec<u8>) -> Vec<Notice> {
+    let mut notices = Vec::new();
+    while let Some(end) = text.windows(2).position(|pair| pair == b"\n\n") {
+        let event = String::from_utf8_lossy(&text[..end]).replace('\r', "");
+        text.drain(..end + 2);
+        let part = |name: &str| event.lines().find_map(|line| line.strip_prefix(name)).map(str::trim);
+        let Some(data) = part("data:") else { continue };
+        let pairs: Vec<_> = data.split('&').filter_map(|pair| pair.split_once('=')).collect();
+        let read = news(|name| pairs.iter().find(|(field, _)| *field == name).map(|(_, value)| *value));
+        notices.push(match read.filter(|_| part("event:") == Some("news")) {
+            Some(news) => Notice::News(news),
+            None => Notice::Other(event),
+        });
+    }
+    notices
+}
--- /dev/null
+++ b/crates/garnetdoor-gateway/src/wire/socket.rs
@@ -0,0 +1,167 @@
+//! Connections on `may`: one coroutine each, which only moves bytes. It reads until the reducer holds enough
+//! unread, writes what the reducer's thread could not write at once, and tells how the connection ended.
+
+use std::cell::RefCell;
+use std::io::{ErrorKind, Read, Write};
+use std::net::{Shutdown, SocketAddr};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::mpsc::Sender;
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
+use std::time::Duration;
+
+use may::io::{WaitIo, WaitIoWaker};
+use may::net::TcpStream;
+
+use super::http::HELD_MOST;
+use crate::lifecycle::clock::Clock;
+use crate::memory::event::{ConnId, Event};
+
+/// One read takes at most this much; the worker's only copy of it is shared by its connections.
+const READ_MOST: usize = 16 * 1024;
+
+thread_local! {
+    static READ: RefCell<Box<[u8]>> = RefCell::new(vec![0; READ_MOST].into_boxed_slice());
+}
+
+#[derive(Default)]
+struct Out {
+    bytes: Vec<u8>,
+    /// Something was written that the reducer has not been told of.
+    untold: bool,
+    /// Once all is written, the sending side ends.
+    last: bool,
+}
+
+/// A connection as the reducer's thread holds it.
+pub struct Link {
+    id: ConnId,
+    stream: OnceLock<(TcpStream, WaitIoWaker)>,
+    out: Mutex<Out>,
+    closed: AtomicBool,
+    /// Bytes read and not consumed yet.
+    unread: AtomicUsize,
+}
+
+impl Link {
+    pub fn new(id: ConnId) -> Arc<Self> {
+        let (stream, out, closed, unread) = Default::default();
+        Arc::new(Link { id, stream, out, closed, unread })
+    }
+
+    fn out(&self) -> MutexGuard<'_, Out> {
+        self.out.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn wake(&self) {
+        if let Some((_, waker)) = self.stream.get() {
+            waker.wakeup();
+        }
+    }
+
+    /// Writes as much as goes at once; the coroutine does the rest. True once all is written.
+    pub fn write(&self, bytes: &[u8]) -> bool {
+        let mut out = self.out();
+        out.bytes.extend_from_slice(bytes);
+        out.untold = true;
+        let done = self.push(&mut out);
+        drop(out);
+        if !done {
+            self.wake();
+        }
+        done
+    }
+
+    /// True if all is written just now. A failure shows when the coroutine reads.
+    fn push(&self, out: &mut Out) -> bool {
+        let Some((stream, _)) = self.stream.get() else { return false };
+        while !out.bytes.is_empty() {
+            match stream.inner().write(&out.bytes) {
+                Ok(0) => return false,
+                Ok(count) => drop(out.bytes.drain(..count)),
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                Err(_) => return false,
+            }
+        }
+        if out.last {
+            let _ = stream.shutdown(Shutdown::Write);
+        }
+        out.bytes.shrink_to(READ_MOST);
+        std::mem::take(&mut out.untold)
+    }
+
+    /// Ends the sending side once all is written.
+    pub fn finish(&self) {
+        let mut out = self.out();
+        out.last = true;
+        self.push(&mut out);
+    }
+
+    /// Ends the connection at once, whatever its coroutine waits for.
+    pub fn close(&self) {
+        self.closed.store(true, Ordering::Release);
+        if let Some((stream, _)) = self.stream.get() {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+        self.wake();
+    }
+
+    pub fn consumed(&self, count: usize) {
+        let before = self.unread.fetch_sub(count, Ordering::AcqRel);
+        if before >= HELD_MOST && before - count < HELD_MOST {
+            self.wake();
+        }
+    }
+
+    /// Runs in a coroutine of its own until the connection ends.
+    fn run(&self, stream: TcpStream, clock: Clock, events: &Sender<Event>) {
+        // Answers and trips are small, and each waits for the other side.
+        let _ = stream.set_nodelay(true);
+        let waker = stream.waker();
+        let (stream, _) = self.stream.get_or_init(|| (stream, waker));
+        let _ = events.send(Event::Up(self.id));
+        while !self.closed.load(Ordering::Acquire) {
+            if self.push(&mut self.out()) {
+                let _ = events.send(Event::Written(self.id));
+            }
+            if self.unread.load(Ordering::Acquire) < HELD_MOST {
+                let read = READ
+                    .with_borrow_mut(|room| stream.inner().read(room).map(|count| room[..count].to_vec()));
+                match read {
+                    Ok(bytes) if bytes.is_empty() => break,
+                    Ok(bytes) => {
+                        self.unread.fetch_add(bytes.len(), Ordering::AcqRel);
+                        let _ = events.send(Event::Bytes(self.id, clock.now(), bytes));
+                        continue;
+                    }
+                    Err(error) if error.kind() == ErrorKind::Interrupted => continue,
+                    Err(error) if error.kind() == ErrorKind::WouldBlock => {}
+                    Err(_) => break,
+                }
+            }
+            stream.wait_io();
+        }
+        let _ = stream.shutdown(Shutdown::Both);
+        let _ = events.send(Event::Ended(self.id));
+    }
+}
+
+/// Lets a connection run that a client has made.
+pub fn accepted(link: Arc<Link>, stream: TcpStream, clock: Clock, events: Sender<Event>) {
+    // SAFETY: `may` asks that no coroutine that uses thread-local storage moves between threads while it
+    // does, and that stacks suffice: the read buffer is borrowed within one read, with no wait inside, there
+    // is one worker, and the coroutine calls nothing deep.
+    unsafe { may::coroutine::spawn(move || link.run(stream, clock, &events)) };
+}
+
+/// Makes a connection and lets it run. One that was closed meanwhile ends as soon as it is up.
+pub fn dial(link: Arc<Link>, to: SocketAddr, within: Duration, clock: Clock, events: Sender<Event>) {
+    // SAFETY: as above.
+    unsafe {
+        may::coroutine::spawn(move || match TcpStream::connect_timeout(&to, within) {
+            Ok(stream) => link.run(stream, clock, &events),
+            Err(_) => {
+                let _ = events.send(Event::Ended(link.id));
+            }
+        })
+    };
+}
--- a/src/host.rs
+++ b/src/host.rs
@@ -203,6 +203,11 @@
 pub struct Settings(BTreeMap<String, String>);
 
 impl Settings {
+    /// All names and values, in the order of the names.
+    pub fn pairs(&self) -> impl Iterator<Item = (&str, &str)> {
+        self.0.iter().map(|(name, value)| (name.as_str(), value.as_str()))
+    }
+
     pub fn text(&self, name: &str) -> Option<&str> {
         self.0.get(name).map(String::as_str)
     }
