--- /dev/null
+++ b/crates/garnetdoor-gateway/tests/reducer.rs
@@ -0,0 +1,575 @@
+//! Stories of the reducer without a socket: what happens goes in, what is to be done comes out.
+
+use garnetdoor_gateway::config::{self, Config};
+use garnetdoor_gateway::memory::event::{ConnId, Effect, Event};
+use garnetdoor_gateway::memory::reducer::Reducer;
+use serde_json::{Value, json};
+use test_case::test_case;
+
+const MS: i64 = 1_000;
+const S: i64 = 1_000_000;
+const A: &str = "127.0.0.1:7001";
+const B: &str = "127.0.0.1:7002";
+const LIST: &str = "127.0.0.1:7100";
+const PLATFORM: &str = "127.0.0.1:7200";
+
+fn entry(name: &str, address: &str, state: &str) -> Value {
+    json!({"uid": name, "endpoint": address, "az": "a", "model": "m", "pod_group": 1, "state": state,
+        "capacity_hint": 1.0, "boot_ms": 0, "image_id": 41})
+}
+
+fn list(version: u64, whole: bool, entries: &[Value]) -> Value {
+    json!({"rev": version, "all": whole, "targets": entries})
+}
+
+fn file() -> Value {
+    json!({
+        "name": "g", "listen": "127.0.0.1:0", "discovery": LIST, "seed": "7", "limits": {"sockets": 80},
+        "peers": ["127.0.0.1:7301", "127.0.0.1:7302"], "peers_all": "127.0.0.1:7399",
+        "rollouts": {"address": PLATFORM, "news":
+            {"image": 41, "ring": 0, "progress": "Healthy", "ceiling": 1.0, "lag_ms": 9000}},
+        "known": list(5, true, &[entry("s-a", A, "up"), entry("s-b", B, "up")]),
+        "settings": {
+            "classes": [
+                {"name": "view", "repeat": "safe", "on_time": 0.5, "worth": 1.0},
+                {"name": "print", "repeat": "unsafe", "on_time": 0.5, "worth": 1.0}],
+            "areas": ["a", "b"], "machine_types": ["m"], "zone": 0, "discovery": "subscribe", "fleet_size": 2,
+            "policy_limits": {"try_limit": 3, "idle_close": 8.0, "dial_timeout": 0.25, "retry_after": true,
+                "max_retry_after": 0.5, "max_open": 1000},
+            "domain": {"vote_wait": 2.0, "vote_life": 6.0, "votes_per_s": 300.0, "exposure_window": 4.0}}
+    })
+}
+
+fn checked(file: &Value) -> Config {
+    config::check(&file.to_string(), |_| None).expect("a good configuration")
+}
+
+struct Rig {
+    now: i64,
+    reducer: Reducer,
+    done: Vec<Effect>,
+    clients: u64,
+}
+
+impl Rig {
+    fn new() -> Self {
+        Rig::with(&file())
+    }
+
+    fn with(file: &Value) -> Self {
+        let now = 1_000 * S;
+        let (reducer, done) = Reducer::start(now, &checked(file));
+        Rig { now, reducer, done, clients: 0 }
+    }
+
+    fn happens(&mut self, event: Event) {
+        let effects = self.reducer.reduce(self.now, event);
+        self.done.extend(effects);
+    }
+
+    /// Lets time pass, in steps small enough for the decisions' beat.
+    fn wait(&mut self, span: i64) {
+        let end = self.now + span;
+        while self.now < end {
+            self.now = (self.now + 10 * MS).min(end);
+            self.happens(Event::Time);
+        }
+    }
+
+    fn says(&mut self, id: ConnId, text: &str) {
+        self.happens(Event::Bytes(id, self.now, text.as_bytes().to_vec()));
+    }
+
+    fn client(&mut self) -> ConnId {
+        self.clients += 2;
+        self.happens(Event::Up(ConnId(self.clients)));
+        ConnId(self.clients)
+    }
+
+    fn views(&mut self, client: ConnId) {
+        self.says(client, "GET /view/1?x=2 HTTP/1.1\r\nReq-Id: r1\r\nReq-Deadline-Ms: 400\r\n\r\n");
+    }
+
+    fn prints(&mut self, client: ConnId) {
+        let head = "POST /print HTTP/1.1\r\nReq-Id: r2\r\nReq-Deadline-Ms: 400\r\nContent-Length: 3\r\n\r\n";
+        self.says(client, &format!("{head}a\0b"));
+    }
+
+    /// Everything written to a connection so far.
+    fn written(&self, id: ConnId) -> String {
+        let bytes = self.done.iter().filter_map(|effect| match effect {
+            Effect::Write(to, bytes) if *to == id => Some(bytes.as_slice()),
+            _ => None,
+        });
+        String::from_utf8(bytes.collect::<Vec<_>>().concat()).expect("text")
+    }
+
+    fn closed(&self, id: ConnId) -> bool {
+        self.done.contains(&Effect::Close(id)) || self.done.contains(&Effect::Finish(id))
+    }
+
+    fn logged(&self, part: &str) -> usize {
+        self.done.iter().filter(|effect| matches!(effect, Effect::Log(text) if text.contains(part))).count()
+    }
+
+    /// The connections dialled to an address, or to any server.
+    fn dialled(&self, to: &[&str]) -> Vec<ConnId> {
+        let dials = self.done.iter().filter_map(|effect| match effect {
+            Effect::Dial(id, address, _) if to.contains(&address.to_string().as_str()) => Some(*id),
+            _ => None,
+        });
+        dials.collect()
+    }
+
+    /// The last connection dialled to an address comes up and all is written.
+    fn comes_up(&mut self, to: &[&str]) -> ConnId {
+        let id = *self.dialled(to).last().expect("a connection was dialled");
+        self.up(id)
+    }
+
+    fn up(&mut self, id: ConnId) -> ConnId {
+        self.happens(Event::Up(id));
+        self.happens(Event::Written(id));
+        id
+    }
+
+    /// A client's ticket that is out at a server.
+    fn trip_out(&mut self, ask: fn(&mut Rig, ConnId)) -> (ConnId, ConnId) {
+        let client = self.client();
+        ask(self, client);
+        (client, self.comes_up(&[A, B]))
+    }
+
+    fn watch(&mut self) -> ConnId {
+        while self.dialled(&[LIST]).is_empty() {
+            self.wait(10 * MS);
+        }
+        let watch = self.comes_up(&[LIST]);
+        self.says(watch, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+        watch
+    }
+
+    fn tells(&mut self, watch: ConnId, line: &str) {
+        self.says(watch, &format!("{:x}\r\n{line}\n\r\n", line.len() + 1));
+    }
+
+    fn status(&self, client: ConnId) -> String {
+        self.written(client).split_whitespace().nth(1).unwrap_or_default().to_owned()
+    }
+}
+
+const OK: &str = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody";
+
+#[test]
+fn a_ticket_goes_to_a_server_and_its_answer_back_unchanged() {
+    let mut rig = Rig::new();
+    let client = rig.client();
+    rig.views(client);
+    let server = rig.dialled(&[A, B])[0];
+    assert_eq!(rig.written(server), "");
+    rig.comes_up(&[A, B]);
+    let sent = rig.written(server);
+    assert!(
+        sent.starts_with("GET /view/1?x=2 HTTP/1.1\r\n") && sent.contains("\r\nReq-Id: r1\r\n"),
+        "{sent}"
+    );
+    assert!(sent.contains("\r\nReq-Deadline-Ms: 380\r\n") && sent.ends_with("\r\n\r\n"), "{sent}");
+    rig.says(server, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\na\0\n\r\n2\r\nxy\r\n");
+    assert_eq!(rig.written(client), "");
+    rig.says(server, "0\r\n\r\n");
+    assert!(rig.written(client).ends_with("\r\nContent-Length: 5\r\n\r\na\0\nxy"));
+    assert!(!rig.closed(server) && !rig.closed(client));
+}
+
+#[test]
+fn a_body_passes_unchanged_with_its_length() {
+    let mut rig = Rig::new();
+    let (_, server) = rig.trip_out(Rig::prints);
+    let sent = rig.written(server);
+    assert!(sent.starts_with("POST /print HTTP/1.1\r\n") && sent.ends_with("Content-Length: 3\r\n\r\na\0b"));
+}
+
+#[test]
+fn the_latest_idle_connection_is_used_again_and_closed_well_before_the_server_does() {
+    let mut rig = Rig::new();
+    let (client, server) = rig.trip_out(Rig::views);
+    rig.says(server, OK);
+    rig.happens(Event::Written(client));
+    // Until the same server is drawn again.
+    while rig.written(server).matches("GET").count() < 2 {
+        let dialled = rig.dialled(&[A, B]).len();
+        let other = rig.client();
+        rig.views(other);
+        if rig.dialled(&[A, B]).len() > dialled {
+            rig.comes_up(&[A, B]);
+        }
+    }
+    rig.happens(Event::Written(server));
+    rig.says(server, OK);
+    rig.wait(3 * S);
+    assert!(!rig.closed(server));
+    rig.wait(2 * S);
+    assert!(rig.closed(server));
+    assert_eq!(rig.logged(&format!("end conn={server} kind=server code=idle")), 1);
+}
+
+#[test]
+fn a_server_that_speaks_unasked_is_closed() {
+    let mut rig = Rig::new();
+    let (_, server) = rig.trip_out(Rig::views);
+    rig.says(server, &format!("{OK}HTTP/1.1 500 X\r\n\r\n"));
+    assert!(rig.closed(server));
+    let (_, server) = rig.trip_out(Rig::views);
+    rig.says(server, OK);
+    rig.says(server, "x");
+    assert_eq!(rig.logged("code=unasked"), 1);
+}
+
+#[test]
+fn pieces_and_pipelined_bytes_make_tickets_one_after_another() {
+    let mut rig = Rig::new();
+    let client = rig.client();
+    let one = "GET /view HTTP/1.1\r\nReq-Id: r1\r\nReq-Deadline-Ms: 400\r\n\r\n";
+    for byte in one.bytes() {
+        rig.says(client, &char::from(byte).to_string());
+    }
+    let server = rig.comes_up(&[A, B]);
+    rig.says(client, &format!("{one}GET /_health HTTP/1.1\r\n\r\n"));
+    assert_eq!(rig.dialled(&[A, B]).len(), 1);
+    rig.says(server, OK);
+    assert_eq!(rig.written(client).matches("HTTP/1.1").count(), 1);
+    rig.happens(Event::Written(client));
+    let sent: usize = rig.dialled(&[A, B]).iter().map(|id| rig.written(*id).matches("GET").count()).sum();
+    assert!(
+        sent == 2 || rig.dialled(&[A, B]).len() == 2,
+        "the second ticket goes out once the first is answered"
+    );
+}
+
+#[test_case("NONSENSE\r\n\r\n", "400", true; "malformed head")]
+#[test_case("GET /view HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n", "400", true; "two framings")]
+#[test_case("POST /print HTTP/1.1\r\nContent-Length: 70000\r\n\r\n", "413", true; "large body")]
+#[test_case("POST /print HTTP/1.1\r\nContent-Length: -1\r\n\r\n", "400", true; "no length")]
+#[test_case("GET /else HTTP/1.1\r\nReq-Id: r\r\nReq-Deadline-Ms: 9\r\n\r\n", "404", false; "unknown path")]
+#[test_case("POST /view HTTP/1.1\r\nReq-Id: r\r\nReq-Deadline-Ms: 9\r\n\r\n", "405", false; "wrong method")]
+#[test_case("GET /view HTTP/1.1\r\nReq-Deadline-Ms: 9\r\n\r\n", "400", false; "no id")]
+#[test_case("GET /view HTTP/1.1\r\nReq-Id: r\r\n\r\n", "400", false; "no time")]
+#[test_case("GET /view HTTP/1.1\r\nReq-Id: r\r\nReq-Deadline-Ms: 1.5\r\n\r\n", "400", false; "unreadable time")]
+#[test_case("POST /_health HTTP/1.1\r\n\r\n", "405", false; "health by another method")]
+#[test_case("GET /_health HTTP/1.1\r\n\r\n", "200", false; "health")]
+#[test_case("GET /_health HTTP/1.1\r\nConnection: close\r\n\r\n", "200", true; "last message")]
+fn what_is_no_ticket_is_answered_and_goes_nowhere(text: &str, status: &str, closes: bool) {
+    let mut rig = Rig::new();
+    let client = rig.client();
+    rig.says(client, text);
+    assert_eq!((rig.status(client).as_str(), rig.closed(client)), (status, closes));
+    assert!(rig.dialled(&[A, B]).is_empty());
+}
+
+#[test]
+fn a_head_without_end_is_refused() {
+    let mut rig = Rig::new();
+    let client = rig.client();
+    rig.says(client, &format!("GET /view HTTP/1.1\r\nX: {}", "x".repeat(17_000)));
+    assert_eq!((rig.status(client).as_str(), rig.closed(client)), ("431", true));
+}
+
+// What comes back for a once-only ticket: a further trip only where it is proved not to have run.
+#[test_case("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody", "200", 1; "finished")]
+#[test_case("HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n", "504", 1; "error")]
+#[test_case("HTTP/1.1 503 X\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n", "", 2; "declined")]
+#[test_case("HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n", "504", 1; "unavailable, and it may have run")]
+#[test_case("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", "200", 1; "interim")]
+#[test_case("garbage\r\n\r\n", "504", 1; "malformed")]
+#[test_case("HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\n", "504", 1; "too large")]
+#[test_case("HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\n", "504", 1; "unknown framing")]
+fn an_answer_ends_the_trip_as_the_table_says(text: &str, status: &str, trips: usize) {
+    let mut rig = Rig::new();
+    let (client, server) = rig.trip_out(Rig::prints);
+    rig.says(server, text);
+    assert_eq!((rig.status(client).as_str(), rig.dialled(&[A, B]).len()), (status, trips));
+}
+
+#[test_case(false, "", "", 2; "before the last byte: it has not run")]
+#[test_case(true, "", "504", 1; "after: it may have")]
+#[test_case(true, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbo", "504", 1; "cut short")]
+#[test_case(true, "HTTP/1.1 200 OK\r\n\r\nbody", "200", 1; "a body up to the close")]
+fn a_break_is_told_by_what_was_written(whole: bool, text: &str, status: &str, trips: usize) {
+    let mut rig = Rig::new();
+    let client = rig.client();
+    rig.prints(client);
+    let server = rig.dialled(&[A, B])[0];
+    rig.happens(Event::Up(server));
+    if whole {
+        rig.happens(Event::Written(server));
+        rig.says(server, text);
+    }
+    rig.happens(Event::Ended(server));
+    assert_eq!((rig.status(client).as_str(), rig.dialled(&[A, B]).len()), (status, trips));
+}
+
+#[test]
+fn a_dial_that_never_comes_up_leads_elsewhere_in_time() {
+    let mut rig = Rig::new();
+    let client = rig.client();
+    rig.prints(client);
+    rig.wait(260 * MS);
+    assert_eq!((rig.dialled(&[A, B]).len(), rig.logged("code=no-connect")), (2, 1));
+}
+
+#[test]
+fn silence_is_answered_before_the_client_gives_up_and_the_trip_is_closed() {
+    let mut rig = Rig::new();
+    let (client, server) = rig.trip_out(Rig::prints);
+    rig.wait(370 * MS);
+    assert_eq!(rig.written(client), "");
+    rig.wait(20 * MS);
+    assert_eq!(rig.status(client), "504");
+    assert!(rig.closed(server));
+    // What comes after that goes nowhere.
+    rig.says(server, OK);
+    assert_eq!(rig.written(client).matches("HTTP/1.1").count(), 1);
+}
+
+#[test]
+fn time_that_a_ticket_waited_unread_is_not_there_any_more() {
+    let mut rig = Rig::new();
+    let client = rig.client();
+    let text = b"GET /view HTTP/1.1\r\nReq-Id: r\r\nReq-Deadline-Ms: 400\r\n\r\n";
+    rig.happens(Event::Bytes(client, rig.now - 300 * MS, text.to_vec()));
+    let server = rig.comes_up(&[A, B]);
+    assert!(rig.written(server).contains("Req-Deadline-Ms: 80\r\n"));
+}
+
+#[test]
+fn nothing_is_written_to_a_client_that_left() {
+    let mut rig = Rig::new();
+    let (client, server) = rig.trip_out(Rig::views);
+    rig.happens(Event::Ended(client));
+    rig.says(server, OK);
+    assert_eq!((rig.written(client).as_str(), rig.logged("code=client-left")), ("", 1));
+}
+
+#[test]
+fn a_slow_reader_gets_one_answer_and_is_closed_later() {
+    let mut rig = Rig::new();
+    let (client, server) = rig.trip_out(Rig::views);
+    rig.says(server, OK);
+    rig.views(client);
+    assert_eq!(rig.dialled(&[A, B]).len(), 1);
+    rig.wait(11 * S);
+    assert_eq!(rig.logged(&format!("end conn={client} kind=client code=slow")), 1);
+}
+
+#[test]
+fn a_server_told_to_drain_while_it_is_dialled_gets_nothing() {
+    let mut rig = Rig::new();
+    let watch = rig.watch();
+    let client = rig.client();
+    rig.prints(client);
+    let server = rig.dialled(&[A, B])[0];
+    rig.tells(
+        watch,
+        &list(6, false, &[entry("s-a", A, "draining"), entry("s-b", B, "draining")]).to_string(),
+    );
+    rig.happens(Event::Up(server));
+    assert_eq!(rig.written(server), "");
+    assert!(rig.closed(server));
+}
+
+#[test_case("draining", A; "it drains")]
+#[test_case("removed", A; "it is gone")]
+#[test_case("up", "127.0.0.1:7009"; "it has another address")]
+fn idle_connections_end_when_the_list_changes_their_server(state: &str, address: &str) {
+    let mut rig = Rig::with(&{
+        let mut file = file();
+        file["known"] = list(5, true, &[entry("s-a", A, "up")]);
+        file
+    });
+    let watch = rig.watch();
+    let (_, server) = rig.trip_out(Rig::views);
+    rig.says(server, OK);
+    assert!(!rig.closed(server));
+    rig.tells(watch, &list(6, false, &[entry("s-a", address, state)]).to_string());
+    assert_eq!((rig.closed(server), rig.logged("code=unlisted")), (true, 1));
+}
+
+#[test]
+fn older_lists_are_ignored_and_unreadable_entries_left_out() {
+    let mut rig = Rig::new();
+    let watch = rig.watch();
+    let bad = json!({"uid": "s-x", "endpoint": "nowhere"});
+    rig.tells(watch, &list(9, false, &[bad, entry("s-a", A, "removed")]).to_string());
+    rig.tells(watch, &list(7, false, &[entry("s-b", B, "removed"), entry("s-a", A, "up")]).to_string());
+    let client = rig.client();
+    rig.views(client);
+    assert_eq!((rig.dialled(&[A]).len(), rig.dialled(&[B]).len()), (0, 1));
+    assert_eq!((rig.logged("list entry left out: s-x: state"), rig.logged("old list ignored")), (1, 1));
+}
+
+#[test_case("HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n"; "refused")]
+#[test_case("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\n{x}\n\r\n"; "malformed")]
+#[test_case("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"; "ended")]
+#[test_case("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n"; "silent")]
+fn a_watch_that_fails_is_asked_for_again(text: &str) {
+    let mut rig = Rig::new();
+    rig.wait(100 * MS);
+    let watch = rig.comes_up(&[LIST]);
+    rig.says(watch, text);
+    rig.wait(8 * S);
+    assert!(rig.dialled(&[LIST]).len() >= 2);
+    assert!(rig.closed(watch));
+    let again = *rig.dialled(&[LIST]).last().expect("just counted");
+    rig.happens(Event::Up(again));
+    assert!(rig.written(again).starts_with("GET /catalog/members?watch=1&after=5 "));
+}
+
+#[test]
+fn signs_of_life_keep_a_watch() {
+    let mut rig = Rig::new();
+    let watch = rig.watch();
+    for _ in 0..5 {
+        rig.wait(2 * S);
+        rig.tells(watch, "");
+    }
+    assert!(!rig.closed(watch));
+}
+
+fn voting() -> Rig {
+    let mut file = file();
+    let known = &mut file["known"]["targets"];
+    known[1]["image_id"] = json!(42);
+    file["rollouts"]["news"] =
+        json!({"image": 42, "ring": 0, "progress": "Progressing", "ceiling": 0.5, "lag_ms": 9000});
+    Rig::with(&file)
+}
+
+const STATE: &str = "<?xml version=\"1.0\"?><Response><entries><item><image>42</image><ring>0</ring>\
+    <progress>Progressing</progress><ceiling>0.5</ceiling><lag_ms>310</lag_ms></item></entries></Response>";
+
+#[test_case(200, STATE, "Counted"; "counted")]
+#[test_case(400, "<Error><Code>limit</Code></Error>", "Full"; "full")]
+#[test_case(400, "<Error><Code>moot</Code></Error>", "Moot"; "moot")]
+#[test_case(500, "<Error><Code>error</Code></Error>", "Error"; "error")]
+#[test_case(400, "<Error><Code>malformed</Code></Error>", "Error"; "malformed")]
+#[test_case(200, "<Response><entries>", "Unknown"; "cut short")]
+#[test_case(200, "<Response/>", "Unknown"; "nothing told")]
+#[test_case(418, "<Error><Code>new</Code></Error>", "Unknown"; "unknown code")]
+fn a_votes_answer_is_read_by_its_code(status: u16, body: &str, taken: &str) {
+    let mut rig = voting();
+    // The vote is cast first of all, then the stream is asked for.
+    let vote = rig.dialled(&[PLATFORM])[0];
+    rig.up(vote);
+    assert!(rig.written(vote).ends_with("\r\n\r\nAction=CastVote&image=42&ring=0&opinion=promote"));
+    rig.says(vote, &format!("HTTP/1.1 {status} X\r\nContent-Length: {}\r\n\r\n{body}", body.len()));
+    assert_eq!((rig.logged(&format!("vote taken: {taken}")), rig.closed(vote)), (1, true));
+}
+
+#[test]
+fn a_vote_without_an_answer_ends_with_its_connection_and_is_cast_again() {
+    let mut rig = voting();
+    // The vote is cast first of all, then the stream is asked for.
+    let vote = rig.dialled(&[PLATFORM])[0];
+    rig.up(vote);
+    rig.wait(3 * S);
+    assert!(rig.closed(vote));
+    assert!(rig.logged("vote build=42 stage=0 On") >= 2);
+}
+
+#[test]
+fn news_comes_by_the_stream_and_a_silent_stream_is_asked_for_again() {
+    let mut rig = Rig::new();
+    let stream = rig.comes_up(&[PLATFORM]);
+    assert!(rig.written(stream).starts_with("GET /notices HTTP/1.1\r\n"));
+    rig.says(stream, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    let text = ":\r\n\r\nevent: dance\ndata: image=9\n\nevent: news\r\ndata: image=42&ring=0&progress=Progressing\
+        &ceiling=0.5&lag_ms=10500\r\n\r\n";
+    for half in [&text[..70], &text[70..]] {
+        rig.says(stream, &format!("{:x}\r\n{half}\r\n", half.len()));
+    }
+    assert_eq!((rig.logged("notice left out"), rig.logged("vote build=42 stage=0 On")), (1, 1));
+    rig.wait(3 * S);
+    assert!(!rig.closed(stream));
+    rig.wait(S);
+    assert!(rig.closed(stream));
+    let asks = |rig: &Rig| rig.dialled(&[PLATFORM]).len() - rig.logged("vote build=");
+    assert_eq!(asks(&rig), 2);
+}
+
+#[test]
+fn strangers_datagrams_change_nothing() {
+    let mut rig = Rig::new();
+    rig.happens(Event::Datagram("127.0.0.9:1".parse().expect("an address"), vec![1; 256]));
+    rig.happens(Event::Datagram("127.0.0.1:7302".parse().expect("an address"), vec![0xff; 256]));
+    let (client, server) = rig.trip_out(Rig::views);
+    rig.says(server, OK);
+    assert_eq!(rig.status(client), "200");
+}
+
+#[test]
+fn full_tables_shed_idle_clients_first_and_turn_the_rest_back() {
+    let mut rig = Rig::new();
+    let idle = rig.client();
+    let mut busy = Vec::new();
+    while !rig.closed(idle) {
+        let client = rig.client();
+        rig.views(client);
+        busy.push(client);
+    }
+    assert_eq!(rig.logged("code=shed"), 1);
+    // The last one took the idle one's place; all are busy now.
+    let surplus = rig.client();
+    rig.views(surplus);
+    assert_eq!((rig.status(surplus).as_str(), rig.closed(surplus)), ("503", true));
+    assert!(busy.iter().all(|client| rig.written(*client).is_empty() && !rig.closed(*client)));
+}
+
+#[test]
+fn a_stop_answers_what_is_held_and_takes_what_still_comes() {
+    let mut rig = Rig::new();
+    let idle = rig.client();
+    let (client, server) = rig.trip_out(Rig::views);
+    rig.happens(Event::Stop);
+    assert!(rig.closed(idle) && !rig.closed(client));
+    let (late, second) = rig.trip_out(Rig::views);
+    let health = rig.client();
+    rig.says(health, "GET /_health HTTP/1.1\r\n\r\n");
+    assert_eq!(rig.status(health), "503");
+    rig.happens(Event::Written(health));
+    rig.wait(510 * MS);
+    assert!(rig.done.contains(&Effect::StopListening) && !rig.done.contains(&Effect::Exit));
+    for (client, server) in [(client, server), (late, second)] {
+        rig.says(server, OK);
+        assert!(rig.written(client).contains("Connection: close\r\n"));
+        rig.happens(Event::Written(client));
+    }
+    assert!(rig.done.contains(&Effect::Exit));
+}
+
+#[test_case(&["listen"], json!("nowhere"); "listen")]
+#[test_case(&["discovery"], json!(null); "discovery")]
+#[test_case(&["seed"], json!("xyz"); "seed")]
+#[test_case(&["limits", "sockets"], json!(3); "limits.sockets")]
+#[test_case(&["peers"], json!(["x"]); "peers")]
+#[test_case(&["rollouts", "address"], json!(7); "rollouts.address")]
+#[test_case(&["rollouts", "news"], json!({"image": 1}); "rollouts.news")]
+#[test_case(&["known"], json!([]); "known")]
+#[test_case(&["settings", "classes"], json!([]); "settings.classes")]
+fn a_faulty_key_is_named_with_what_was_found(path: &[&str], value: Value) {
+    let mut file = file();
+    let (last, outer) = path.split_last().expect("a path");
+    outer.iter().fold(&mut file, |value, part| &mut value[*part])[*last] = value;
+    let faults = config::check(&file.to_string(), |_| None).expect_err("a fault");
+    assert_eq!(faults.iter().map(|fault| fault.key.as_str()).collect::<Vec<_>>(), [path.join(".")]);
+}
+
+#[test]
+fn all_faults_come_together_and_variables_win() {
+    let mut file = file();
+    (file["seed"], file["peers_all"]) = (json!(""), json!(1));
+    let faults = config::check(&file.to_string(), |_| None).expect_err("faults");
+    assert_eq!(faults.len(), 2);
+    let variable = |name: &str| (name == "EDGE_LISTEN").then(|| "127.0.0.1:99".to_owned());
+    let config = config::check(&self::file().to_string(), variable).expect("a good configuration");
+    assert_eq!((config.listen.port(), config.overruled.len()), (99, 1));
+}
