--- /dev/null
+++ b/crates/garnetdoor-gateway/tests/loopback.rs
@@ -0,0 +1,222 @@
+//! The program itself over loopback, against stand-ins of a server, the list service and the platform.
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, Output, Stdio};
+use std::sync::mpsc::{self, Receiver};
+use std::thread;
+use std::time::Duration;
+
+use serde_json::json;
+
+/// No test waits so long unless something is wrong.
+const LONG: Duration = Duration::from_secs(20);
+
+/// Listens and hands each connection to `serve` in a thread of its own.
+fn stand_in(serve: impl Fn(TcpStream) + Clone + Send + 'static) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let serve = serve.clone();
+            thread::spawn(move || serve(stream));
+        }
+    });
+    address
+}
+
+/// Reads one message: its head, and its body by length.
+fn message(from: &mut impl BufRead) -> Option<(String, Vec<u8>)> {
+    let mut head = String::new();
+    while !head.ends_with("\r\n\r\n") {
+        if from.read_line(&mut head).ok()? == 0 {
+            return None;
+        }
+    }
+    let length = head.lines().find_map(|line| line.strip_prefix("Content-Length: ")?.parse().ok());
+    let mut body = vec![0; length.unwrap_or(0)];
+    from.read_exact(&mut body).ok()?;
+    Some((head, body))
+}
+
+/// A service whose streams say nothing after their heads.
+fn service() -> SocketAddr {
+    stand_in(|mut stream| {
+        let mut reader = BufReader::new(stream.try_clone().expect("a copy"));
+        while message(&mut reader).is_some() {
+            let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n");
+        }
+    })
+}
+
+/// A server that answers each ticket with its own words after `wait`, and tells of each.
+fn server(wait: Duration) -> (SocketAddr, Receiver<String>) {
+    let (tell, told) = mpsc::channel();
+    let address = stand_in(move |mut stream| {
+        let mut reader = BufReader::new(stream.try_clone().expect("a copy"));
+        while let Some((head, body)) = message(&mut reader) {
+            let _ = tell.send(head.clone());
+            thread::sleep(wait);
+            let text = [head.lines().next().unwrap_or_default().as_bytes(), b"\0", &body].concat();
+            let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", text.len());
+            let _ = stream.write_all(&[head.as_bytes(), &text].concat());
+        }
+    });
+    (address, told)
+}
+
+struct Gateway {
+    child: Child,
+    address: SocketAddr,
+    file: std::path::PathBuf,
+}
+
+impl Gateway {
+    /// Starts the program with one server that is listed, and waits until it serves.
+    fn start(server: SocketAddr) -> Self {
+        let address = TcpListener::bind("127.0.0.1:0").and_then(|taken| taken.local_addr()).expect("a port");
+        let service = service().to_string();
+        let config = json!({
+            "name": "g", "listen": address.to_string(), "discovery": service, "seed": "1f",
+            "rollouts": {"address": service},
+            "known": {"rev": 1, "all": true, "targets": [{"uid": "s", "endpoint": server.to_string(), "az": "a",
+                "model": "m", "pod_group": 0, "state": "up", "capacity_hint": 1, "boot_ms": 0, "image_id": 3}]},
+            "settings": {"areas": ["a"], "machine_types": ["m"], "discovery": "subscribe",
+                "classes": [{"name": "view", "repeat": "safe"}, {"name": "print", "repeat": "unsafe"}]}
+        });
+        let file = std::env::temp_dir().join(format!("garnetdoor-{}-{}", std::process::id(), address.port()));
+        std::fs::write(&file, config.to_string()).expect("a file");
+        let child = Gateway::run(&file);
+        let gateway = Gateway { child, address, file };
+        gateway.wait_until_ready();
+        gateway
+    }
+
+    fn run(file: &std::path::Path) -> Child {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_garnetdoor"));
+        command
+            .arg("serve")
+            .env("EDGE_CONFIG", file)
+            .stderr(Stdio::null())
+            .spawn()
+            .expect("the program starts")
+    }
+
+    fn wait_until_ready(&self) {
+        let ready = || ask(&mut self.connect()?, "GET /_health HTTP/1.1\r\n\r\n");
+        let tries = (0..400).find(|_| {
+            thread::sleep(Duration::from_millis(50));
+            ready().is_some_and(|(head, _)| head.starts_with("HTTP/1.1 200 "))
+        });
+        assert!(tries.is_some(), "the gateway never became ready");
+    }
+
+    fn connect(&self) -> Option<TcpStream> {
+        let stream = TcpStream::connect(self.address).ok()?;
+        stream.set_read_timeout(Some(LONG)).expect("a time-out");
+        Some(stream)
+    }
+
+    fn signal(&self, name: &str) {
+        let kill = format!("kill -{name} {}", self.child.id());
+        assert!(Command::new("/bin/sh").args(["-c", &kill]).status().expect("a shell").success());
+    }
+}
+
+impl Drop for Gateway {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.file);
+    }
+}
+
+fn ask(stream: &mut TcpStream, text: &str) -> Option<(String, Vec<u8>)> {
+    stream.write_all(text.as_bytes()).ok()?;
+    message(&mut BufReader::new(stream))
+}
+
+const VIEW: &str = "GET /view/7?a=b HTTP/1.1\r\nReq-Id: r1\r\nReq-Deadline-Ms: 15000\r\n\r\n";
+
+#[test]
+fn tickets_pass_on_kept_connections_and_in_pieces() {
+    let (server, told) = server(Duration::ZERO);
+    let gateway = Gateway::start(server);
+    let mut client = gateway.connect().expect("a connection");
+    let (head, body) = ask(&mut client, VIEW).expect("an answer");
+    assert!(head.starts_with("HTTP/1.1 200 OK\r\n"));
+    assert_eq!(body, b"GET /view/7?a=b HTTP/1.1\0");
+    assert!(told.recv().expect("the ticket came").contains("\r\nReq-Id: r1\r\n"));
+    let large = "x".repeat(60_000);
+    let post =
+        "POST /print HTTP/1.1\r\nReq-Id: r2\r\nReq-Deadline-Ms: 15000\r\nContent-Length: 60000\r\n\r\n";
+    client.write_all(&post.as_bytes()[..50]).expect("it is written");
+    thread::sleep(Duration::from_millis(20));
+    let (_, body) = ask(&mut client, &format!("{}{large}", &post[50..])).expect("an answer");
+    assert!(body.ends_with(large.as_bytes()));
+}
+
+#[test]
+fn many_clients_at_once_each_get_their_own_answer() {
+    let (server, _told) = server(Duration::from_millis(20));
+    let gateway = Gateway::start(server);
+    thread::scope(|scope| {
+        let clients: Vec<_> = (0..60)
+            .map(|number| {
+                let mut client = gateway.connect().expect("a connection");
+                scope.spawn(move || ask(&mut client, &VIEW.replace("/7?", &format!("/{number}?"))))
+            })
+            .collect();
+        for (number, client) in clients.into_iter().enumerate() {
+            let (_, body) = client.join().expect("no panic").expect("an answer");
+            assert_eq!(String::from_utf8_lossy(&body), format!("GET /view/{number}?a=b HTTP/1.1\0"));
+        }
+    });
+}
+
+#[test]
+fn sigterm_answers_what_is_held_and_ends_well() {
+    let (server, told) = server(Duration::from_millis(700));
+    let mut gateway = Gateway::start(server);
+    let mut client = gateway.connect().expect("a connection");
+    client.write_all(VIEW.as_bytes()).expect("it is written");
+    told.recv_timeout(LONG).expect("the ticket came");
+    gateway.signal("TERM");
+    let (head, _) = message(&mut BufReader::new(&mut client)).expect("an answer");
+    assert!(head.starts_with("HTTP/1.1 200 ") && head.contains("\r\nConnection: close\r\n"), "{head}");
+    assert_eq!(client.read(&mut [0]).expect("an orderly end"), 0);
+    assert!(gateway.child.wait().expect("it ends").success());
+}
+
+#[test]
+fn a_killed_gateway_starts_again_at_its_address() {
+    let (server, _told) = server(Duration::ZERO);
+    let mut gateway = Gateway::start(server);
+    let _kept = gateway.connect().expect("a connection");
+    gateway.child.kill().expect("it is killed");
+    gateway.child.wait().expect("it ends");
+    gateway.child = Gateway::run(&gateway.file);
+    gateway.wait_until_ready();
+    let mut client = gateway.connect().expect("a connection");
+    assert!(ask(&mut client, VIEW).is_some_and(|(head, _)| head.starts_with("HTTP/1.1 200 ")));
+}
+
+fn garnetdoor(words: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_garnetdoor")).args(words).env_clear().output().expect("it runs")
+}
+
+#[test]
+fn a_faulty_start_and_unknown_words_end_with_a_message() {
+    for (words, says) in [
+        (["serve"].as_slice(), "EDGE_CONFIG"),
+        (&["check", "/dev/null"], "a JSON object"),
+        (&["dance"], "dance"),
+        (&["serve", "--dance"], "--dance"),
+        (&[], "COMMAND"),
+    ] {
+        let done = garnetdoor(words);
+        let errors = String::from_utf8_lossy(&done.stderr);
+        assert!(!done.status.success() && errors.contains(says), "{words:?}: {errors}");
+    }
+    assert!(garnetdoor(&["version"]).status.success());
+}
