--- a/crates/garnetdoor-adapter/src/host.rs
+++ b/crates/garnetdoor-adapter/src/host.rs
@@ -1,7 +1,6 @@
 //! The bench as a host: what the decisions ask for becomes lines of the reply.
 
 use std::cell::RefCell;
-use std::collections::HashMap;
 use std::fmt::Write as _;
 use std::rc::Rc;
 
@@ -11,6 +10,7 @@
     BuildNo, CellId, Condition, GatewayId, Host, KindId, Listing, Micros, ServerId, StageNo, TicketId,
     TripNo, Vote, Wake, ZoneId,
 };
+use garnetdoor::names::Names;
 
 /// An entry of a page, which belongs to no instance yet.
 pub struct Listed {
@@ -40,25 +40,6 @@
     }
 }
 
-/// Names of one sort, numbered in the order of their first appearance.
-#[derive(Default)]
-struct Names {
-    numbers: HashMap<Rc<str>, usize>,
-    names: Vec<Rc<str>>,
-}
-
-impl Names {
-    fn number(&mut self, name: &str) -> usize {
-        if let Some(number) = self.numbers.get(name) {
-            return *number;
-        }
-        let name: Rc<str> = name.into();
-        self.numbers.insert(name.clone(), self.names.len());
-        self.names.push(name);
-        self.names.len() - 1
-    }
-}
-
 struct Desk {
     id: u64,
     now: Micros,
@@ -136,11 +117,11 @@
     }
 
     fn ticket_name(&self, ticket: TicketId) -> Rc<str> {
-        self.0.borrow().tickets.names[ticket.0 as usize].clone()
+        self.0.borrow().tickets.name(ticket.0 as usize)
     }
 
     fn server_name(&self, server: ServerId) -> Rc<str> {
-        self.0.borrow().servers.names[server.0 as usize].clone()
+        self.0.borrow().servers.name(server.0 as usize)
     }
 }
 
@@ -172,12 +153,7 @@
     }
 
     fn vote(&mut self, build: BuildNo, stage: StageNo, vote: Vote) {
-        let code = match vote {
-            Vote::None => 0,
-            Vote::On => 1,
-            Vote::Hold => 2,
-            Vote::Back => 3,
-        };
+        let code = Vote::ALL.iter().position(|other| *other == vote).unwrap_or_default();
         self.write("CAST_VOTE", &[&build.0, &stage.0, &code]);
     }
 
--- a/crates/garnetdoor-adapter/src/main.rs
+++ b/crates/garnetdoor-adapter/src/main.rs
@@ -270,12 +270,11 @@
     let zone = ZoneId(line.whole("region_part")? as usize);
     let kind = KindId(line.whole("family_type")? as usize);
     let cell = CellId(line.whole("group")?);
-    let condition = match line.need("condition")? {
-        "healthy" => Condition::Healthy,
-        "cordoned" => Condition::Draining,
-        "deregistered" => Condition::Gone,
-        _ => return Err(line.bad("condition", "not healthy, cordoned or deregistered")),
-    };
+    let condition = line.need("condition")?;
+    let condition = ["healthy", "cordoned", "deregistered"].iter().position(|word| *word == condition);
+    let condition =
+        condition.ok_or_else(|| line.bad("condition", "not healthy, cordoned or deregistered"))?;
+    let condition = Condition::ALL[condition];
     let size = line.number("nominal")?;
     let started = line.maybe("launched", |line, field| line.micros(field))?.filter(|at| *at != 0);
     Ok(Listed { name, build, zone, kind, cell, condition, size, started })
@@ -319,13 +318,8 @@
         }));
     }
     let need = |what: Option<u64>, field| what.ok_or_else(|| line.bad(field, "absent"));
-    let phase = match need(progress, "progress")? {
-        0 => Phase::OnTrial,
-        1 => Phase::GoingBack,
-        2 => Phase::Released,
-        3 => Phase::Withdrawn,
-        _ => return Err(line.bad("progress", "not 0 to 3")),
-    };
+    let phase = Phase::ALL.get(need(progress, "progress")? as usize).copied();
+    let phase = phase.ok_or_else(|| line.bad("progress", "not 0 to 3"))?;
     let news = News {
         build: BuildNo(need(build, "build_no")? as u32),
         stage: StageNo(need(stage, "ring")? as usize),
--- a/crates/garnetdoor-gateway/src/config.rs
+++ b/crates/garnetdoor-gateway/src/config.rs
@@ -36,6 +36,8 @@
     pub seed: u64,
     /// Descriptors that the process may hold.
     pub sockets: usize,
+    /// Memory that the process may take.
+    pub memory_mb: usize,
     pub settings: Settings,
     /// The list as this gateway last had it, in the list service's form.
     pub known: Option<Value>,
@@ -46,6 +48,7 @@
 
 const ADDRESS: &str = "an address and port such as 127.0.0.1:8081";
 const SOCKETS: u64 = 1024;
+const MEMORY_MB: u64 = 192;
 
 struct Source<'a> {
     file: &'a Value,
@@ -111,6 +114,9 @@
     let sockets = source.maybe("limits.sockets", "a whole number, 64 at least", |value| {
         value.as_u64().filter(|count| *count >= 64)
     });
+    let memory_mb = source.maybe("limits.memory_mb", "a whole number, 16 at least", |value| {
+        value.as_u64().filter(|count| *count >= 16)
+    });
     let peer_listen = source.maybe("peer_listen", ADDRESS, address);
     let list = |value: &Value| value.as_array()?.iter().map(address).collect::<Option<Vec<_>>>();
     let peers = source.maybe("peers", "a list of addresses and ports", list).unwrap_or_default();
@@ -132,6 +138,7 @@
             if faults.is_empty() =>
         {
             let sockets = sockets.unwrap_or(SOCKETS) as usize;
+            let memory_mb = memory_mb.unwrap_or(MEMORY_MB) as usize;
             Ok(Config {
                 name,
                 listen,
@@ -142,6 +149,7 @@
                 peers_all,
                 seed,
                 sockets,
+                memory_mb,
                 settings,
                 known,
                 news,
--- a/crates/garnetdoor-gateway/src/lifecycle/log.rs
+++ b/crates/garnetdoor-gateway/src/lifecycle/log.rs
@@ -1,36 +1,76 @@
-//! Log lines: one macro, and a limit to how many lines a second it writes.
+//! Log lines: one macro, a limit to how many lines a second it writes, and a thread that writes them, so that
+//! a reader of standard error who falls behind holds nothing up; lines are left out instead, and counted.
 
+use std::fmt;
+use std::sync::OnceLock;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::sync::mpsc::{self, SyncSender};
+use std::thread;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 /// Lines a second. More would cost time that tickets need, and hide what matters.
 const LINES_MOST: u64 = 200;
+/// Lines that wait to be written.
+const WAIT_MOST: usize = 1_000;
 
 /// The second that is counted, above, and the lines in it, in the lower half.
 static COUNT: AtomicU64 = AtomicU64::new(0);
+static LEFT_OUT: AtomicU64 = AtomicU64::new(0);
+static WRITER: OnceLock<SyncSender<Line>> = OnceLock::new();
 
-/// Whether one more line may be written, and how many were left out in the second before.
-pub fn may_write() -> (bool, u64) {
+enum Line {
+    Text(String),
+    /// All before this has been written.
+    Mark(SyncSender<()>),
+}
+
+/// Starts the thread that writes. Until then, lines are written at once.
+pub fn start() {
+    let (lines, waiting) = mpsc::sync_channel(WAIT_MOST);
+    thread::spawn(move || {
+        for line in waiting {
+            match line {
+                Line::Text(text) => eprintln!("garnetdoor: {text}"),
+                Line::Mark(told) => drop(told.try_send(())),
+            }
+        }
+    });
+    let _ = WRITER.set(lines);
+}
+
+/// Waits until what is logged has been written, if it soon is.
+pub fn finish() {
+    let (tell, told) = mpsc::sync_channel(1);
+    if WRITER.get().is_some_and(|writer| writer.try_send(Line::Mark(tell)).is_ok()) {
+        let _ = told.recv_timeout(Duration::from_millis(100));
+    }
+}
+
+/// Whether this second has room for one more line.
+fn room() -> bool {
     let second = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs() & 0xffff_ffff;
-    let before = COUNT.load(Ordering::Relaxed);
-    if before >> 32 == second {
-        let lines = (COUNT.fetch_add(1, Ordering::Relaxed) & 0xffff_ffff) + 1;
-        return (lines <= LINES_MOST, 0);
+    if COUNT.load(Ordering::Relaxed) >> 32 != second {
+        COUNT.store(second << 32, Ordering::Relaxed);
+    }
+    COUNT.fetch_add(1, Ordering::Relaxed) & 0xffff_ffff < LINES_MOST
+}
+
+#[doc(hidden)]
+pub fn write(text: fmt::Arguments) {
+    let Some(writer) = WRITER.get() else { return eprintln!("garnetdoor: {text}") };
+    let put = |text: String| writer.try_send(Line::Text(text)).is_ok();
+    if !room() {
+        LEFT_OUT.fetch_add(1, Ordering::Relaxed);
+        return;
     }
-    COUNT.store(second << 32 | 1, Ordering::Relaxed);
-    (true, (before & 0xffff_ffff).saturating_sub(LINES_MOST))
+    let left_out = LEFT_OUT.swap(0, Ordering::Relaxed);
+    let told = left_out == 0 || put(format!("{left_out} lines left out"));
+    let lost = if told { 0 } else { left_out } + u64::from(!put(text.to_string()));
+    LEFT_OUT.fetch_add(lost, Ordering::Relaxed);
 }
 
-/// Writes a line to standard error, unless too many were written this second.
+/// Writes a line to standard error, unless there are too many.
 #[macro_export]
 macro_rules! log {
-    ($($part:tt)*) => {{
-        let (may, left_out) = $crate::lifecycle::log::may_write();
-        if left_out > 0 {
-            eprintln!("garnetdoor: {left_out} lines left out");
-        }
-        if may {
-            eprintln!("garnetdoor: {}", format_args!($($part)*));
-        }
-    }};
+    ($($part:tt)*) => { $crate::lifecycle::log::write(format_args!($($part)*)) };
 }
--- a/crates/garnetdoor-gateway/src/lifecycle/serve.rs
+++ b/crates/garnetdoor-gateway/src/lifecycle/serve.rs
@@ -16,6 +16,7 @@
 
 use super::clock::Clock;
 use super::listen::{self, Arrived};
+use super::log;
 use crate::config::Config;
 use crate::log;
 use crate::memory::event::{ConnId, Effect, Event};
@@ -38,6 +39,7 @@
     }));
     may::config().set_workers(1).set_stack_size(STACK).set_pool_capacity(KEPT).set_worker_pin(false);
     may::config().set_timeout_ns(1_000_000_000);
+    log::start();
     match start(config) {
         Ok(mut driver) => driver.run(),
         Err(error) => error,
@@ -52,6 +54,7 @@
     thread::spawn(move || signals.forever().for_each(|_| drop(stop.send(Event::Stop))));
     let listener = TcpListener::bind(config.listen)
         .map_err(|error| io::Error::new(error.kind(), format!("listen: {}: {error}", config.listen)))?;
+    socket::stamp(listener.inner());
     let peers = match config.peer_listen {
         Some(at) => Some(
             listen::peers(at, events.clone())
@@ -166,6 +169,7 @@
                 }
                 Effect::Exit => {
                     log!("stopped");
+                    log::finish();
                     process::exit(0);
                 }
             }
--- a/crates/garnetdoor-gateway/src/main.rs
+++ b/crates/garnetdoor-gateway/src/main.rs
@@ -73,6 +73,7 @@
     println!("discovery = {}", config.discovery);
     println!("rollouts.address = {}", config.platform);
     println!("limits.sockets = {}", config.sockets);
+    println!("limits.memory_mb = {}", config.memory_mb);
     println!("peers = {}", config.peers.len());
     for (name, value) in config.settings.pairs() {
         println!("settings.{name} = {value}");
--- a/crates/garnetdoor-gateway/src/memory/desk.rs
+++ b/crates/garnetdoor-gateway/src/memory/desk.rs
@@ -2,7 +2,7 @@
 //! to this state at once, and what must happen outside becomes an effect.
 
 use std::cell::RefCell;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -10,6 +10,7 @@
     BuildNo, Condition, Ending, GatewayId, Host, Listing, Micros, ServerId, StageNo, Taken, TicketId, TripNo,
     Vote, Wake,
 };
+use garnetdoor::names::Names;
 
 use super::event::{ConnId, Effect, Reason};
 use super::ticket::{Place, Ticket, Trip};
@@ -32,13 +33,15 @@
 /// The platform's stream says something every second.
 const NOTICES_SILENT: Micros = 3_500 * MS;
 /// First wait before the stream is asked for again; doubles up to the second.
-const NOTICES_AGAIN: (Micros, Micros) = (100 * MS, 2 * SECOND);
+const NOTICES_AGAIN: (Micros, Micros) = (100 * MS, SECOND);
 /// A client has so long for the rest of a ticket, or to take an answer.
 const CLIENT_SLOW: Micros = 10 * SECOND;
 /// How long a client may take to see an answer that ends its connection.
 const LINGER: Micros = SECOND;
 /// Descriptors that are no connections: standard streams, listener, peers, signals, `may`, dials given up.
 const NO_CONNECTIONS: usize = 40;
+/// A client with a ticket of full size out takes up to a quarter of a megabyte, its server's side included.
+const CLIENTS_PER_MB: usize = 4;
 /// Calls to the platform at one time, of the 32 connections that it holds.
 const CALLS_MOST: usize = 16;
 
@@ -123,7 +126,7 @@
     pub stopping: bool,
     pub listening: bool,
     pub max_open: usize,
-    numbers: BTreeMap<String, ServerId>,
+    names: Names,
     version: u64,
     watch: Option<ConnId>,
     notices_again: Micros,
@@ -131,6 +134,7 @@
     next_ticket: u64,
     chance: oorandom::Rand64,
     most: usize,
+    clients_most: usize,
     tries: usize,
     dial_within: Micros,
     idle_for: Micros,
@@ -146,6 +150,7 @@
         let settings = &config.settings;
         let span = |name: &str, otherwise| settings.micros(name).unwrap_or(otherwise);
         let count = |name: &str| settings.number(name).map_or(usize::MAX, |number| number as usize);
+        let most = config.sockets.saturating_sub(NO_CONNECTIONS);
         Desk {
             now,
             effects: Vec::new(),
@@ -160,14 +165,16 @@
             stopping: false,
             listening: true,
             max_open: count("policy_limits.max_open"),
-            numbers: BTreeMap::new(),
+            names: Names::default(),
             version: 0,
             watch: None,
             notices_again: NOTICES_AGAIN.0,
             next_conn: 1,
             next_ticket: 0,
             chance: oorandom::Rand64::new(u128::from(config.seed) << 1 | 1),
-            most: config.sockets.saturating_sub(NO_CONNECTIONS),
+            most,
+            // A quarter of the descriptors stays for servers and services.
+            clients_most: (most - most / 4).min(config.memory_mb * CLIENTS_PER_MB),
             tries: count("policy_limits.try_limit"),
             dial_within: span("policy_limits.dial_timeout", 250 * MS),
             // Well before the server's machine closes it: a trip that crosses that closing may have run.
@@ -207,9 +214,9 @@
         true
     }
 
-    /// A client has connected. A quarter of the descriptors stay for servers and services.
+    /// A client has connected.
     pub fn client_came(&mut self, id: ConnId) {
-        let surplus = !self.room(self.most - self.most / 4);
+        let surplus = !self.room(self.clients_most);
         self.add(id, Kind::Client { ticket: None, last: false, surplus });
     }
 
@@ -421,8 +428,7 @@
         }
         let mut listings = Vec::new();
         for entry in list.entries {
-            let next = ServerId(self.numbers.len() as u32);
-            let server = *self.numbers.entry(entry.name).or_insert(next);
+            let server = ServerId(self.names.number(&entry.name) as u32);
             let (address, condition) = (entry.address, entry.listing.condition);
             if self.servers.get(&server).is_some_and(|place| place.address != address) {
                 self.close_all_idle(server, Reason::Unlisted);
@@ -435,9 +441,27 @@
         for server in unlisted.map(|(server, _)| *server).collect::<Vec<_>>() {
             self.close_all_idle(server, Reason::Unlisted);
         }
+        self.forget_gone();
         Some(listings)
     }
 
+    /// Forgets servers that are gone and have no connection left, so that releases do not add up.
+    fn forget_gone(&mut self) {
+        let used: BTreeSet<ServerId> = self
+            .conns
+            .values()
+            .filter_map(|conn| if let Kind::Server { server, .. } = conn.kind { Some(server) } else { None })
+            .collect();
+        let names = &mut self.names;
+        self.servers.retain(|server, place| {
+            let kept = place.condition != Condition::Gone || used.contains(server);
+            if !kept {
+                names.forget(server.0 as usize);
+            }
+            kept
+        });
+    }
+
     pub fn list_due(&self) -> Micros {
         self.now + LIST_SILENT
     }
--- a/crates/garnetdoor-gateway/src/wire/discovery.rs
+++ b/crates/garnetdoor-gateway/src/wire/discovery.rs
@@ -73,12 +73,9 @@
         let name = text(field)?.replace([' ', ','], "_");
         known.iter().position(|other| *other == name).ok_or_else(|| bad(field))
     };
-    let condition = match text("state")? {
-        "up" => Condition::Healthy,
-        "draining" => Condition::Draining,
-        "removed" => Condition::Gone,
-        _ => return Err(bad("state")),
-    };
+    let state = text("state")?;
+    let state = ["up", "draining", "removed"].iter().position(|word| *word == state);
+    let condition = Condition::ALL[state.ok_or_else(|| bad("state"))?];
     let started =
         value["boot_ms"].as_f64().filter(|ms| (0.0..9e15).contains(ms)).ok_or_else(|| bad("boot_ms"))?;
     let listing = Listing {
--- a/crates/garnetdoor-gateway/src/wire/platform.rs
+++ b/crates/garnetdoor-gateway/src/wire/platform.rs
@@ -8,13 +8,12 @@
 
 use super::http::Message;
 
+/// The words for `Vote::ALL` and for `Phase::ALL`.
+const OPINIONS: [&str; 4] = ["abstain", "promote", "pause", "abort"];
+const PHASES: [&str; 4] = ["Progressing", "Aborting", "Healthy", "Aborted"];
+
 pub fn vote(platform: SocketAddr, build: BuildNo, stage: StageNo, vote: Vote) -> Vec<u8> {
-    let opinion = match vote {
-        Vote::None => "abstain",
-        Vote::On => "promote",
-        Vote::Hold => "pause",
-        Vote::Back => "abort",
-    };
+    let opinion = Vote::ALL.iter().position(|other| *other == vote).map_or("", |number| OPINIONS[number]);
     let body = format!("Action=CastVote&image={}&ring={}&opinion={opinion}", build.0, stage.0);
     let kind = "application/x-www-form-urlencoded";
     let length = body.len();
@@ -68,13 +67,8 @@
 
 /// The state of the newest build from its fields, whatever holds them.
 pub fn news<'a>(field: impl Fn(&str) -> Option<&'a str>) -> Option<News> {
-    let phase = match field("progress")? {
-        "Progressing" => Phase::OnTrial,
-        "Aborting" => Phase::GoingBack,
-        "Healthy" => Phase::Released,
-        "Aborted" => Phase::Withdrawn,
-        _ => return None,
-    };
+    let phase = field("progress")?;
+    let phase = Phase::ALL[PHASES.iter().position(|word| *word == phase)?];
     let cap: f64 = field("ceiling")?.parse().ok()?;
     let lag: f64 = field("lag_ms")?.parse().ok()?;
     Some(News {
--- a/crates/garnetdoor-gateway/src/wire/socket.rs
+++ b/crates/garnetdoor-gateway/src/wire/socket.rs
@@ -2,15 +2,21 @@
 //! unread, writes what the reducer's thread could not write at once, and tells how the connection ended.
 
 use std::cell::RefCell;
-use std::io::{ErrorKind, Read, Write};
+use std::io::{ErrorKind, IoSliceMut, Write};
 use std::net::{Shutdown, SocketAddr};
+use std::os::fd::{AsFd, AsRawFd};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::mpsc::Sender;
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use garnetdoor::host::Micros;
 use may::io::{WaitIo, WaitIoWaker};
 use may::net::TcpStream;
+use nix::errno::Errno;
+use nix::sys::socket::sockopt::ReceiveTimestampns;
+use nix::sys::socket::{ControlMessageOwned, MsgFlags, recvmsg, setsockopt};
+use nix::sys::time::TimeSpec;
 
 use super::http::HELD_MOST;
 use crate::lifecycle::clock::Clock;
@@ -124,17 +130,15 @@
                 let _ = events.send(Event::Written(self.id));
             }
             if self.unread.load(Ordering::Acquire) < HELD_MOST {
-                let read = READ
-                    .with_borrow_mut(|room| stream.inner().read(room).map(|count| room[..count].to_vec()));
-                match read {
-                    Ok(bytes) if bytes.is_empty() => break,
-                    Ok(bytes) => {
+                match READ.with_borrow_mut(|room| read(stream, room)) {
+                    Ok((bytes, _)) if bytes.is_empty() => break,
+                    Ok((bytes, waited)) => {
                         self.unread.fetch_add(bytes.len(), Ordering::AcqRel);
-                        let _ = events.send(Event::Bytes(self.id, clock.now(), bytes));
+                        let _ = events.send(Event::Bytes(self.id, clock.now() - waited, bytes));
                         continue;
                     }
-                    Err(error) if error.kind() == ErrorKind::Interrupted => continue,
-                    Err(error) if error.kind() == ErrorKind::WouldBlock => {}
+                    Err(Errno::EINTR) => continue,
+                    Err(Errno::EAGAIN) => {}
                     Err(_) => break,
                 }
             }
@@ -145,6 +149,30 @@
     }
 }
 
+/// Reads what is there, and for how long it has been there: the kernel stamps what comes, so that a ticket
+/// which came while the process stood still is known to be old. Both times are of the same clock, so that a
+/// step of it can't make everything look old for long.
+fn read(stream: &TcpStream, room: &mut [u8]) -> nix::Result<(Vec<u8>, Micros)> {
+    let mut stamps = nix::cmsg_space!(TimeSpec);
+    let mut parts = [IoSliceMut::new(room)];
+    let fd = stream.inner().as_raw_fd();
+    let message = recvmsg::<()>(fd, &mut parts, Some(&mut stamps), MsgFlags::empty())?;
+    let stamp = message.cmsgs()?.find_map(|stamp| match stamp {
+        ControlMessageOwned::ScmTimestampns(at) => Some(Duration::from(at)),
+        _ => None,
+    });
+    let count = message.bytes;
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let waited =
+        stamp.and_then(|stamp| now.checked_sub(stamp)).map_or(0, |waited| waited.as_micros() as Micros);
+    Ok((room[..count].to_vec(), waited))
+}
+
+/// Has the kernel stamp what comes on a socket, or on what a listener takes from now on.
+pub fn stamp(socket: &impl AsFd) {
+    let _ = setsockopt(socket, ReceiveTimestampns, &true);
+}
+
 /// Lets a connection run that a client has made.
 pub fn accepted(link: Arc<Link>, stream: TcpStream, clock: Clock, events: Sender<Event>) {
     // SAFETY: `may` asks that no coroutine that uses thread-local storage moves between threads while it
--- a/crates/garnetdoor-gateway/tests/loopback.rs
+++ b/crates/garnetdoor-gateway/tests/loopback.rs
@@ -188,6 +188,22 @@
     assert!(gateway.child.wait().expect("it ends").success());
 }
 
+#[test]
+fn a_ticket_that_came_while_the_gateway_stood_still_is_known_to_be_old() {
+    let (server, told) = server(Duration::ZERO);
+    let gateway = Gateway::start(server);
+    let mut client = gateway.connect().expect("a connection");
+    ask(&mut client, VIEW).expect("an answer");
+    told.recv_timeout(LONG).expect("the ticket came");
+    gateway.signal("STOP");
+    client.write_all(VIEW.as_bytes()).expect("it is written");
+    thread::sleep(Duration::from_millis(700));
+    gateway.signal("CONT");
+    let head = told.recv_timeout(LONG).expect("the ticket came");
+    let left = head.lines().find_map(|line| line.strip_prefix("Req-Deadline-Ms: ")?.parse::<u32>().ok());
+    assert!(left.is_some_and(|left| left < 14_400), "{head}");
+}
+
 #[test]
 fn a_killed_gateway_starts_again_at_its_address() {
     let (server, _told) = server(Duration::ZERO);
--- a/src/host.rs
+++ b/src/host.rs
@@ -92,6 +92,11 @@
     Gone,
 }
 
+impl Condition {
+    /// All of them, in the order in which protocols number or name them.
+    pub const ALL: [Condition; 3] = [Condition::Healthy, Condition::Draining, Condition::Gone];
+}
+
 /// One server as the list shows it.
 #[derive(Clone, Debug, Default)]
 pub struct Listing {
@@ -116,6 +121,9 @@
 }
 
 impl Phase {
+    /// All of them, in the order in which protocols number or name them.
+    pub const ALL: [Phase; 4] = [Phase::OnTrial, Phase::GoingBack, Phase::Released, Phase::Withdrawn];
+
     /// The build is on its way off, or off.
     pub fn goes_back(self) -> bool {
         matches!(self, Phase::GoingBack | Phase::Withdrawn)
@@ -142,6 +150,11 @@
     Back,
 }
 
+impl Vote {
+    /// All of them, in the order in which protocols number or name them.
+    pub const ALL: [Vote; 4] = [Vote::None, Vote::On, Vote::Hold, Vote::Back];
+}
+
 /// How the platform took a vote.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Taken {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,4 +4,5 @@
 
 pub mod balance;
 pub mod host;
+pub mod names;
 mod seen;
--- /dev/null
+++ b/src/names.rs
@@ -0,0 +1,36 @@
+//! Names that others use, numbered for the decisions.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+
+/// Names of one sort, numbered in the order of their first appearance. The map is only looked up, never
+/// walked, so that its order shows nowhere.
+#[derive(Default)]
+pub struct Names {
+    numbers: HashMap<Rc<str>, usize>,
+    names: Vec<Rc<str>>,
+}
+
+impl Names {
+    pub fn number(&mut self, name: &str) -> usize {
+        if let Some(number) = self.numbers.get(name) {
+            return *number;
+        }
+        let name: Rc<str> = name.into();
+        self.numbers.insert(name.clone(), self.names.len());
+        self.names.push(name);
+        self.names.len() - 1
+    }
+
+    /// The name of a number that was given out.
+    pub fn name(&self, number: usize) -> Rc<str> {
+        self.names[number].clone()
+    }
+
+    /// Forgets a name. Should it come again, it gets another number.
+    pub fn forget(&mut self, number: usize) {
+        if let Some(name) = self.names.get_mut(number) {
+            self.numbers.remove(&std::mem::replace(name, "".into()));
+        }
+    }
+}
