--- a/crates/garnetdoor-gateway/src/lifecycle/serve.rs
+++ b/crates/garnetdoor-gateway/src/lifecycle/serve.rs
@@ -1,7 +1,7 @@
 //! The gateway from start to stop. Sockets are `may`'s, on one worker; the reducer has a thread of its own, so
 //! that its stack is large, its timers are exact, and nothing that it does waits for a peer.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::io;
 use std::process;
 use std::sync::mpsc::{self, Receiver, RecvTimeoutError, Sender};
@@ -69,6 +69,7 @@
     let links = BTreeMap::new();
     let mut driver =
         Driver { clock, events, inbox, reducer, links, arrived, listener, peers, next_client: 0 };
+    // Nothing is up yet that could have been written to.
     driver.act(effects);
     Ok(driver)
 }
@@ -114,17 +115,22 @@
         }
     }
 
+    /// Brings the reducer an event, and what follows at once from what it asks for.
     fn pass(&mut self, event: Event) {
-        let ended = if let Event::Ended(id) = event { Some(id) } else { None };
-        let effects = self.reducer.reduce(self.clock.now(), event);
-        self.act(effects);
-        if let Some(id) = ended {
-            self.links.remove(&id);
+        let mut events = VecDeque::from([event]);
+        while let Some(event) = events.pop_front() {
+            let ended = if let Event::Ended(id) = event { Some(id) } else { None };
+            let effects = self.reducer.reduce(self.clock.now(), event);
+            events.extend(self.act(effects));
+            if let Some(id) = ended {
+                self.links.remove(&id);
+            }
         }
     }
 
-    fn act(&mut self, effects: Vec<Effect>) {
-        let mut written = Vec::new();
+    /// Does what is asked for; returns what has happened by that already.
+    fn act(&mut self, effects: Vec<Effect>) -> Vec<Event> {
+        let mut happened = Vec::new();
         for effect in effects {
             match effect {
                 Effect::Dial(id, to, within) => {
@@ -135,7 +141,7 @@
                 }
                 Effect::Write(id, bytes) => {
                     if self.links.get(&id).is_some_and(|link| link.write(&bytes)) {
-                        written.push(id);
+                        happened.push(Event::Written(id));
                     }
                 }
                 Effect::Consumed(id, count) => {
@@ -174,8 +180,6 @@
                 }
             }
         }
-        for id in written {
-            self.pass(Event::Written(id));
-        }
+        happened
     }
 }
--- a/crates/garnetdoor-gateway/tests/loopback.rs
+++ b/crates/garnetdoor-gateway/tests/loopback.rs
@@ -156,6 +156,21 @@
     assert!(body.ends_with(large.as_bytes()));
 }
 
+#[test]
+fn thousands_of_pipelined_messages_are_answered_in_turn() {
+    let (server, _told) = server(Duration::ZERO);
+    let gateway = Gateway::start(server);
+    let mut client = gateway.connect().expect("a connection");
+    let mut sender = client.try_clone().expect("a copy");
+    let writes =
+        thread::spawn(move || sender.write_all("GET /_health HTTP/1.1\r\n\r\n".repeat(10_000).as_bytes()));
+    let mut reader = BufReader::new(&mut client);
+    for _ in 0..10_000 {
+        assert!(message(&mut reader).is_some_and(|(head, _)| head.starts_with("HTTP/1.1 200 ")));
+    }
+    writes.join().expect("no panic").expect("all is written");
+}
+
 #[test]
 fn many_clients_at_once_each_get_their_own_answer() {
     let (server, _told) = server(Duration::from_millis(20));
