--- a/crates/garnetdoor-gateway/src/memory/desk.rs
+++ b/crates/garnetdoor-gateway/src/memory/desk.rs
@@ -36,10 +36,14 @@
 const NOTICES_AGAIN: (Micros, Micros) = (100 * MS, SECOND);
 /// A client has so long for the rest of a ticket, or to take an answer.
 const CLIENT_SLOW: Micros = 10 * SECOND;
+/// A client that has had nothing to do for so long has no ticket under way.
+const CLIENT_RESTS: Micros = 500 * MS;
 /// How long a client may take to see an answer that ends its connection.
 const LINGER: Micros = SECOND;
-/// Descriptors that are no connections: standard streams, listener, peers, signals, `may`, dials given up.
-const NO_CONNECTIONS: usize = 40;
+/// Descriptors that are no connections: standard streams, listener, peers, signals, `may`.
+const NO_CONNECTIONS: usize = 14;
+/// One in so many stays for dials given up, which end a little later.
+const DIALS_GIVEN_UP: usize = 32;
 /// A client with a ticket of full size out takes up to a quarter of a megabyte, its server's side included.
 const CLIENTS_PER_MB: usize = 4;
 /// Calls to the platform at one time, of the 32 connections that it holds.
@@ -90,8 +94,10 @@
     pub pending: Option<Vec<u8>>,
     /// Something is not written yet.
     pub unwritten: bool,
-    /// When bytes were last read from it.
+    /// When the bytes read last had come.
     pub heard: Micros,
+    /// Since when it has had nothing to do, if it has.
+    pub since: Micros,
     /// When it has stood as it does for too long, and the earliest timer that will look.
     pub due: Option<Micros>,
     looked: Option<Micros>,
@@ -150,7 +156,7 @@
         let settings = &config.settings;
         let span = |name: &str, otherwise| settings.micros(name).unwrap_or(otherwise);
         let count = |name: &str| settings.number(name).map_or(usize::MAX, |number| number as usize);
-        let most = config.sockets.saturating_sub(NO_CONNECTIONS);
+        let most = config.sockets.saturating_sub(NO_CONNECTIONS + config.sockets / DIALS_GIVEN_UP);
         Desk {
             now,
             effects: Vec::new(),
@@ -194,21 +200,24 @@
     // ---- connections ----
 
     pub fn add(&mut self, id: ConnId, kind: Kind) -> &mut Conn {
-        let (buffer, heard) = (Buffer::default(), self.now);
-        let conn = Conn { kind, buffer, pending: None, unwritten: false, heard, due: None, looked: None };
+        let (buffer, heard, since) = (Buffer::default(), self.now, self.now);
+        let conn =
+            Conn { kind, buffer, pending: None, unwritten: false, heard, since, due: None, looked: None };
         self.conns.entry(id).insert_entry(conn).into_mut()
     }
 
-    /// Makes room for one more connection, if some can be given up: idle clients first, then idle servers.
+    /// Makes room for one more connection, if some can be given up: idle clients first, then idle servers. A
+    /// client that came or was answered just now is likely to have a ticket under way, and sends what crosses
+    /// the closing only once more. With no old ones left, new clients are turned back instead.
     fn room(&mut self, most: usize) -> bool {
         if self.conns.len() < most {
             return true;
         }
         let idle = |conn: &Conn| match conn.kind {
             Kind::Server { work: None, .. } => Some(1),
-            _ => conn.is_idle_client().then_some(0),
+            _ => (conn.is_idle_client() && self.now - conn.since >= CLIENT_RESTS).then_some(0),
         };
-        let ranked = self.conns.iter().filter_map(|(id, conn)| Some((idle(conn)?, conn.heard, *id)));
+        let ranked = self.conns.iter().filter_map(|(id, conn)| Some((idle(conn)?, conn.since, *id)));
         let Some((.., id)) = ranked.min() else { return false };
         self.close(id, Reason::Shed);
         true
@@ -395,6 +404,7 @@
         match place.filter(listed) {
             Some(place) if whole => {
                 place.idle.push(id);
+                conn.since = self.now;
                 self.due_at(id, Some(self.now + self.idle_for));
             }
             Some(_) => drop(self.close(id, Reason::LastMessage)),
--- a/crates/garnetdoor-gateway/src/memory/reducer.rs
+++ b/crates/garnetdoor-gateway/src/memory/reducer.rs
@@ -183,8 +183,9 @@
 
     fn written(&mut self, id: ConnId) {
         let mut desk = self.desk();
+        let now = desk.now;
         let Some(conn) = desk.conns.get_mut(&id) else { return };
-        conn.unwritten = false;
+        (conn.unwritten, conn.since) = (false, now);
         if let Kind::Client { ticket: None, last: false, .. } = conn.kind {
             drop(desk);
             self.client(id);
--- a/crates/garnetdoor-gateway/tests/reducer.rs
+++ b/crates/garnetdoor-gateway/tests/reducer.rs
@@ -510,6 +510,7 @@
 fn full_tables_shed_idle_clients_first_and_turn_the_rest_back() {
     let mut rig = Rig::new();
     let idle = rig.client();
+    rig.wait(S);
     let mut busy = Vec::new();
     while !rig.closed(idle) {
         let client = rig.client();
@@ -524,6 +525,22 @@
     assert!(busy.iter().all(|client| rig.written(*client).is_empty() && !rig.closed(*client)));
 }
 
+#[test]
+fn a_client_that_came_or_was_answered_just_now_is_not_shed() {
+    let mut rig = Rig::new();
+    let (answered, server) = rig.trip_out(Rig::views);
+    let came = rig.client();
+    rig.wait(S / 5);
+    rig.says(server, OK);
+    rig.happens(Event::Written(answered));
+    rig.wait(S / 5);
+    let others: Vec<ConnId> = (0..60).map(|_| rig.client()).collect();
+    assert!(![answered, came, others[0], others[59]].iter().any(|client| rig.closed(*client)));
+    // The last of them is one too many, and learns it with its first ticket.
+    rig.views(others[59]);
+    assert_eq!((rig.status(others[59]).as_str(), rig.closed(others[59])), ("503", true));
+}
+
 #[test]
 fn a_stop_answers_what_is_held_and_takes_what_still_comes() {
     let mut rig = Rig::new();
