--- a/crates/garnetdoor-gateway/src/lifecycle/serve.rs
+++ b/crates/garnetdoor-gateway/src/lifecycle/serve.rs
@@ -159,6 +159,11 @@
                         link.close();
                     }
                 }
+                Effect::CloseUnused(id) => {
+                    if self.links.get(&id).is_some_and(|link| link.close_unused()) {
+                        happened.push(Event::Ended(id));
+                    }
+                }
                 Effect::Datagram(to, bytes) => {
                     if let Some(Err(error)) =
                         self.peers.as_ref().map(|peers| peers.inner().send_to(&bytes, to))
--- a/crates/garnetdoor-gateway/src/memory/desk.rs
+++ b/crates/garnetdoor-gateway/src/memory/desk.rs
@@ -98,6 +98,8 @@
     pub heard: Micros,
     /// Since when it has had nothing to do, if it has.
     pub since: Micros,
+    /// It is a client's that is to end unless something has come just now.
+    pub leaves: Option<Reason>,
     /// When it has stood as it does for too long, and the earliest timer that will look.
     pub due: Option<Micros>,
     looked: Option<Micros>,
@@ -106,7 +108,7 @@
 impl Conn {
     pub fn is_idle_client(&self) -> bool {
         let waits = matches!(self.kind, Kind::Client { ticket: None, last: false, .. });
-        waits && self.buffer.is_empty() && !self.unwritten
+        waits && self.buffer.is_empty() && !self.unwritten && self.leaves.is_none()
     }
 }
 
@@ -201,8 +203,17 @@
 
     pub fn add(&mut self, id: ConnId, kind: Kind) -> &mut Conn {
         let (buffer, heard, since) = (Buffer::default(), self.now, self.now);
-        let conn =
-            Conn { kind, buffer, pending: None, unwritten: false, heard, since, due: None, looked: None };
+        let conn = Conn {
+            kind,
+            buffer,
+            pending: None,
+            unwritten: false,
+            heard,
+            since,
+            leaves: None,
+            due: None,
+            looked: None,
+        };
         self.conns.entry(id).insert_entry(conn).into_mut()
     }
 
@@ -210,7 +221,8 @@
     /// client that came or was answered just now is likely to have a ticket under way, and sends what crosses
     /// the closing only once more. With no old ones left, new clients are turned back instead.
     fn room(&mut self, most: usize) -> bool {
-        if self.conns.len() < most {
+        let leaving = self.conns.values().filter(|conn| conn.leaves.is_some()).count();
+        if self.conns.len() - leaving < most {
             return true;
         }
         let idle = |conn: &Conn| match conn.kind {
@@ -219,10 +231,23 @@
         };
         let ranked = self.conns.iter().filter_map(|(id, conn)| Some((idle(conn)?, conn.since, *id)));
         let Some((.., id)) = ranked.min() else { return false };
-        self.close(id, Reason::Shed);
+        if id.is_client() {
+            self.close_unused(id, Reason::Shed)
+        } else {
+            drop(self.close(id, Reason::Shed))
+        }
         true
     }
 
+    /// Ends a client's idle connection. What is read from it and not seen here yet counts first: its client
+    /// would take an orderly end for a lost ticket.
+    pub fn close_unused(&mut self, id: ConnId, reason: Reason) {
+        if let Some(conn) = self.conns.get_mut(&id) {
+            conn.leaves = Some(reason);
+            self.effects.push(Effect::CloseUnused(id));
+        }
+    }
+
     /// A client has connected.
     pub fn client_came(&mut self, id: ConnId) {
         let surplus = !self.room(self.clients_most);
--- a/crates/garnetdoor-gateway/src/memory/event.rs
+++ b/crates/garnetdoor-gateway/src/memory/event.rs
@@ -49,6 +49,8 @@
     /// End the sending side once all is written.
     Finish(ConnId),
     Close(ConnId),
+    /// Close a client's connection if nothing has come that the reducer has not seen; told as ended, if so.
+    CloseUnused(ConnId),
     Datagram(SocketAddr, Vec<u8>),
     Log(String),
     StopListening,
--- a/crates/garnetdoor-gateway/src/memory/reducer.rs
+++ b/crates/garnetdoor-gateway/src/memory/reducer.rs
@@ -196,7 +196,7 @@
         let mut desk = self.desk();
         let Some(conn) = desk.conns.get_mut(&id) else { return };
         conn.buffer.push(bytes);
-        conn.heard = read;
+        (conn.heard, conn.leaves) = (read, None);
         match conn.kind {
             Kind::Client { last: true, .. } => desk.consume(id, bytes.len()),
             Kind::Client { .. } => {
@@ -243,6 +243,7 @@
         let Some(conn) = desk.conns.get(&id) else { return };
         let unwritten = conn.unwritten;
         let reason = match conn.kind {
+            _ if gone && conn.leaves.is_some() => conn.leaves.unwrap_or(reason),
             Kind::Client { ticket: Some(_), .. } if gone => Reason::ClientLeft,
             Kind::Client { .. } | Kind::Server { work: None, .. } if gone => Reason::PeerClosed,
             _ => reason,
@@ -499,6 +500,6 @@
 fn close_idle_clients(desk: &mut Desk) {
     let idle = desk.conns.iter().filter(|(_, conn)| conn.is_idle_client()).map(|(id, _)| *id);
     for id in idle.collect::<Vec<_>>() {
-        desk.close(id, Reason::Stopping);
+        desk.close_unused(id, Reason::Stopping);
     }
 }
--- a/crates/garnetdoor-gateway/src/wire/socket.rs
+++ b/crates/garnetdoor-gateway/src/wire/socket.rs
@@ -102,6 +102,20 @@
         self.push(&mut out);
     }
 
+    /// Ends the connection if nothing has been read that is not consumed. What comes from now on stays unread,
+    /// so that the other side is told by a reset.
+    pub fn close_unused(&self) -> bool {
+        let held = self.out();
+        let unused = self.unread.load(Ordering::Acquire) == 0;
+        if unused {
+            self.closed.store(true, Ordering::Release);
+        }
+        drop(held);
+        // No shutdown: an orderly end that goes ahead of the reset would hide it.
+        self.wake();
+        unused
+    }
+
     /// Ends the connection at once, whatever its coroutine waits for.
     pub fn close(&self) {
         self.closed.store(true, Ordering::Release);
@@ -118,6 +132,17 @@
         }
     }
 
+    /// Reads what is there, unless enough is held or the connection has been closed.
+    fn read(&self, stream: &TcpStream) -> nix::Result<Option<(Vec<u8>, Micros)>> {
+        let _held = self.out();
+        if self.closed.load(Ordering::Acquire) || self.unread.load(Ordering::Acquire) >= HELD_MOST {
+            return Ok(None);
+        }
+        let read = READ.with_borrow_mut(|room| read(stream, room))?;
+        self.unread.fetch_add(read.0.len(), Ordering::AcqRel);
+        Ok(Some(read))
+    }
+
     /// Runs in a coroutine of its own until the connection ends.
     fn run(&self, stream: TcpStream, clock: Clock, events: &Sender<Event>) {
         // Answers and trips are small, and each waits for the other side.
@@ -129,22 +154,18 @@
             if self.push(&mut self.out()) {
                 let _ = events.send(Event::Written(self.id));
             }
-            if self.unread.load(Ordering::Acquire) < HELD_MOST {
-                match READ.with_borrow_mut(|room| read(stream, room)) {
-                    Ok((bytes, _)) if bytes.is_empty() => break,
-                    Ok((bytes, waited)) => {
-                        self.unread.fetch_add(bytes.len(), Ordering::AcqRel);
-                        let _ = events.send(Event::Bytes(self.id, clock.now() - waited, bytes));
-                        continue;
-                    }
-                    Err(Errno::EINTR) => continue,
-                    Err(Errno::EAGAIN) => {}
-                    Err(_) => break,
+            match self.read(stream) {
+                Ok(Some((bytes, _))) if bytes.is_empty() => break,
+                Ok(Some((bytes, waited))) => {
+                    let _ = events.send(Event::Bytes(self.id, clock.now() - waited, bytes));
+                    continue;
                 }
+                Err(Errno::EINTR) => continue,
+                Ok(None) | Err(Errno::EAGAIN) => {}
+                Err(_) => break,
             }
             stream.wait_io();
         }
-        let _ = stream.shutdown(Shutdown::Both);
         let _ = events.send(Event::Ended(self.id));
     }
 }
