--- a/crates/garnetdoor-gateway/src/config.rs
+++ b/crates/garnetdoor-gateway/src/config.rs
@@ -132,6 +132,11 @@
     {
         source.fault("settings.classes", &file["settings"]["classes"], "a list of one profile at least");
     }
+    for (key, other) in [("discovery", discovery), ("rollouts.address", platform), ("peers_all", peers_all)] {
+        if listen.is_some() && listen == other {
+            source.fault(key, &file["listen"], "another address than listen's");
+        }
+    }
     let faults = source.faults;
     match (name, listen, discovery, platform, seed, settings) {
         (Some(name), Some(listen), Some(discovery), Some(platform), Some(seed), Some(settings))
--- a/crates/garnetdoor-gateway/src/lifecycle/listen.rs
+++ b/crates/garnetdoor-gateway/src/lifecycle/listen.rs
@@ -25,8 +25,8 @@
                         arrived.lock().unwrap_or_else(PoisonError::into_inner).push(stream);
                         let _ = events.send(Event::Time);
                     }
-                    // No descriptor is free, or the client left before it was taken: the next may go better, but
-                    // at once would only spin.
+                    // No descriptor is free, or the client left before it was taken: the next may go better,
+                    // but at once would only spin.
                     Err(_) => coroutine::sleep(Duration::from_millis(20)),
                 }
             }
--- a/crates/garnetdoor-gateway/src/lifecycle/serve.rs
+++ b/crates/garnetdoor-gateway/src/lifecycle/serve.rs
@@ -1,5 +1,5 @@
-//! The gateway from start to stop. Sockets are `may`'s, on one worker; the reducer has a thread of its own, so
-//! that its stack is large, its timers are exact, and nothing that it does waits for a peer.
+//! The gateway from start to stop. Sockets are `may`'s, on one worker; the reducer has a thread of its own:
+//! its stack is large, its timers are exact, and nothing that it does waits for a peer.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::io;
--- a/crates/garnetdoor-gateway/src/memory/desk.rs
+++ b/crates/garnetdoor-gateway/src/memory/desk.rs
@@ -371,10 +371,11 @@
         }
     }
 
-    /// Forgets a ticket that is over and has no trip out.
+    /// Forgets a ticket that is over, has no trip out and none that the decisions must still hear of.
     pub fn tidy(&mut self, id: TicketId) {
         let over = |ticket: &Ticket| ticket.client.is_none() && ticket.trips.iter().all(|t| t.ended);
-        if self.tickets.get(&id).is_some_and(over) {
+        let untold = self.told.iter().any(|told| matches!(told, Told::Trip(ticket, ..) if *ticket == id));
+        if !untold && self.tickets.get(&id).is_some_and(over) {
             self.tickets.remove(&id);
         }
     }
--- a/crates/garnetdoor-gateway/src/wire/instance.rs
+++ b/crates/garnetdoor-gateway/src/wire/instance.rs
@@ -16,7 +16,8 @@
         format!("Content-Length: {}\r\n", body.len())
     };
     let head = format!(
-        "{method} {target} HTTP/1.1\r\nHost: {server}\r\nReq-Id: {id}\r\nReq-Deadline-Ms: {left}\r\n{length}\r\n"
+        "{method} {target} HTTP/1.1\r\nHost: {server}\r\n\
+         Req-Id: {id}\r\nReq-Deadline-Ms: {left}\r\n{length}\r\n"
     );
     [head.as_bytes(), body].concat()
 }
--- a/crates/garnetdoor-gateway/src/wire/platform.rs
+++ b/crates/garnetdoor-gateway/src/wire/platform.rs
@@ -17,8 +17,8 @@
     let body = format!("Action=CastVote&image={}&ring={}&opinion={opinion}", build.0, stage.0);
     let kind = "application/x-www-form-urlencoded";
     let length = body.len();
-    format!("POST / HTTP/1.1\r\nHost: {platform}\r\nContent-Type: {kind}\r\nContent-Length: {length}\r\n\r\n{body}")
-        .into_bytes()
+    let head = format!("POST / HTTP/1.1\r\nHost: {platform}\r\nContent-Type: {kind}\r\n");
+    format!("{head}Content-Length: {length}\r\n\r\n{body}").into_bytes()
 }
 
 pub fn notices(platform: SocketAddr) -> Vec<u8> {
--- a/crates/garnetdoor-gateway/src/wire/socket.rs
+++ b/crates/garnetdoor-gateway/src/wire/socket.rs
@@ -102,8 +102,8 @@
         self.push(&mut out);
     }
 
-    /// Ends the connection if nothing has been read that is not consumed. What comes from now on stays unread,
-    /// so that the other side is told by a reset.
+    /// Ends the connection if nothing has been read that is not consumed. What comes from now on stays
+    /// unread, so that the other side is told by a reset.
     pub fn close_unused(&self) -> bool {
         let held = self.out();
         let unused = self.unread.load(Ordering::Acquire) == 0;
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -1,8 +1,8 @@
-//! Every decision of a gateway, in one piece. How to call it: `Balance::start` takes a host, a seed and the
-//! settings; after that the host calls one method for each thing that happens, and the module acts at once
-//! by calling the host back. What a host must offer is the trait `Host` in `src/host.rs`; what is remembered
-//! stands in `src/seen.rs`. The vote is Bayraktar and Lai's: each gateway runs its own CUSUM on the failures
-//! of the build on trial and votes back on its alarm, otherwise on. `docs/design.md` tells each departure.
+//! Every decision of a gateway, in one piece; the gateway on sockets and the bench's adapter host it.
+//! `Balance::start` takes a host, a seed and the settings; after that the host calls one method for each
+//! thing that happens, and the module acts at once by calling back. What a host offers is the trait `Host` in
+//! `src/host.rs`; what is remembered is in `src/seen.rs`. The vote is Bayraktar and Lai's: each runs its own
+//! CUSUM on the build on trial and votes back on its alarm, otherwise on. `docs/design.md` has departures.
 
 use std::collections::BTreeMap;
 
