--- a/crates/garnetdoor-gateway/src/memory/reducer.rs
+++ b/crates/garnetdoor-gateway/src/memory/reducer.rs
@@ -216,13 +216,15 @@
 
     /// The other side has ended a connection.
     fn ended(&mut self, id: ConnId) {
-        let kept = self.desk().conns.get(&id).map(|conn| !conn.buffer.is_empty() && !conn.unwritten);
+        let calls = |kind: &Kind| matches!(kind, Kind::Server { .. } | Kind::List | Kind::Vote);
+        let begun = |conn: &Conn| calls(&conn.kind) && !conn.buffer.is_empty() && !conn.unwritten;
+        let Some(begun) = self.desk().conns.get(&id).map(begun) else { return };
         // An answer without a length ends with its connection.
-        if kept == Some(true) && !id.is_client() && self.answered(id, true) {
+        if begun && self.answered(id, true) {
             return;
         }
-        let Some(conn) = self.desk().conns.get(&id).map(|conn| conn.unwritten) else { return };
-        self.failed(id, if conn && !id.is_client() { Reason::NoConnect } else { Reason::Broke }, true);
+        let unwritten = self.desk().conns.get(&id).is_some_and(|conn| conn.unwritten);
+        self.failed(id, if unwritten && !id.is_client() { Reason::NoConnect } else { Reason::Broke }, true);
     }
 
     fn stood_too_long(&mut self, id: ConnId) {
--- a/crates/garnetdoor-gateway/tests/reducer.rs
+++ b/crates/garnetdoor-gateway/tests/reducer.rs
@@ -426,6 +426,16 @@
     assert!(rig.written(again).starts_with("GET /catalog/members?watch=1&after=5 "));
 }
 
+#[test]
+fn a_watch_that_breaks_inside_a_line_changes_nothing_and_is_told_as_broken() {
+    let mut rig = Rig::new();
+    let watch = rig.watch();
+    rig.says(watch, "80\r\n{\"rev\":6,\"all\":true,\"targets\":[]");
+    rig.happens(Event::Ended(watch));
+    assert_eq!(rig.logged("kind=watch code=broke"), 1);
+    rig.trip_out(Rig::views);
+}
+
 #[test]
 fn signs_of_life_keep_a_watch() {
     let mut rig = Rig::new();
