--- a/crates/garnetdoor-gateway/src/memory/desk.rs
+++ b/crates/garnetdoor-gateway/src/memory/desk.rs
@@ -36,6 +36,8 @@
 const NOTICES_AGAIN: (Micros, Micros) = (100 * MS, SECOND);
 /// A client has so long for the rest of a ticket, or to take an answer.
 const CLIENT_SLOW: Micros = 10 * SECOND;
+/// A client that is one too many has less: it is to be turned back and gone.
+const SURPLUS_SLOW: Micros = SECOND;
 /// A client that has had nothing to do for so long has no ticket under way.
 const CLIENT_RESTS: Micros = 500 * MS;
 /// How long a client may take to see an answer that ends its connection.
@@ -252,6 +254,14 @@
     pub fn client_came(&mut self, id: ConnId) {
         let surplus = !self.room(self.clients_most);
         self.add(id, Kind::Client { ticket: None, last: false, surplus });
+        if surplus {
+            self.due_at(id, Some(self.now + SURPLUS_SLOW));
+        }
+        // Guards the last descriptors, which servers and votes need, against a flood. Harm: a client whose ticket
+        // crosses two such closings has lost it.
+        if self.conns.len() > self.most - self.most / 8 {
+            self.close_unused(id, Reason::Shed);
+        }
     }
 
     fn dial(&mut self, to: SocketAddr, kind: Kind, message: Vec<u8>, due: Micros) -> Option<ConnId> {
@@ -358,8 +368,13 @@
 
     /// How long a client may keep its ticket or answer half done.
     pub fn client_waits(&mut self, id: ConnId) {
-        let waits = self.conns.get(&id).is_some_and(|conn| !conn.buffer.is_empty());
-        self.due_at(id, waits.then_some(self.now + CLIENT_SLOW));
+        let Some(conn) = self.conns.get(&id) else { return };
+        match conn.kind {
+            // Its time runs from its coming.
+            Kind::Client { surplus: true, .. } => {}
+            _ if conn.buffer.is_empty() => self.due_at(id, None),
+            _ => self.due_at(id, Some(self.now + CLIENT_SLOW)),
+        }
     }
 
     /// Gives a ticket its final answer, if it has none and its client is there.
