--- a/crates/garnetdoor-gateway/src/memory/reducer.rs
+++ b/crates/garnetdoor-gateway/src/memory/reducer.rs
@@ -74,8 +74,9 @@
             Event::Datagram(from, bytes) => {
                 // Gateways are known by their addresses; whoever else sends is no peer.
                 let peer = self.desk().peer(from);
-                if let Some(peer) = peer {
-                    self.gate.peer_told(peer, &bytes);
+                match peer {
+                    Some(peer) => self.gate.peer_told(peer, &bytes),
+                    None => self.desk().log(format!("datagram from {from} left out")),
                 }
             }
             Event::Time => {}
--- a/crates/garnetdoor-gateway/tests/reducer.rs
+++ b/crates/garnetdoor-gateway/tests/reducer.rs
@@ -513,6 +513,7 @@
     let mut rig = Rig::new();
     rig.happens(Event::Datagram("127.0.0.9:1".parse().expect("an address"), vec![1; 256]));
     rig.happens(Event::Datagram("127.0.0.1:7302".parse().expect("an address"), vec![0xff; 256]));
+    assert_eq!(rig.logged("datagram from 127.0.0.9:1 left out"), 1);
     let (client, server) = rig.trip_out(Rig::views);
     rig.says(server, OK);
     assert_eq!(rig.status(client), "200");
