--- /dev/null
+++ b/crates/garnetdoor-gateway/src/memory/host.rs
@@ -0,0 +1,131 @@
+//! The desk as the decisions' host: what they ask for is done to it at once, and what must happen outside
+//! becomes an effect.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+
+use garnetdoor::host::{
+    BuildNo, Ending, GatewayId, Host, Micros, ServerId, StageNo, Taken, TicketId, TripNo, Vote, Wake,
+};
+
+use super::conns::{Kind, Work};
+use super::desk::{Desk, Told};
+use super::event::{Effect, Reason};
+use super::ticket::Trip;
+use super::timers::Timer;
+use crate::wire::http::Stream;
+use crate::wire::{client, discovery, instance, platform};
+
+/// Calls to the platform at one time, of the 32 connections that it holds.
+const CALLS_MOST: usize = 16;
+
+/// The desk as the decisions hold it.
+#[derive(Clone)]
+pub struct Handle(pub Rc<RefCell<Desk>>);
+
+impl Host for Handle {
+    fn now(&self) -> Micros {
+        self.0.borrow().now
+    }
+
+    fn send_trip(&mut self, id: TicketId, server: ServerId, until: Option<Micros>) {
+        let desk = &mut *self.0.borrow_mut();
+        let now = desk.now;
+        let Some(ticket) = desk.tickets.get_mut(&id) else { return };
+        let trip = TripNo(ticket.trips.len() as u32);
+        let until = until.unwrap_or(ticket.until).min(ticket.until);
+        let allowed = ticket.client.is_some() && now < until && ticket.trips.len() < desk.tries;
+        ticket.trips.push(Trip { server, sent: now, on: None, ended: false });
+        let address = desk.servers.get(&server).map(|place| place.address).filter(|_| allowed);
+        let message = address.map(|address| instance::trip(&ticket.request, address, until - now));
+        let on = message.and_then(|message| desk.ask(server, Work::Trip(id, trip), message, until));
+        if on.is_none() {
+            return desk.trip_over(id, trip, Ending::NeverSent, Vec::new());
+        }
+        if let Some(trip) = desk.out(id, trip) {
+            trip.on = on;
+        }
+        desk.timers.set(until, Timer::Trip(id, trip));
+    }
+
+    fn stop_trip(&mut self, id: TicketId, trip: TripNo) {
+        self.0.borrow_mut().give_up(id, trip, Ending::Stopped, Reason::Stopped);
+    }
+
+    fn turn_back(&mut self, id: TicketId, come_back_in: Option<Micros>) {
+        self.0.borrow_mut().finish(id, |last| client::turned_back(come_back_in, last));
+    }
+
+    fn forfeit(&mut self, id: TicketId) {
+        self.0.borrow_mut().finish(id, client::forfeited);
+    }
+
+    fn vote(&mut self, build: BuildNo, stage: StageNo, vote: Vote) {
+        let desk = &mut *self.0.borrow_mut();
+        let calls = desk.conns.values().filter(|conn| matches!(conn.kind, Kind::Vote)).count();
+        let message = platform::vote(desk.platform, build, stage, vote);
+        let due = desk.now + desk.vote_wait;
+        desk.log(format!("vote build={} stage={} {vote:?}", build.0, stage.0));
+        if calls >= CALLS_MOST || desk.dial(desk.platform, Kind::Vote, message, due).is_none() {
+            desk.told.push_back(Told::Vote(Taken::Error));
+        }
+    }
+
+    fn wake_at(&mut self, at: Micros, wake: Wake) {
+        self.0.borrow_mut().timers.set(at, Timer::Wake(wake));
+    }
+
+    fn probe(&mut self, server: ServerId) {
+        let desk = &mut *self.0.borrow_mut();
+        let (now, address) = (desk.now, desk.servers.get(&server).map(|place| place.address));
+        let due = now + desk.dial_within;
+        let sent = address.and_then(|at| desk.ask(server, Work::Probe(now), instance::probe(at), due));
+        match sent {
+            Some(id) => desk.due_at(id, Some(due)),
+            None => desk.told.push_back(Told::Probe(server, Ending::NeverSent, 0, Vec::new())),
+        }
+    }
+
+    fn tell_peers(&mut self, to: Option<GatewayId>, bytes: &[u8]) {
+        let desk = &mut *self.0.borrow_mut();
+        let address = match to {
+            Some(peer) => desk.peers.get(peer.0).copied(),
+            None => desk.peers_all,
+        };
+        if let Some(address) = address.filter(|_| bytes.len() <= 256) {
+            desk.effects.push(Effect::Datagram(address, bytes.to_vec()));
+        }
+    }
+
+    fn ask_list(&mut self) {
+        let desk = &mut *self.0.borrow_mut();
+        let due = desk.list_due();
+        if desk.dial(desk.discovery, Kind::List, discovery::whole(desk.discovery), due).is_none() {
+            desk.told.push_back(Told::ListFailed);
+        }
+    }
+
+    fn follow_list(&mut self, on: bool) {
+        let desk = &mut *self.0.borrow_mut();
+        match (on, desk.watch) {
+            (true, None) => {
+                let message = discovery::watch(desk.discovery, desk.version);
+                let due = desk.list_due();
+                desk.watch = desk.dial(desk.discovery, Kind::Watch(Stream::default()), message, due);
+                if desk.watch.is_none() {
+                    desk.told.push_back(Told::ListFailed);
+                }
+            }
+            (false, Some(watch)) => drop(desk.close(watch, Reason::Asked)),
+            _ => {}
+        }
+    }
+
+    fn close_idle(&mut self, server: ServerId) {
+        self.0.borrow_mut().close_all_idle(server, Reason::Asked);
+    }
+
+    fn note(&mut self, text: &str) {
+        self.0.borrow_mut().log(text.to_owned());
+    }
+}
--- a/crates/garnetdoor-gateway/src/memory/mod.rs
+++ b/crates/garnetdoor-gateway/src/memory/mod.rs
@@ -1,8 +1,11 @@
 //! What is kept: connections, idle ones by server, tickets, timers, and the reducer, the only one to change
 //! any of it.
 
+pub mod conns;
 pub mod desk;
 pub mod event;
+pub mod host;
 pub mod reducer;
+pub mod servers;
 pub mod ticket;
 pub mod timers;
--- a/crates/garnetdoor-gateway/src/memory/reducer.rs
+++ b/crates/garnetdoor-gateway/src/memory/reducer.rs
@@ -7,8 +7,10 @@
 use garnetdoor::balance::Balance;
 use garnetdoor::host::{Condition, Ending, Micros, Taken, TicketId, TripNo};
 
-use super::desk::{Conn, Desk, Handle, Kind, Told, Work};
+use super::conns::{Conn, Kind, Work};
+use super::desk::{Desk, Told};
 use super::event::{ConnId, Effect, Event, Reason};
+use super::host::Handle;
 use super::ticket::Ticket;
 use super::timers::Timer;
 use crate::config::Config;
