--- a/crates/garnetdoor-gateway/src/wire/socket.rs
+++ b/crates/garnetdoor-gateway/src/wire/socket.rs
@@ -95,11 +95,10 @@
         std::mem::take(&mut out.untold)
     }
 
-    /// Ends the sending side once all is written.
+    /// Ends the sending side once all is written; the coroutine tells of what it still writes.
     pub fn finish(&self) {
-        let mut out = self.out();
-        out.last = true;
-        self.push(&mut out);
+        self.out().last = true;
+        self.wake();
     }
 
     /// Ends the connection if nothing has been read that is not consumed. What comes from now on stays
