--- a/crates/garnetdoor-gateway/src/config.rs
+++ b/crates/garnetdoor-gateway/src/config.rs
@@ -24,6 +24,7 @@
     }
 }
 
+/// All that a gateway is told at its start.
 #[derive(Debug)]
 pub struct Config {
     pub name: String,
--- a/crates/garnetdoor-gateway/src/lifecycle/clock.rs
+++ b/crates/garnetdoor-gateway/src/lifecycle/clock.rs
@@ -5,6 +5,7 @@
 
 use garnetdoor::host::Micros;
 
+/// Copies of one clock agree.
 #[derive(Clone, Copy)]
 pub struct Clock {
     began: Instant,
@@ -17,6 +18,7 @@
         Clock { began: Instant::now(), unix: unix.as_micros() as Micros }
     }
 
+    /// Microseconds since the Unix epoch, by the clock at the start.
     pub fn now(&self) -> Micros {
         self.unix + self.began.elapsed().as_micros() as Micros
     }
--- a/crates/garnetdoor-gateway/src/memory/conns.rs
+++ b/crates/garnetdoor-gateway/src/memory/conns.rs
@@ -21,6 +21,7 @@
     Probe(Micros),
 }
 
+/// What a connection is for.
 pub enum Kind {
     Client {
         ticket: Option<TicketId>,
@@ -53,6 +54,7 @@
     }
 }
 
+/// One connection, whoever made it.
 pub struct Conn {
     pub kind: Kind,
     pub buffer: Buffer,
@@ -72,6 +74,7 @@
 }
 
 impl Conn {
+    /// Whether it is a client's with nothing to do that stays.
     pub fn is_idle_client(&self) -> bool {
         let waits = matches!(self.kind, Kind::Client { ticket: None, last: false, .. });
         waits && self.buffer.is_empty() && !self.unwritten && self.leaves.is_none()
@@ -79,6 +82,7 @@
 }
 
 impl Desk {
+    /// Takes in a connection that stands or is being made.
     pub fn add(&mut self, id: ConnId, kind: Kind) -> &mut Conn {
         let (buffer, heard, since) = (Buffer::default(), self.now, self.now);
         let conn = Conn {
@@ -133,8 +137,8 @@
         if surplus {
             self.due_at(id, Some(self.now + SURPLUS_SLOW));
         }
-        // Guards the last descriptors, which servers and votes need, against a flood. Harm: a client whose ticket
-        // crosses two such closings has lost it.
+        // Guards the last descriptors, which servers and votes need, against a flood. Harm: a client whose
+        // ticket crosses two such closings has lost it.
         if self.conns.len() > self.most - self.most / 8 {
             self.close_unused(id, Reason::Shed);
         }
@@ -156,6 +160,7 @@
         Some(id)
     }
 
+    /// Writes to a connection that is up.
     pub fn write(&mut self, id: ConnId, bytes: Vec<u8>) {
         if let Some(conn) = self.conns.get_mut(&id) {
             conn.unwritten = true;
@@ -163,6 +168,7 @@
         }
     }
 
+    /// Forgets the first bytes that a connection holds.
     pub fn consume(&mut self, id: ConnId, count: usize) {
         if let Some(conn) = self.conns.get_mut(&id).filter(|_| count > 0) {
             conn.buffer.consume(count);
@@ -170,6 +176,7 @@
         }
     }
 
+    /// Sets when a connection will have stood as it does for too long.
     pub fn due_at(&mut self, id: ConnId, due: Option<Micros>) {
         let Some(conn) = self.conns.get_mut(&id) else { return };
         conn.due = due;
--- a/crates/garnetdoor-gateway/src/memory/desk.rs
+++ b/crates/garnetdoor-gateway/src/memory/desk.rs
@@ -45,6 +45,7 @@
     ListFailed,
 }
 
+/// The state, as the reducer and the decisions' host share it.
 pub struct Desk {
     pub now: Micros,
     pub effects: Vec<Effect>,
@@ -120,12 +121,14 @@
         }
     }
 
+    /// Asks for a log line.
     pub fn log(&mut self, text: String) {
         self.effects.push(Effect::Log(text));
     }
 
     // ---- clients and tickets ----
 
+    /// Takes in a ticket under a number of its own.
     pub fn new_ticket(&mut self, ticket: Ticket) -> TicketId {
         let id = TicketId(self.next_ticket);
         self.next_ticket += 1;
@@ -186,6 +189,7 @@
         }
     }
 
+    /// A trip that is still out.
     pub(super) fn out(&mut self, id: TicketId, trip: TripNo) -> Option<&mut Trip> {
         let trip = self.tickets.get_mut(&id)?.trips.get_mut(trip.0 as usize)?;
         (!trip.ended).then_some(trip)
@@ -209,6 +213,7 @@
 
     // ---- the platform ----
 
+    /// When the platform's stream counts as broken if nothing more comes.
     pub fn notices_due(&self) -> Micros {
         self.now + NOTICES_SILENT
     }
@@ -218,6 +223,7 @@
         self.notices_again = NOTICES_AGAIN.0;
     }
 
+    /// Asks for the platform's stream of events.
     pub fn ask_notices(&mut self) {
         let message = platform::notices(self.platform);
         if self.dial(self.platform, Kind::Notices(Stream::default()), message, self.notices_due()).is_none() {
@@ -234,6 +240,7 @@
 
     // ---- peers ----
 
+    /// The gateway that sends from an address.
     pub fn peer(&self, address: SocketAddr) -> Option<GatewayId> {
         self.peers.iter().position(|peer| *peer == address).map(GatewayId)
     }
--- a/crates/garnetdoor-gateway/src/memory/event.rs
+++ b/crates/garnetdoor-gateway/src/memory/event.rs
@@ -10,6 +10,7 @@
 pub struct ConnId(pub u64);
 
 impl ConnId {
+    /// Whether a client made it.
     pub fn is_client(self) -> bool {
         self.0.is_multiple_of(2)
     }
@@ -66,6 +67,7 @@
         impl Reason {
             pub const ALL: &[Reason] = &[$(Reason::$name,)*];
 
+            /// The word for it in log lines.
             pub fn code(self) -> &'static str {
                 match self { $(Reason::$name => $code,)* }
             }
--- a/crates/garnetdoor-gateway/src/memory/reducer.rs
+++ b/crates/garnetdoor-gateway/src/memory/reducer.rs
@@ -31,6 +31,7 @@
     }
 }
 
+/// The decisions and the state, changed by events alone.
 pub struct Reducer {
     gate: Balance<Handle>,
     desk: Rc<RefCell<Desk>>,
@@ -66,6 +67,7 @@
         self.desk().timers.next()
     }
 
+    /// Takes what has happened at `now` and returns what is to be done, in order.
     pub fn reduce(&mut self, now: Micros, event: Event) -> Vec<Effect> {
         self.desk().now = now;
         match event {
--- a/crates/garnetdoor-gateway/src/memory/servers.rs
+++ b/crates/garnetdoor-gateway/src/memory/servers.rs
@@ -108,6 +108,7 @@
         });
     }
 
+    /// When a call of the list service counts as failed if nothing more comes.
     pub fn list_due(&self) -> Micros {
         self.now + LIST_SILENT
     }
--- a/crates/garnetdoor-gateway/src/memory/ticket.rs
+++ b/crates/garnetdoor-gateway/src/memory/ticket.rs
@@ -7,6 +7,7 @@
 use super::event::ConnId;
 use crate::wire::client::Request;
 
+/// One trip of a ticket.
 pub struct Trip {
     pub server: ServerId,
     pub sent: Micros,
@@ -15,6 +16,7 @@
     pub ended: bool,
 }
 
+/// A ticket that was taken, until it is over and no trip is out.
 pub struct Ticket {
     /// The client's connection; `None` once the ticket has its final answer or its client has left.
     pub client: Option<ConnId>,
--- a/crates/garnetdoor-gateway/src/memory/timers.rs
+++ b/crates/garnetdoor-gateway/src/memory/timers.rs
@@ -7,6 +7,7 @@
 
 use super::event::ConnId;
 
+/// What is to happen then.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Timer {
     Wake(Wake),
@@ -50,15 +51,18 @@
 }
 
 impl Timers {
+    /// Timers can't be taken back; what is no longer wanted is ignored when due.
     pub fn set(&mut self, at: Micros, timer: Timer) {
         self.set += 1;
         self.heap.push(Reverse(Due(at, self.set, timer)));
     }
 
+    /// When the next one is due.
     pub fn next(&self) -> Option<Micros> {
         self.heap.peek().map(|Reverse(due)| due.0)
     }
 
+    /// The next one that is due by `now`.
     pub fn take_due(&mut self, now: Micros) -> Option<Timer> {
         if self.next().is_none_or(|at| at > now) {
             return None;
--- a/crates/garnetdoor-gateway/src/wire/buffer.rs
+++ b/crates/garnetdoor-gateway/src/wire/buffer.rs
@@ -3,6 +3,7 @@
 /// Room kept by a buffer that has emptied; more is given back.
 const KEPT: usize = 8 * 1024;
 
+/// Bytes that came and are not consumed yet.
 #[derive(Default)]
 pub struct Buffer {
     bytes: Vec<u8>,
@@ -10,14 +11,17 @@
 }
 
 impl Buffer {
+    /// What it holds.
     pub fn data(&self) -> &[u8] {
         &self.bytes[self.from..]
     }
 
+    /// Whether it holds nothing.
     pub fn is_empty(&self) -> bool {
         self.data().is_empty()
     }
 
+    /// Adds what came.
     pub fn push(&mut self, more: &[u8]) {
         if self.from > 0 && self.bytes.len() + more.len() > self.bytes.capacity() {
             self.bytes.copy_within(self.from.., 0);
--- a/crates/garnetdoor-gateway/src/wire/client.rs
+++ b/crates/garnetdoor-gateway/src/wire/client.rs
@@ -88,19 +88,23 @@
     Asked::Ticket { arrival, request: Request { method, target, id, body } }
 }
 
+/// The answer of a finished ticket, the server's body as it is.
 pub fn finished(body: &[u8], last: bool) -> Vec<u8> {
     http::write_answer(200, "", body, last)
 }
 
+/// The answer that a try again does no harm.
 pub fn turned_back(come_back_in: Option<Micros>, last: bool) -> Vec<u8> {
     let wait = come_back_in.map(|wait| format!("Retry-After: {:.3}\r\n", wait as f64 / 1e6));
     http::write_answer(503, &wait.unwrap_or_default(), b"", last)
 }
 
+/// The answer that promises nothing.
 pub fn forfeited(last: bool) -> Vec<u8> {
     http::write_answer(504, "", b"", last)
 }
 
+/// An answer that is its status alone.
 pub fn plain(status: u16, last: bool) -> Vec<u8> {
     http::write_answer(status, "", b"", last)
 }
--- a/crates/garnetdoor-gateway/src/wire/discovery.rs
+++ b/crates/garnetdoor-gateway/src/wire/discovery.rs
@@ -5,10 +5,12 @@
 use garnetdoor::host::{BuildNo, CellId, Condition, KindId, Listing, Micros, ServerId, Settings, ZoneId};
 use serde_json::Value;
 
+/// The call for the whole list.
 pub fn whole(service: SocketAddr) -> Vec<u8> {
     format!("GET /catalog/members HTTP/1.1\r\nHost: {service}\r\n\r\n").into_bytes()
 }
 
+/// The call for changes after a version.
 pub fn watch(service: SocketAddr, after: u64) -> Vec<u8> {
     let head = format!("GET /catalog/members?watch=1&after={after} HTTP/1.1\r\nHost: {service}\r\n\r\n");
     head.into_bytes()
@@ -22,6 +24,7 @@
     pub listing: Listing,
 }
 
+/// A list or changes of it.
 #[derive(Clone, Debug, Default)]
 pub struct List {
     pub version: u64,
@@ -50,6 +53,7 @@
     list_of(&value, words)
 }
 
+/// Reads a list from JSON that has been parsed.
 pub fn list_of(value: &Value, words: &Words) -> Result<List, String> {
     let version = value["rev"].as_u64().ok_or("rev: not a whole number")?;
     let whole = value["all"].as_bool().ok_or("all: neither true nor false")?;
--- a/crates/garnetdoor-gateway/src/wire/http.rs
+++ b/crates/garnetdoor-gateway/src/wire/http.rs
@@ -2,8 +2,9 @@
 
 use httparse::Status;
 
-/// A body holds at most this much; a head, less.
+/// A body holds at most this much.
 pub const BODY_MOST: usize = 64 * 1024;
+/// And a head, up to its empty line.
 pub const HEAD_MOST: usize = 16 * 1024;
 /// What a connection may hold unread: a whole message and the frames of its chunks.
 pub const HELD_MOST: usize = 2 * (HEAD_MOST + BODY_MOST);
@@ -107,6 +108,7 @@
     }
 }
 
+/// Reads a request, head and body.
 pub fn request(data: &[u8]) -> Read {
     let mut headers = [httparse::EMPTY_HEADER; HEADERS_MOST];
     let mut head = httparse::Request::new(&mut headers);
@@ -183,6 +185,7 @@
 /// A chunk and the bytes that it takes with its frame; the last one, trailers included, is no part.
 pub type Chunk<'a> = Option<(Option<&'a [u8]>, usize)>;
 
+/// Reads one chunk of a body.
 pub fn chunk(data: &[u8]) -> Result<Chunk<'_>, Fault> {
     let (start, size) = match httparse::parse_chunk_size(data).map_err(|_| Fault::Malformed)? {
         Status::Complete(found) => found,
@@ -210,6 +213,7 @@
     }
 }
 
+/// The phrase that goes with a status.
 pub fn reason(status: u16) -> &'static str {
     match status {
         200 => "OK",
--- a/crates/garnetdoor-gateway/src/wire/instance.rs
+++ b/crates/garnetdoor-gateway/src/wire/instance.rs
@@ -7,6 +7,7 @@
 use super::client::Request;
 use super::http::Message;
 
+/// A ticket as a server gets it: method, target, id and body unchanged.
 pub fn trip(request: &Request, server: SocketAddr, left: Micros) -> Vec<u8> {
     let Request { method, target, id, body } = request;
     let left = (left / 1_000).max(1);
@@ -22,6 +23,7 @@
     [head.as_bytes(), body].concat()
 }
 
+/// The call that only asks whether a server answers.
 pub fn probe(server: SocketAddr) -> Vec<u8> {
     format!("GET /ping HTTP/1.1\r\nHost: {server}\r\n\r\n").into_bytes()
 }
--- a/crates/garnetdoor-gateway/src/wire/platform.rs
+++ b/crates/garnetdoor-gateway/src/wire/platform.rs
@@ -12,6 +12,7 @@
 const OPINIONS: [&str; 4] = ["abstain", "promote", "pause", "abort"];
 const PHASES: [&str; 4] = ["Progressing", "Aborting", "Healthy", "Aborted"];
 
+/// The call that casts a vote.
 pub fn vote(platform: SocketAddr, build: BuildNo, stage: StageNo, vote: Vote) -> Vec<u8> {
     let opinion = Vote::ALL.iter().position(|other| *other == vote).map_or("", |number| OPINIONS[number]);
     let body = format!("Action=CastVote&image={}&ring={}&opinion={opinion}", build.0, stage.0);
@@ -21,6 +22,7 @@
     format!("{head}Content-Length: {length}\r\n\r\n{body}").into_bytes()
 }
 
+/// The call for the stream of events.
 pub fn notices(platform: SocketAddr) -> Vec<u8> {
     format!("GET /notices HTTP/1.1\r\nHost: {platform}\r\nAccept: text/event-stream\r\n\r\n").into_bytes()
 }
--- a/crates/garnetdoor-gateway/src/wire/socket.rs
+++ b/crates/garnetdoor-gateway/src/wire/socket.rs
@@ -124,6 +124,7 @@
         self.wake();
     }
 
+    /// So many bytes of it are held no longer; it may read on.
     pub fn consumed(&self, count: usize) {
         let before = self.unread.fetch_sub(count, Ordering::AcqRel);
         if before >= HELD_MOST && before - count < HELD_MOST {
@@ -156,7 +157,12 @@
             match self.read(stream) {
                 Ok(Some((bytes, _))) if bytes.is_empty() => break,
                 Ok(Some((bytes, waited))) => {
+                    let full = bytes.len() == READ_MOST;
                     let _ = events.send(Event::Bytes(self.id, clock.now() - waited, bytes));
+                    if full {
+                        // One that sends as fast as it is read leaves the others their turn.
+                        may::coroutine::yield_now();
+                    }
                     continue;
                 }
                 Err(Errno::EINTR) => continue,
--- a/src/host.rs
+++ b/src/host.rs
@@ -190,16 +190,21 @@
 
 /// What the decisions ask of the gateway that hosts them.
 pub trait Host {
+    /// The time; it never goes back.
     fn now(&self) -> Micros;
     /// Sends a trip; it times out at `until`, or when the client quits if that is `None`.
     fn send_trip(&mut self, ticket: TicketId, server: ServerId, until: Option<Micros>);
+    /// Waits no longer for a trip; it may have run.
     fn stop_trip(&mut self, ticket: TicketId, trip: TripNo);
     /// Final answer: trying again does no harm.
     fn turn_back(&mut self, ticket: TicketId, come_back_in: Option<Micros>);
     /// Final answer: nothing is promised.
     fn forfeit(&mut self, ticket: TicketId);
+    /// Casts the gateway's vote.
     fn vote(&mut self, build: BuildNo, stage: StageNo, vote: Vote);
+    /// Calls `woke` at that time or soon after; it can't be taken back.
     fn wake_at(&mut self, at: Micros, wake: Wake);
+    /// Asks whether a server answers.
     fn probe(&mut self, server: ServerId);
     /// Tells one peer, or all of them.
     fn tell_peers(&mut self, to: Option<GatewayId>, bytes: &[u8]);
@@ -207,7 +212,9 @@
     fn ask_list(&mut self);
     /// Asks for the list's changes from now on, or no longer.
     fn follow_list(&mut self, on: bool);
+    /// Closes the idle connections to a server.
     fn close_idle(&mut self, server: ServerId);
+    /// Writes a line to the log.
     fn note(&mut self, text: &str);
 }
 
@@ -221,10 +228,12 @@
         self.0.iter().map(|(name, value)| (name.as_str(), value.as_str()))
     }
 
+    /// A value as it came.
     pub fn text(&self, name: &str) -> Option<&str> {
         self.0.get(name).map(String::as_str)
     }
 
+    /// A value that is a number.
     pub fn number(&self, name: &str) -> Option<f64> {
         self.text(name)?.parse().ok()
     }
@@ -234,6 +243,7 @@
         micros(self.text(name)?)
     }
 
+    /// A value that is true or false.
     pub fn flag(&self, name: &str) -> Option<bool> {
         match self.text(name)? {
             "true" | "1" => Some(true),
--- a/src/names.rs
+++ b/src/names.rs
@@ -12,6 +12,7 @@
 }
 
 impl Names {
+    /// The number of a name, a new one for a new name.
     pub fn number(&mut self, name: &str) -> usize {
         if let Some(number) = self.numbers.get(name) {
             return *number;
