--- a/src/balance.rs
+++ b/src/balance.rs
@@ -1,8 +1,7 @@
-//! Every decision of a gateway, in one piece; the gateway on sockets and the bench's adapter host it.
-//! `Balance::start` takes a host, a seed and the settings; after that the host calls one method for each
-//! thing that happens, and the module acts at once by calling back. What a host offers is the trait `Host` in
-//! `src/host.rs`; what is remembered is in `src/seen.rs`. The vote is Bayraktar and Lai's: each runs its own
-//! CUSUM on the build on trial and votes back on its alarm, otherwise on. `docs/design.md` has departures.
+//! Every decision of a gateway; the gateway on sockets and the bench's adapter host it. `Balance::start`
+//! takes a host, a seed and the settings; then the host calls one method for each thing that happens, and
+//! the module acts at once by calling back the trait `Host` of `src/host.rs`; `src/seen.rs` is its memory.
+//! The vote is Bayraktar and Lai's: each runs its own CUSUM on the build on trial and votes back on alarm.
 
 use std::collections::BTreeMap;
 
@@ -649,14 +648,15 @@
 
     pub fn news_came(&mut self, news: News) {
         if self.seen.news.is_some_and(|old| old.build < news.build) {
-            // The time that nine in ten answers kept, where they are enough.
+            // The time that nine in ten answers kept, where they are enough; none if all was worse already,
+            // else a good build is held for the last one's faults. What slows all from then on shows late.
+            let calm = self.seen.worse.take().is_none();
             let tail = |profile| {
                 let mut times = self.fresh_times(profile, self.span());
                 times.sort_unstable();
                 (times.len() as f64 >= LEAST_ON_TRIAL).then(|| (profile, times[times.len() * 9 / 10]))
             };
-            self.seen.before = self.profiles().filter_map(tail).collect();
-            self.seen.worse = None;
+            self.seen.before = self.profiles().filter(|_| calm).filter_map(tail).collect();
             self.seen.heard.clear();
             // What is older than the last build but one says nothing of any build to come.
             let kept = |build: BuildNo| build.0 + 2 >= news.build.0;
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -294,6 +294,19 @@
     assert_eq!(story.last_vote(), Some((2, 1, Vote::Back)));
 }
 
+#[test]
+fn a_new_build_is_not_held_for_what_the_last_one_did() {
+    let mut story = trial();
+    story.gate.list_came(fleet(0, 5));
+    story.gate.news_came(news(2, 2, Phase::Released, 1.0));
+    let slow = [100, 101, 102, 103, 104];
+    story.run(100, 0, &slow, 150 * MS, Ending::Finished);
+    story.gate.list_changed((200..205).map(|id| server(id, 3)).collect());
+    story.gate.news_came(news(3, 0, Phase::OnTrial, 0.5));
+    story.run(150, 0, &slow, 250 * MS, Ending::Finished);
+    assert_eq!(story.last_vote(), Some((3, 0, Vote::On)));
+}
+
 #[test]
 fn a_fleet_that_is_late_as_a_whole_is_not_the_builds_fault() {
     let mut story = trial();
