--- a/crates/garnetdoor-adapter/src/main.rs
+++ b/crates/garnetdoor-adapter/src/main.rs
@@ -18,6 +18,7 @@
     Arrival, BuildNo, CellId, Condition, Ending, GatewayId, KeyId, KindId, Micros, News, PartyId, Phase,
     ProfileId, Settings, StageNo, Taken, Tally, TripNo, ZoneId,
 };
+use garnetdoor::names::by_word;
 
 use host::{Handle, Listed};
 use line::{Bad, Line};
@@ -270,11 +271,10 @@
     let zone = ZoneId(line.whole("region_part")? as usize);
     let kind = KindId(line.whole("family_type")? as usize);
     let cell = CellId(line.whole("group")?);
-    let condition = line.need("condition")?;
-    let condition = ["healthy", "cordoned", "deregistered"].iter().position(|word| *word == condition);
+    let words = ["healthy", "cordoned", "deregistered"];
+    let condition = by_word(Condition::ALL, words, line.need("condition")?);
     let condition =
         condition.ok_or_else(|| line.bad("condition", "not healthy, cordoned or deregistered"))?;
-    let condition = Condition::ALL[condition];
     let size = line.number("nominal")?;
     let started = line.maybe("launched", |line, field| line.micros(field))?.filter(|at| *at != 0);
     Ok(Listed { name, build, zone, kind, cell, condition, size, started })
--- a/crates/garnetdoor-gateway/src/config.rs
+++ b/crates/garnetdoor-gateway/src/config.rs
@@ -62,14 +62,18 @@
         self.faults.push(Fault { key: key.to_owned(), found, expected });
     }
 
+    /// What stands at a path of keys; null where nothing does.
+    fn find(&self, key: &str) -> &Value {
+        key.split('.').fold(self.file, |value, part| &value[part])
+    }
+
     /// Reads what stands at a path of keys; `None`, with a fault, where it can't be read.
     fn read<T>(
         &mut self, key: &str, expected: &'static str, read: impl Fn(&Value) -> Option<T>,
     ) -> Option<T> {
-        let found = key.split('.').fold(self.file, |value, part| &value[part]);
-        let value = read(found);
+        let value = read(self.find(key));
         if value.is_none() {
-            self.fault(key, found, expected);
+            self.fault(key, &self.find(key).clone(), expected);
         }
         value
     }
@@ -78,8 +82,7 @@
     fn maybe<T>(
         &mut self, key: &str, expected: &'static str, read: impl Fn(&Value) -> Option<T>,
     ) -> Option<T> {
-        let found = key.split('.').fold(self.file, |value, part| &value[part]);
-        if found.is_null() { None } else { self.read(key, expected, read) }
+        if self.find(key).is_null() { None } else { self.read(key, expected, read) }
     }
 }
 
@@ -176,7 +179,7 @@
 /// A plain value as the settings' map holds it.
 fn plain(value: &Value) -> String {
     match value {
-        Value::String(text) => text.replace([' ', ','], "_"),
+        Value::String(text) => Settings::plain(text),
         other => other.to_string(),
     }
 }
--- a/crates/garnetdoor-gateway/src/lifecycle/log.rs
+++ b/crates/garnetdoor-gateway/src/lifecycle/log.rs
@@ -6,7 +6,9 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{self, SyncSender};
 use std::thread;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
+
+use super::clock;
 
 /// Lines a second. More would cost time that tickets need, and hide what matters.
 const LINES_MOST: u64 = 200;
@@ -48,7 +50,7 @@
 
 /// Whether this second has room for one more line.
 fn room() -> bool {
-    let second = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs() & 0xffff_ffff;
+    let second = clock::unix().as_secs() & 0xffff_ffff;
     if COUNT.load(Ordering::Relaxed) >> 32 != second {
         COUNT.store(second << 32, Ordering::Relaxed);
     }
--- a/crates/garnetdoor-gateway/src/memory/conns.rs
+++ b/crates/garnetdoor-gateway/src/memory/conns.rs
@@ -16,6 +16,7 @@
 const CLIENT_RESTS: Micros = 500 * MS;
 
 /// What a connection to a server is busy with.
+#[derive(Clone, Copy)]
 pub enum Work {
     Trip(TicketId, TripNo),
     Probe(Micros),
@@ -103,8 +104,8 @@
     /// client that came or was answered just now is likely to have a ticket under way, and sends what crosses
     /// the closing only once more. With no old ones left, new clients are turned back instead.
     fn room(&mut self, most: usize) -> bool {
-        let leaving = self.conns.values().filter(|conn| conn.leaves.is_some()).count();
-        if self.conns.len() - leaving < most {
+        let leaving = || self.conns.values().filter(|conn| conn.leaves.is_some()).count();
+        if self.conns.len() < most || self.conns.len() - leaving() < most {
             return true;
         }
         let idle = |conn: &Conn| match conn.kind {
--- a/crates/garnetdoor-gateway/src/memory/event.rs
+++ b/crates/garnetdoor-gateway/src/memory/event.rs
@@ -27,7 +27,7 @@
 pub enum Event {
     /// A connection stands, whoever made it.
     Up(ConnId),
-    /// Bytes, and when they were read.
+    /// Bytes, and when they had come.
     Bytes(ConnId, Micros, Vec<u8>),
     /// All that was asked to be written has been.
     Written(ConnId),
@@ -65,8 +65,6 @@
         pub enum Reason { $($(#[$doc])* $name,)* }
 
         impl Reason {
-            pub const ALL: &[Reason] = &[$(Reason::$name,)*];
-
             /// The word for it in log lines.
             pub fn code(self) -> &'static str {
                 match self { $(Reason::$name => $code,)* }
--- a/crates/garnetdoor-gateway/src/memory/reducer.rs
+++ b/crates/garnetdoor-gateway/src/memory/reducer.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 
 use garnetdoor::balance::Balance;
-use garnetdoor::host::{Condition, Ending, Micros, Taken, TicketId, TripNo};
+use garnetdoor::host::{Condition, Ending, Micros, Taken};
 
 use super::conns::{Conn, Kind, Work};
 use super::desk::{Desk, Told};
@@ -45,7 +45,7 @@
         let mut reducer = Reducer { gate, desk };
         let known = config.known.as_ref().map(|known| discovery::list_of(known, &reducer.desk().words));
         match known {
-            Some(Ok(list)) => reducer.list_came(list, false),
+            Some(Ok(list)) => reducer.list_came(list),
             Some(Err(fault)) => reducer.desk().log(format!("known list left out: {fault}")),
             None => {}
         }
@@ -168,16 +168,15 @@
         }
         let Some(conn) = desk.conns.get_mut(&id) else { return };
         let message = conn.pending.take();
-        if let Kind::Server { server, work: Some(work), .. } = &conn.kind {
-            let (server, trip) = (*server, trip_of(work));
+        if let Kind::Server { server, work: Some(work), .. } = conn.kind {
             // Guards against a first byte after a drain's grace, for a dial that took long.
             if desk.servers.get(&server).is_none_or(|place| place.condition != Condition::Healthy) {
-                if let Some((ticket, trip)) = trip {
+                if let Work::Trip(ticket, trip) = work {
                     desk.give_up(ticket, trip, Ending::ConnectFailed, Reason::Unlisted);
                 }
                 return;
             }
-            if trip.is_some() {
+            if let Work::Trip(..) = work {
                 desk.due_at(id, None);
             }
         }
@@ -373,18 +372,19 @@
         let mut desk = self.desk();
         let now = desk.now;
         let Some(conn) = desk.conns.get(&id) else { return };
-        match &conn.kind {
+        match conn.kind {
             Kind::Server { server, work: Some(work), .. } => {
-                let (server, trip, ending) = (*server, trip_of(work), instance::ending(&answer));
-                let load = instance::load(&answer, &desk.load_fields);
-                if let Work::Probe(sent) = work {
-                    let sent = *sent;
-                    desk.told.push_back(Told::Probe(server, ending, now - sent, load));
-                } else if let Some((ticket, trip)) = trip {
-                    if ending == Ending::Finished {
-                        desk.finish(ticket, |last| client::finished(&answer.body, last));
+                let (ending, load) = (instance::ending(&answer), instance::load(&answer, &desk.load_fields));
+                match work {
+                    Work::Probe(sent) => {
+                        desk.told.push_back(Told::Probe(server, ending, now - sent, load));
+                    }
+                    Work::Trip(ticket, trip) => {
+                        if ending == Ending::Finished {
+                            desk.finish(ticket, |last| client::finished(&answer.body, last));
+                        }
+                        desk.trip_over(ticket, trip, ending, load);
                     }
-                    desk.trip_over(ticket, trip, ending, load);
                 }
                 desk.keep(id, answer.keep && !ended);
             }
@@ -404,7 +404,7 @@
                 match list {
                     Ok(list) => {
                         self.desk().close(id, Reason::LastMessage);
-                        self.list_came(list, true);
+                        self.list_came(list);
                     }
                     Err(fault) => {
                         self.desk().log(format!("list unreadable: {fault}"));
@@ -420,9 +420,9 @@
         }
     }
 
-    fn list_came(&mut self, list: List, asked: bool) {
+    fn list_came(&mut self, list: List) {
         let whole = list.whole;
-        let listings = self.desk().take_list(list, asked);
+        let listings = self.desk().take_list(list);
         match listings {
             Some(listings) if whole => self.gate.list_came(listings),
             Some(listings) => self.gate.list_changed(listings),
@@ -472,7 +472,7 @@
             }
             let list = discovery::list(&line, &self.desk().words);
             match list {
-                Ok(list) => self.list_came(list, true),
+                Ok(list) => self.list_came(list),
                 Err(fault) => {
                     self.desk().log(format!("list unreadable: {fault}"));
                     self.failed(id, Reason::Malformed, false);
@@ -484,7 +484,6 @@
     }
 
     fn noticed(&mut self, mut text: Vec<u8>) -> Vec<u8> {
-        text.retain(|byte| *byte != b'\r');
         self.desk().notices_work();
         for notice in platform::told(&mut text) {
             match notice {
@@ -496,13 +495,6 @@
     }
 }
 
-fn trip_of(work: &Work) -> Option<(TicketId, TripNo)> {
-    match work {
-        Work::Trip(ticket, trip) => Some((*ticket, *trip)),
-        Work::Probe(_) => None,
-    }
-}
-
 /// Closes the clients' connections that carry nothing; a message that crosses this is sent once more.
 fn close_idle_clients(desk: &mut Desk) {
     let idle = desk.conns.iter().filter(|(_, conn)| conn.is_idle_client()).map(|(id, _)| *id);
--- a/crates/garnetdoor-gateway/src/memory/servers.rs
+++ b/crates/garnetdoor-gateway/src/memory/servers.rs
@@ -57,15 +57,14 @@
             self.close(id, reason);
         }
     }
+
     /// Takes a list in; `None` if it is older than what is known.
-    pub fn take_list(&mut self, list: List, asked: bool) -> Option<Vec<Listing>> {
+    pub fn take_list(&mut self, list: List) -> Option<Vec<Listing>> {
         for fault in &list.faults {
             self.log(format!("list entry left out: {fault}"));
         }
         if list.version < self.version || (list.version == self.version && !list.whole) {
-            if asked {
-                self.log(format!("old list ignored: {} after {}", list.version, self.version));
-            }
+            self.log(format!("old list ignored: {} after {}", list.version, self.version));
             return None;
         }
         self.version = list.version;
--- a/crates/garnetdoor-gateway/src/wire/client.rs
+++ b/crates/garnetdoor-gateway/src/wire/client.rs
@@ -73,16 +73,15 @@
         return Asked::Wrong(400);
     };
     let extra = message.header("req-extra").unwrap_or_default();
-    let figure =
-        |name| extra.split(',').find_map(|pair| pair.trim().split_once('=').filter(|(n, _)| *n == name));
+    let figure = |name| http::figure(extra, name);
     let arrival = Arrival {
         profile: ProfileId(number),
-        cost: figure("effort").and_then(|(_, text)| micros(text)),
-        key: figure("entity").and_then(|(_, text)| u64::from_str_radix(text, 16).ok()).map(KeyId),
+        cost: figure("effort").and_then(micros),
+        key: figure("entity").and_then(|text| u64::from_str_radix(text, 16).ok()).map(KeyId),
         left: Micros::from(deadline) * 1_000 - waited,
-        writes: figure("write").is_some_and(|(_, text)| text == "1"),
+        writes: figure("write") == Some("1"),
         repeat: message.header("req-retry") == Some("1"),
-        party: figure("user_group").and_then(|(_, text)| text.parse().ok()).map(PartyId),
+        party: figure("user_group").and_then(|text| text.parse().ok()).map(PartyId),
     };
     let Message { method, target, body, .. } = message;
     Asked::Ticket { arrival, request: Request { method, target, id, body } }
--- a/crates/garnetdoor-gateway/src/wire/discovery.rs
+++ b/crates/garnetdoor-gateway/src/wire/discovery.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use garnetdoor::host::{BuildNo, CellId, Condition, KindId, Listing, Micros, ServerId, Settings, ZoneId};
+use garnetdoor::names::by_word;
 use serde_json::Value;
 
 /// The call for the whole list.
@@ -74,12 +75,11 @@
     let text = |field: &str| value[field].as_str().ok_or_else(|| bad(field));
     let number = |field: &str| value[field].as_u64().ok_or_else(|| bad(field));
     let index = |field: &str, known: &[String]| {
-        let name = text(field)?.replace([' ', ','], "_");
+        let name = Settings::plain(text(field)?);
         known.iter().position(|other| *other == name).ok_or_else(|| bad(field))
     };
-    let state = text("state")?;
-    let state = ["up", "draining", "removed"].iter().position(|word| *word == state);
-    let condition = Condition::ALL[state.ok_or_else(|| bad("state"))?];
+    let condition = by_word(Condition::ALL, ["up", "draining", "removed"], text("state")?);
+    let condition = condition.ok_or_else(|| bad("state"))?;
     let started =
         value["boot_ms"].as_f64().filter(|ms| (0.0..9e15).contains(ms)).ok_or_else(|| bad("boot_ms"))?;
     let listing = Listing {
--- a/crates/garnetdoor-gateway/src/wire/http.rs
+++ b/crates/garnetdoor-gateway/src/wire/http.rs
@@ -33,6 +33,13 @@
     keep: bool,
 }
 
+impl Fields {
+    /// Whether the connection may carry another message, by the HTTP/1 version and what was said.
+    fn keeps(&self, version: Option<u8>) -> bool {
+        !self.close && (version == Some(1) || self.keep)
+    }
+}
+
 fn fields(headers: &[httparse::Header]) -> Result<Fields, Fault> {
     let mut read = Fields { pairs: Vec::new(), framing: None, close: false, keep: false };
     for header in headers {
@@ -119,7 +126,7 @@
     else {
         return Ok(None);
     };
-    let keep = !found.close && (head.version == Some(1) || found.keep);
+    let keep = found.keeps(head.version);
     let text = |part: Option<&str>| part.unwrap_or_default().to_owned();
     let (method, target) = (text(head.method), text(head.path));
     Ok(Some((Message { method, target, status: 0, fields: found.pairs, body, keep }, length + used)))
@@ -147,12 +154,12 @@
     let status = head.code.unwrap_or_default();
     let bodiless = status < 200 || status == 204 || status == 304;
     let framing = if bodiless { Framing::Length(0) } else { found.framing.unwrap_or(Framing::UntilClose) };
-    let keep = !found.close && (head.version == Some(1) || found.keep);
+    let keep = found.keeps(head.version);
     Ok(Some((Message { status, fields: found.pairs, keep, ..Message::default() }, framing, length)))
 }
 
 /// The head of an answer in chunks whose end is not waited for: its status, and the bytes that it takes.
-pub fn stream_head(data: &[u8]) -> Result<Option<(u16, usize)>, Fault> {
+fn stream_head(data: &[u8]) -> Result<Option<(u16, usize)>, Fault> {
     Ok(match answer_head(data)? {
         Some((message, framing, _)) if message.status == 200 && framing != Framing::Chunked => {
             return Err(Fault::Malformed);
@@ -183,10 +190,10 @@
 }
 
 /// A chunk and the bytes that it takes with its frame; the last one, trailers included, is no part.
-pub type Chunk<'a> = Option<(Option<&'a [u8]>, usize)>;
+type Chunk<'a> = Option<(Option<&'a [u8]>, usize)>;
 
 /// Reads one chunk of a body.
-pub fn chunk(data: &[u8]) -> Result<Chunk<'_>, Fault> {
+fn chunk(data: &[u8]) -> Result<Chunk<'_>, Fault> {
     let (start, size) = match httparse::parse_chunk_size(data).map_err(|_| Fault::Malformed)? {
         Status::Complete(found) => found,
         Status::Partial if data.len() > HEAD_MOST => return Err(Fault::Malformed),
@@ -214,13 +221,12 @@
 }
 
 /// The phrase that goes with a status.
-pub fn reason(status: u16) -> &'static str {
+fn reason(status: u16) -> &'static str {
     match status {
         200 => "OK",
         400 => "Bad Request",
         404 => "Not Found",
         405 => "Method Not Allowed",
-        408 => "Request Timeout",
         413 => "Content Too Large",
         431 => "Request Header Fields Too Large",
         503 => "Service Unavailable",
@@ -229,6 +235,12 @@
     }
 }
 
+/// A value out of `name=value,name=value`.
+pub fn figure<'a>(text: &'a str, name: &str) -> Option<&'a str> {
+    let mut pairs = text.split(',').filter_map(|pair| pair.trim().split_once('='));
+    pairs.find(|(field, _)| *field == name).map(|(_, value)| value)
+}
+
 /// Writes an answer; `more` holds whole header lines.
 pub fn write_answer(status: u16, more: &str, body: &[u8], last: bool) -> Vec<u8> {
     let last = if last { "Connection: close\r\n" } else { "" };
--- a/crates/garnetdoor-gateway/src/wire/instance.rs
+++ b/crates/garnetdoor-gateway/src/wire/instance.rs
@@ -5,7 +5,7 @@
 use garnetdoor::host::{Ending, Micros};
 
 use super::client::Request;
-use super::http::Message;
+use super::http::{self, Message};
 
 /// A ticket as a server gets it: method, target, id and body unchanged.
 pub fn trip(request: &Request, server: SocketAddr, left: Micros) -> Vec<u8> {
@@ -40,9 +40,5 @@
 /// The load report, in the order of the settings' fields.
 pub fn load(answer: &Message, fields: &[String]) -> Vec<Option<f64>> {
     let Some(report) = answer.header("srv-load") else { return Vec::new() };
-    let figure = |field: &String| {
-        let mut pairs = report.split(',').filter_map(|pair| pair.trim().split_once('='));
-        pairs.find(|(name, _)| name == field).and_then(|(_, text)| text.parse().ok())
-    };
-    fields.iter().map(figure).collect()
+    fields.iter().map(|field| http::figure(report, field)?.parse().ok()).collect()
 }
--- a/crates/garnetdoor-gateway/src/wire/platform.rs
+++ b/crates/garnetdoor-gateway/src/wire/platform.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use garnetdoor::host::{BuildNo, Micros, News, Phase, StageNo, Taken, Vote};
+use garnetdoor::names::by_word;
 use quick_xml::Reader;
 use quick_xml::events::Event;
 
@@ -69,8 +70,7 @@
 
 /// The state of the newest build from its fields, whatever holds them.
 pub fn news<'a>(field: impl Fn(&str) -> Option<&'a str>) -> Option<News> {
-    let phase = field("progress")?;
-    let phase = Phase::ALL[PHASES.iter().position(|word| *word == phase)?];
+    let phase = by_word(Phase::ALL, PHASES, field("progress")?)?;
     let cap: f64 = field("ceiling")?.parse().ok()?;
     let lag: f64 = field("lag_ms")?.parse().ok()?;
     Some(News {
@@ -91,9 +91,10 @@
 
 /// Takes the whole events out of a stream's text, leaving what is not whole yet.
 pub fn told(text: &mut Vec<u8>) -> Vec<Notice> {
+    text.retain(|byte| *byte != b'\r');
     let mut notices = Vec::new();
     while let Some(end) = text.windows(2).position(|pair| pair == b"\n\n") {
-        let event = String::from_utf8_lossy(&text[..end]).replace('\r', "");
+        let event = String::from_utf8_lossy(&text[..end]).into_owned();
         text.drain(..end + 2);
         let part = |name: &str| event.lines().find_map(|line| line.strip_prefix(name)).map(str::trim);
         let Some(data) = part("data:") else { continue };
--- a/crates/garnetdoor-gateway/src/wire/socket.rs
+++ b/crates/garnetdoor-gateway/src/wire/socket.rs
@@ -8,7 +8,7 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::mpsc::Sender;
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use garnetdoor::host::Micros;
 use may::io::{WaitIo, WaitIoWaker};
@@ -19,7 +19,7 @@
 use nix::sys::time::TimeSpec;
 
 use super::http::HELD_MOST;
-use crate::lifecycle::clock::Clock;
+use crate::lifecycle::clock::{self, Clock};
 use crate::memory::event::{ConnId, Event};
 
 /// One read takes at most this much; the worker's only copy of it is shared by its connections.
@@ -188,10 +188,8 @@
         _ => None,
     });
     let count = message.bytes;
-    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    let waited =
-        stamp.and_then(|stamp| now.checked_sub(stamp)).map_or(0, |waited| waited.as_micros() as Micros);
-    Ok((room[..count].to_vec(), waited))
+    let waited = stamp.and_then(|stamp| clock::unix().checked_sub(stamp)).unwrap_or_default();
+    Ok((room[..count].to_vec(), waited.as_micros() as Micros))
 }
 
 /// Has the kernel stamp what comes on a socket, or on what a listener takes from now on.
--- a/src/host.rs
+++ b/src/host.rs
@@ -223,6 +223,11 @@
 pub struct Settings(BTreeMap<String, String>);
 
 impl Settings {
+    /// A text as settings hold it.
+    pub fn plain(text: &str) -> String {
+        text.replace([' ', ','], "_")
+    }
+
     /// All names and values, in the order of the names.
     pub fn pairs(&self) -> impl Iterator<Item = (&str, &str)> {
         self.0.iter().map(|(name, value)| (name.as_str(), value.as_str()))
--- a/src/names.rs
+++ b/src/names.rs
@@ -3,6 +3,11 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 
+/// The value that a protocol has this word for; `words` stand in the order of `all`.
+pub fn by_word<T: Copy, const N: usize>(all: [T; N], words: [&str; N], word: &str) -> Option<T> {
+    words.iter().position(|known| *known == word).map(|number| all[number])
+}
+
 /// Names of one sort, numbered in the order of their first appearance. The map is only looked up, never
 /// walked, so that its order shows nowhere.
 #[derive(Default)]
