--- a/crates/garnetdoor-gateway/src/config.rs
+++ b/crates/garnetdoor-gateway/src/config.rs
@@ -24,12 +24,14 @@
     }
 }
 
-/// All that a gateway is told at its start.
+/// All that a gateway is told at its start, and at a reload.
 #[derive(Debug)]
 pub struct Config {
     pub name: String,
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
+    /// The same as the file has it, whatever a variable says.
+    pub filed_discovery: Option<SocketAddr>,
     pub platform: SocketAddr,
     pub peer_listen: Option<SocketAddr>,
     pub peers: Vec<SocketAddr>,
@@ -90,6 +92,17 @@
     value.as_str()?.parse().ok()
 }
 
+/// Reads and checks the file at a path, else the one that `EDGE_CONFIG` names; reports faults as lines.
+pub fn read(file: Option<String>) -> Result<Config, Vec<String>> {
+    let variable = |name: &str| std::env::var(name).ok();
+    let path = file.or_else(|| variable("EDGE_CONFIG"));
+    let path = path.ok_or_else(|| vec!["EDGE_CONFIG: found nothing, expected a file's path".to_owned()])?;
+    let text = std::fs::read_to_string(&path).map_err(|error| {
+        vec![format!("EDGE_CONFIG: found {path} ({error}), expected a file that can be read")]
+    })?;
+    check(&text, variable).map_err(|faults| faults.iter().map(ToString::to_string).collect())
+}
+
 /// Checks a configuration file's text, with variables laid over it; reports all faults together.
 pub fn check(text: &str, variable: impl Fn(&str) -> Option<String>) -> Result<Config, Vec<Fault>> {
     let mut file: Value = serde_json::from_str(text).map_err(|error| {
@@ -99,6 +112,7 @@
         let found = "JSON of another kind".to_owned();
         return Err(vec![Fault { key: "(file)".to_owned(), found, expected: "a JSON object" }]);
     }
+    let filed_discovery = address(&file["discovery"]);
     let mut overruled = Vec::new();
     for (name, key) in [("EDGE_NAME", "name"), ("EDGE_LISTEN", "listen"), ("EDGE_DISCOVERY", "discovery")] {
         let Some(told) = variable(name).map(Value::String) else { continue };
@@ -152,6 +166,7 @@
                 name,
                 listen,
                 discovery,
+                filed_discovery,
                 platform,
                 peer_listen,
                 peers,
@@ -169,6 +184,28 @@
     }
 }
 
+impl Config {
+    /// Takes over what a reload may change from the file as it stands now. Returns the keys that differ and
+    /// wait for the next start. The list service's address is the file's newer one even where a variable
+    /// overruled the file at the start: the variable can't be replaced under way.
+    pub fn reload(&mut self, newer: Config) -> Vec<&'static str> {
+        if newer.filed_discovery != self.filed_discovery {
+            self.discovery = newer.filed_discovery.unwrap_or(newer.discovery);
+        }
+        (self.filed_discovery, self.platform) = (newer.filed_discovery, newer.platform);
+        let differs = [
+            ("name", self.name != newer.name),
+            ("listen", self.listen != newer.listen),
+            ("limits", (self.sockets, self.memory_mb) != (newer.sockets, newer.memory_mb)),
+            ("peer_listen", self.peer_listen != newer.peer_listen),
+            ("peers", self.peers != newer.peers),
+            ("peers_all", self.peers_all != newer.peers_all),
+            ("settings", self.settings != newer.settings),
+        ];
+        differs.into_iter().filter(|(_, differs)| *differs).map(|(key, _)| key).collect()
+    }
+}
+
 fn news(value: &Value) -> Option<News> {
     let fields = value.as_object()?;
     let texts: Vec<(&str, String)> =
--- a/crates/garnetdoor-gateway/src/lifecycle/serve.rs
+++ b/crates/garnetdoor-gateway/src/lifecycle/serve.rs
@@ -6,18 +6,16 @@
 use std::process;
 use std::sync::mpsc::{self, Receiver, RecvTimeoutError, Sender};
 use std::sync::{Arc, PoisonError};
-use std::thread;
 use std::time::Duration;
 
 use may::coroutine::JoinHandle;
 use may::net::{TcpListener, UdpSocket};
-use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 
 use super::clock::Clock;
 use super::listen::{self, Arrived};
-use super::log;
-use crate::config::Config;
+use super::{log, reload};
+use crate::config::{self, Config};
 use crate::log;
 use crate::memory::event::{ConnId, Effect, Event};
 use crate::memory::reducer::Reducer;
@@ -30,8 +28,17 @@
 /// With nothing due, the reducer's thread looks up this often all the same.
 const REST: Duration = Duration::from_secs(1);
 
-/// Serves until it is told to stop; only a start that fails returns.
-pub fn serve(config: Config) -> io::Error {
+/// Serves until it is told to stop; only a start that fails returns, with what is wrong.
+pub fn serve() -> Vec<String> {
+    let signals = match reload::signals() {
+        Ok(signals) => signals,
+        Err(error) => return vec![format!("signals: {error}")],
+    };
+    let config = match config::read(None) {
+        Ok(config) => config,
+        Err(faults) => return faults,
+    };
+    config.overruled.iter().for_each(|line| log!("{line}"));
     std::panic::set_hook(Box::new(|panic| {
         // Not by the limited macro: this line must not be left out.
         eprintln!("garnetdoor: ends by a panic: {panic}");
@@ -40,18 +47,15 @@
     may::config().set_workers(1).set_stack_size(STACK).set_pool_capacity(KEPT).set_worker_pin(false);
     may::config().set_timeout_ns(1_000_000_000);
     log::start();
-    match start(config) {
-        Ok(mut driver) => driver.run(),
-        Err(error) => error,
-    }
+    vec![match start(config, signals) {
+        Ok(mut driver) => driver.run().to_string(),
+        Err(error) => error.to_string(),
+    }]
 }
 
-fn start(config: Config) -> io::Result<Driver> {
+fn start(config: Config, signals: Signals) -> io::Result<Driver> {
     let clock = Clock::start();
     let (events, inbox) = mpsc::channel();
-    let mut signals = Signals::new([SIGTERM, SIGINT])?;
-    let stop = events.clone();
-    thread::spawn(move || signals.forever().for_each(|_| drop(stop.send(Event::Stop))));
     let listener = TcpListener::bind(config.listen)
         .map_err(|error| io::Error::new(error.kind(), format!("listen: {}: {error}", config.listen)))?;
     socket::stamp(listener.inner());
@@ -66,6 +70,7 @@
     let arrived = Arrived::default();
     let listener = Some(listen::listen(listener, arrived.clone(), events.clone()));
     log!("{} serves at {}", config.name, config.listen);
+    reload::follow(signals, config, events.clone());
     let links = BTreeMap::new();
     let mut driver =
         Driver { clock, events, inbox, reducer, links, arrived, listener, peers, next_client: 0 };
--- a/crates/garnetdoor-gateway/src/memory/conns.rs
+++ b/crates/garnetdoor-gateway/src/memory/conns.rs
@@ -213,6 +213,7 @@
                 }
             }
             Kind::Watch(_) => self.watch = None,
+            Kind::Notices(_) => self.notices = None,
             _ => {}
         }
         self.log(format!("end conn={id} kind={} code={}", conn.kind.name(), reason.code()));
--- a/crates/garnetdoor-gateway/src/memory/desk.rs
+++ b/crates/garnetdoor-gateway/src/memory/desk.rs
@@ -62,7 +62,10 @@
     pub max_open: usize,
     pub(super) names: Names,
     pub(super) version: u64,
+    /// The decisions want the list followed.
+    pub(super) follows: bool,
     pub(super) watch: Option<ConnId>,
+    pub(super) notices: Option<ConnId>,
     pub(super) notices_again: Micros,
     pub(super) next_conn: u64,
     pub(super) next_ticket: u64,
@@ -101,7 +104,9 @@
             max_open: count("policy_limits.max_open"),
             names: Names::default(),
             version: 0,
+            follows: false,
             watch: None,
+            notices: None,
             notices_again: NOTICES_AGAIN.0,
             next_conn: 1,
             next_ticket: 0,
@@ -223,11 +228,15 @@
         self.notices_again = NOTICES_AGAIN.0;
     }
 
-    /// Asks for the platform's stream of events.
+    /// Asks for the platform's stream of events, unless there is one.
     pub fn ask_notices(&mut self) {
-        let message = platform::notices(self.platform);
-        if self.dial(self.platform, Kind::Notices(Stream::default()), message, self.notices_due()).is_none() {
-            self.ask_notices_later();
+        if self.notices.is_none() {
+            let message = platform::notices(self.platform);
+            let due = self.notices_due();
+            self.notices = self.dial(self.platform, Kind::Notices(Stream::default()), message, due);
+            if self.notices.is_none() {
+                self.ask_notices_later();
+            }
         }
     }
 
--- a/crates/garnetdoor-gateway/src/memory/event.rs
+++ b/crates/garnetdoor-gateway/src/memory/event.rs
@@ -36,6 +36,8 @@
     Datagram(SocketAddr, Vec<u8>),
     /// Nothing else has happened; a timer may be due.
     Time,
+    /// The list service and the platform have these addresses from now on.
+    Reload(SocketAddr, SocketAddr),
     /// The gateway shall stop.
     Stop,
 }
@@ -97,6 +99,8 @@
     Shed = "shed",
     /// The server drains, has gone, or has another address.
     Unlisted = "unlisted",
+    /// A reload has given the service another address.
+    Moved = "moved",
     /// The decisions asked for it.
     Asked = "asked",
     /// Nothing came for several periods.
--- a/crates/garnetdoor-gateway/src/memory/host.rs
+++ b/crates/garnetdoor-gateway/src/memory/host.rs
@@ -107,6 +107,7 @@
 
     fn follow_list(&mut self, on: bool) {
         let desk = &mut *self.0.borrow_mut();
+        desk.follows = on;
         match (on, desk.watch) {
             (true, None) => {
                 let message = discovery::watch(desk.discovery, desk.version);
--- a/crates/garnetdoor-gateway/src/memory/reducer.rs
+++ b/crates/garnetdoor-gateway/src/memory/reducer.rs
@@ -2,10 +2,11 @@
 //! and returns what is to be done outside. It reads no clock and touches no socket.
 
 use std::cell::{RefCell, RefMut};
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use garnetdoor::balance::Balance;
-use garnetdoor::host::{Condition, Ending, Micros, Taken};
+use garnetdoor::host::{Condition, Ending, Host, Micros, Taken};
 
 use super::conns::{Conn, Kind, Work};
 use super::desk::{Desk, Told};
@@ -84,6 +85,7 @@
                 }
             }
             Event::Time => {}
+            Event::Reload(discovery, platform) => self.reload(discovery, platform),
             Event::Stop => self.stop(),
         }
         self.tell();
@@ -159,6 +161,38 @@
         }
     }
 
+    /// The services have these addresses from now on. What was known stays until told otherwise. The old
+    /// addresses fall silent soon, so that what is asked there is asked at the new ones at once; a vote whose
+    /// answer is cut off may or may not count and is cast again.
+    fn reload(&mut self, discovery: SocketAddr, platform: SocketAddr) {
+        let mut desk = self.desk();
+        desk.log(format!("reload: discovery={discovery} rollouts.address={platform}"));
+        let list = std::mem::replace(&mut desk.discovery, discovery) != discovery;
+        let votes = std::mem::replace(&mut desk.platform, platform) != platform;
+        let moved = |kind: &Kind| match kind {
+            Kind::List | Kind::Watch(_) => list,
+            Kind::Vote | Kind::Notices(_) => votes,
+            Kind::Client { .. } | Kind::Server { .. } => false,
+        };
+        let old = desk.conns.iter().filter(|(_, conn)| moved(&conn.kind)).map(|(id, _)| *id);
+        let mut host = Handle(self.desk.clone());
+        for id in old.collect::<Vec<_>>() {
+            match desk.close(id, Reason::Moved).map(|conn| conn.kind) {
+                Some(Kind::Vote) => desk.told.push_back(Told::Vote(Taken::Unknown)),
+                Some(Kind::List) => desk.told.push_back(Told::ListFailed),
+                _ => {}
+            }
+        }
+        if votes {
+            desk.ask_notices();
+        }
+        let follows = desk.follows && list;
+        drop(desk);
+        if follows {
+            host.follow_list(true);
+        }
+    }
+
     // ---- connections ----
 
     fn up(&mut self, id: ConnId) {
--- a/crates/garnetdoor-gateway/tests/reducer.rs
+++ b/crates/garnetdoor-gateway/tests/reducer.rs
@@ -508,6 +508,31 @@
     assert_eq!(asks(&rig), 2);
 }
 
+#[test]
+fn a_reload_asks_the_new_addresses_at_once_and_casts_an_unanswered_vote_again() {
+    let mut rig = voting();
+    let (vote, stream) = (rig.dialled(&[PLATFORM])[0], rig.dialled(&[PLATFORM])[1]);
+    let watch = rig.watch();
+    rig.up(vote);
+    let (client, server) = rig.trip_out(Rig::views);
+    let [list, platform] = ["127.0.0.1:8100", "127.0.0.1:8200"];
+    let address = |text: &str| text.parse().expect("an address");
+    rig.happens(Event::Reload(address(list), address(platform)));
+    assert!([watch, vote, stream].iter().all(|old| rig.closed(*old)) && !rig.closed(server));
+    rig.says(server, OK);
+    assert_eq!(rig.status(client), "200");
+    let again = rig.comes_up(&[list]);
+    assert!(rig.written(again).starts_with("GET /catalog/members?watch=1&after=5 "));
+    let stream = rig.comes_up(&[platform]);
+    assert!(rig.written(stream).starts_with("GET /notices "));
+    rig.wait(S);
+    let vote = rig.comes_up(&[platform]);
+    assert!(rig.written(vote).ends_with("image=42&ring=0&opinion=promote"));
+    // The same once more changes nothing.
+    rig.happens(Event::Reload(address(list), address(platform)));
+    assert!(!rig.closed(again) && !rig.closed(stream) && rig.dialled(&[list]).len() == 1);
+}
+
 #[test]
 fn strangers_datagrams_change_nothing() {
     let mut rig = Rig::new();
@@ -623,3 +648,17 @@
     let config = config::check(&self::file().to_string(), variable).expect("a good configuration");
     assert_eq!((config.listen.port(), config.overruled.len()), (99, 1));
 }
+
+#[test]
+fn a_reload_takes_the_files_newer_addresses_and_names_what_waits() {
+    let variable = |name: &str| (name == "EDGE_DISCOVERY").then(|| "127.0.0.1:71".to_owned());
+    let mut file = file();
+    let check = |file: &Value| config::check(&file.to_string(), variable).expect("a good configuration");
+    let mut config = check(&file);
+    assert!(config.reload(check(&file)).is_empty());
+    assert_eq!((config.discovery.port(), config.platform.port()), (71, 7200));
+    (file["discovery"], file["rollouts"]["address"]) = (json!("127.0.0.1:72"), json!("127.0.0.1:73"));
+    file["limits"]["sockets"] = json!(99);
+    assert_eq!(config.reload(check(&file)), ["limits"]);
+    assert_eq!((config.discovery.port(), config.platform.port(), config.sockets), (72, 73, 80));
+}
--- a/src/host.rs
+++ b/src/host.rs
@@ -219,7 +219,7 @@
 }
 
 /// The settings as they came: a map of names to values. Absent or unreadable values are `None`.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Settings(BTreeMap<String, String>);
 
 impl Settings {
