--- a/src/balance.rs
+++ b/src/balance.rs
@@ -43,6 +43,7 @@
 const FAILURE: f64 = 8.0; // a failed trip weighs like an answer that takes so many usual times
 const JAMMED: f64 = 1.5; // agreed times that a trip without an answer counts for in the pressure
 const LONG_OUT: f64 = 0.5; // of the agreed time: a trip out for so long tells of a jam before it ends
+const LOST: f64 = 4.0; // of what answers take, the most that a trip without one counts for in the pressure
 const PRIOR: f64 = 2.0; // samples that a zone's or server's strain starts from
 const SHARP: f64 = 4.0; // how sharply the draw among servers follows their cost
 const NORMAL_KEPT: usize = 64; // answers a profile, for its usual time
@@ -53,11 +54,6 @@
 const REST: Micros = 250 * MS; // first rest of a server that fails; doubles with each further failure
 const REST_MOST: Micros = 4 * SECOND; // and no longer, so that one that recovered is found soon
 
-/// Whether a trip may have run, or may still.
-fn may_have_run(trip: &Trip) -> bool {
-    !matches!(trip.ended, Some(Ending::Full | Ending::ConnectFailed | Ending::NeverSent))
-}
-
 /// What a server's last trips took, in usual times.
 fn strains(server: &Server, now: Micros, span: Micros) -> impl Iterator<Item = f64> {
     let told = server.fresh(now, span).filter(|s| s.ending != Ending::Stopped || s.silent);
@@ -88,8 +84,7 @@
         if server.out.first().is_some_and(|sent| self.now - sent > self.silence && server.heard <= *sent) {
             return true;
         }
-        let failed = |s: &&Sample| s.ending != Ending::Finished && (s.ending != Ending::Stopped || s.silent);
-        let strikes = server.samples.iter().rev().take_while(failed).count();
+        let strikes = server.samples.iter().rev().take_while(|s| s.failed()).count();
         let Some(last) = server.samples.back().filter(|_| strikes > 0) else { return false };
         let hard = last.silent || matches!(last.ending, Ending::ConnectFailed | Ending::Reset);
         let rest = (REST << (strikes - 1).min(8)).min(REST_MOST);
@@ -134,8 +129,7 @@
         self.speak();
     }
 
-    /// A list service that fails is asked again after a while that differs between gateways, since all
-    /// of them tend to fail and ask at once. Asking too often could keep it down.
+    /// Asked again after a while that differs between gateways: a service that fails fails all at once.
     pub fn list_failed(&mut self) {
         let at = self.host.now() + self.between(400 * MS, 1600 * MS + self.in_turn(LIST_EACH));
         self.host.wake_at(at, Wake::List);
@@ -178,11 +172,19 @@
                 open += if allowed { server.listing.size * warm } else { 0.0 };
             }
         }
+        let aim = self.aim(profile);
+        let left = (ticket.came + aim.min(ticket.arrival.left)) - now;
+        let most = left as f64 * self.patience(profile);
+        let lately = view.zones.keys().filter_map(|z| Some((*z, self.pressure(*z)? * aim as f64)));
+        let lately: BTreeMap<ZoneId, f64> = lately.collect();
+        let late =
+            |s: &Server| lately.get(&s.listing.zone).is_some_and(|usual| self.expected(s, *usual) > most);
         let mut chance = self.chance;
         let drawn = chance.rand_float() * all < trial;
-        // The cheapest server of that build; where there is none, of the others; at the worst one that rests.
-        // Gateways that see no difference must not all choose the same one, so each draws among them by size;
-        // what it does see, its own trips out and the strain, outweighs the draw.
+        // The cheapest server of that build, first of those in time, since one that a heavy ticket made look
+        // slow, always chosen and then turned back at, never shows that it is not; else of others, at worst
+        // one that rests. Gateways that see no difference must not all choose the same one: each draws
+        // by size among them; what it does see, its own trips out and the strain, outweighs the draw.
         let mut cheapest = None;
         for (name, server) in &self.seen.servers {
             let (on_trial, allowed) = builds.get(&server.listing.build).copied().unwrap_or((false, false));
@@ -198,27 +200,23 @@
             }
             let draw = (-(1.0 - chance.rand_float()).ln() / able).powf(1.0 / SHARP);
             let cost = view.strain(server) * (server.out.len() as f64 / able + draw);
-            let last = (view.rests(server), on_trial != drawn);
+            let last = (view.rests(server), on_trial != drawn, late(server));
             if cheapest.is_none_or(|(least, than, _)| (last, cost) < (least, than)) {
                 cheapest = Some((last, cost, *name));
             }
         }
         self.chance = chance;
-        let Some((.., chosen)) = cheapest else { return false };
-        // A ticket that cannot be in time only delays others. It is a failure of the build, else a slow one
-        // would hide behind its turn-backs; but once between two answers, since they come in
-        // runs, and only where the server has answered lately and is not the build's only one.
+        let Some(((.., too_late), _, chosen)) = cheapest else { return false };
+        // A ticket that can't be in time only delays others. It is a failure of the build, else a slow one
+        // would hide behind its turn-backs; but once between two answers, since they come in runs, and only
+        // where the server has answered lately and is not the build's only one.
         let server = &self.seen.servers[&chosen];
         let Listing { build, started, zone, .. } = server.listing;
         let young = started.is_some_and(|at| now - at < YOUNG);
         let (near, beside) = (view.zone.is_none_or(|own| own == zone), server.out.len() as f64);
         let trip = Trip { server: chosen, build, sent: now, beside, young, near, ended: None };
-        let aim = self.aim(profile);
-        let left = (ticket.came + aim.min(ticket.arrival.left)) - now;
         let usual = self.usual(profile);
-        let most = left as f64 * self.patience(profile);
-        let lately = self.pressure(zone).map(|part| part * aim as f64);
-        if lately.is_some_and(|lately| self.expected(server, lately) > most) {
+        if too_late {
             let own = server.fresh_answers(now, FRESH).next().is_some();
             let several = self.seen.healthy().filter(|s| s.listing.build == build).count() > 1;
             let counted =
@@ -333,7 +331,7 @@
     /// The final answer of a ticket that gets no further trip: turned back where that promises no lie.
     fn give_up(&mut self, id: TicketId) {
         let ticket = &self.seen.tickets[&id];
-        let ran = ticket.trips.iter().any(may_have_run);
+        let ran = ticket.trips.iter().any(Trip::may_have_run);
         let setting = |what| self.settings.text(&ticket.arrival.profile.setting(what));
         let drops_all = setting("repeat") == Some("keyed") && setting("dedup_scope") == Some("all");
         let harmless = !ran || setting("repeat") == Some("safe") || drops_all;
@@ -350,7 +348,7 @@
 
     /// No effect twice: whether a ticket may go to this server, or a further trip of it anywhere.
     fn effect_allows(&self, ticket: &Ticket, to: Option<&Listing>) -> bool {
-        let Some(first) = ticket.trips.iter().find(|trip| may_have_run(trip)) else { return true };
+        let Some(first) = ticket.trips.iter().find(|trip| trip.may_have_run()) else { return true };
         let setting = |what| self.settings.text(&ticket.arrival.profile.setting(what));
         let window = self.settings.micros(&ticket.arrival.profile.setting("window")).unwrap_or(0);
         let remembered = self.host.now() - first.sent < window - 10 * MS;
@@ -397,15 +395,15 @@
             None if oldest() == Some(build) => return None,
             _ => {}
         }
-        let caps = self.settings.items("domain.exposure_caps");
-        Some(caps.first().and_then(|cap| cap.parse().ok()).unwrap_or(0.0))
+        Some(
+            self.settings.items("domain.exposure_caps").first().map_or(0.0, |cap| cap.parse().unwrap_or(0.0)),
+        )
     }
 
-    /// A cold machine is not pushed over: within any window that counts it gets from this gateway at most its
-    /// part, by size and sure warmth, of what the fleet finished for this gateway, and half again. What is
-    /// finished never exceeds what the fleet can do, draining machines included, so all gateways stay
-    /// under the least multiple of 2. Less than a whole trip is left to chance, by how often a ticket would
-    /// be drawn to it: on a way back all tickets would go to the first few cold machines.
+    /// A cold machine is not pushed over: within any window that counts it gets from this gateway at most
+    /// its part, by size and sure warmth, of what the fleet finished here, and half again. What is finished
+    /// never exceeds what the fleet can do, so all gateways stay under the least multiple of 2. Less than a
+    /// whole trip is left to chance, by how often a ticket would be drawn there: on a way back all would.
     fn cold_room(&self, server: &Server, part: f64, drawn: f64) -> f64 {
         let since = self.host.now() - self.settings.micros("safety.fall").unwrap_or(SECOND);
         let finished = self.seen.finished.since(since).count().max(1);
@@ -451,28 +449,34 @@
 
     /// What part of their agreed time the last trips in a zone took, or in all where that tells nothing, and
     /// of all profiles: a gateway with little traffic has no more to go by. A trip that got no answer counts
-    /// as late, and one long out counts before it ends.
+    /// as late, and one long out counts before it ends; but where answers are quick it is lost, not queued:
+    /// taken for a jam, a tenth of all answers lost would have most tickets turned back.
     fn pressure(&self, zone: ZoneId) -> Option<f64> {
         let (now, aim) = (self.host.now(), |profile: &ProfileId| self.aim(*profile) as f64);
         let ended = self.seen.times.iter().flat_map(|(profile, kept)| {
             let fresh = kept.iter().filter(|s| now - s.at < FRESH);
             fresh.filter_map(move |s| match s.ending {
-                Ending::Finished => Some((s.zone, s.took as f64 / aim(profile))),
-                Ending::Full | Ending::TimedOut | Ending::Stopped => Some((s.zone, JAMMED)),
+                Ending::Finished => Some((s.zone, s.took as f64 / aim(profile), true)),
+                Ending::Full => Some((s.zone, JAMMED, true)),
+                Ending::TimedOut => Some((s.zone, JAMMED, false)),
+                Ending::Stopped => Some((s.zone, s.took as f64 / aim(profile), false)),
                 _ => None,
             })
         });
-        let out = self.seen.tickets.values().flat_map(|ticket| {
-            let out = ticket.trips.iter().filter(|trip| trip.ended.is_none());
-            let zone = |trip: &Trip| self.seen.servers.get(&trip.server).map_or(zone, |s| s.listing.zone);
-            out.map(move |trip| (zone(trip), (now - trip.sent) as f64 / aim(&ticket.arrival.profile)))
+        let out = self.seen.out().map(|(profile, trip)| {
+            let there = self.seen.servers.get(&trip.server).map_or(zone, |s| s.listing.zone);
+            (there, (now - trip.sent) as f64 / aim(&profile))
         });
-        let long = out.filter(|(_, part)| *part >= LONG_OUT).map(|(zone, part)| (zone, part.min(JAMMED)));
-        let parts: Vec<_> = ended.chain(long).collect();
+        let long = out.filter(|(_, part)| *part >= LONG_OUT);
+        let parts: Vec<_> = ended.chain(long.map(|(zone, part)| (zone, part.min(JAMMED), false))).collect();
         let mean = |all: bool| {
-            let chosen = parts.iter().filter(|(there, _)| all || *there == zone);
-            let (sum, count) = chosen.fold((0.0, 0), |(sum, count), (_, part)| (sum + part, count + 1));
-            (count >= 2).then(|| sum / f64::from(count))
+            let chosen = parts.iter().filter(|(there, ..)| all || *there == zone);
+            let (quick, others): (Vec<_>, Vec<_>) = chosen.partition(|(.., answered)| *answered);
+            let (sum, count) = (quick.iter().map(|(_, part, _)| part).sum::<f64>(), quick.len() as f64);
+            let most = if quick.is_empty() { JAMMED } else { LOST * sum / count };
+            let sum = others.iter().fold(sum, |sum, (_, part, _)| sum + part.min(most));
+            let count = count + others.len() as f64;
+            (count >= 2.0).then(|| sum / count)
         };
         mean(false).or_else(|| mean(true))
     }
@@ -489,16 +493,10 @@
 
     /// The profile's usual time; unknown while it rests on less than 5 answers.
     fn usual(&self, profile: ProfileId) -> Option<Micros> {
-        let times = self.fresh_times(profile, self.span());
+        let times = self.seen.answers(profile, self.host.now() - self.span());
         (times.len() >= 5).then(|| times.iter().sum::<Micros>() / times.len() as Micros)
     }
 
-    fn fresh_times(&self, profile: ProfileId, span: Micros) -> Vec<Micros> {
-        let since = self.host.now() - span;
-        let kept = self.seen.times.get(&profile).into_iter().flatten();
-        kept.filter(|s| s.at > since && s.ending == Ending::Finished).map(|s| s.took).collect()
-    }
-
     /// The part of the time left that the expected time may fill before a ticket is turned back: most for the
     /// profile with most benefit for its time, or its work where that counts; overload falls on the others.
     fn patience(&self, profile: ProfileId) -> f64 {
@@ -554,8 +552,8 @@
         let step = failed * (p1 / p0).ln() + (count - failed) * ((1.0 - p1) / (1.0 - p0)).ln();
         let most = if sign == Sign::Worse { 2.0 * H } else { f64::INFINITY }; // so that it can soon be over
         *y = (*y + step).max(0.0).min(most);
-        let kept = self.seen.outcomes.entry((build, sign)).or_default();
-        keep(kept, (self.host.now(), failed, count), EARLIER_KEPT);
+        let outcome = (self.host.now(), failed, count);
+        keep(self.seen.outcomes.entry((build, sign)).or_default(), outcome, EARLIER_KEPT);
     }
 
     /// Outcomes that others count too. As with times, they are evidence on a build only while the earlier
@@ -652,7 +650,7 @@
             // else a good build is held for the last one's faults. What slows all from then on shows late.
             let calm = self.seen.worse.take().is_none();
             let tail = |profile| {
-                let mut times = self.fresh_times(profile, self.span());
+                let mut times = self.seen.answers(profile, self.host.now() - self.span());
                 times.sort_unstable();
                 (times.len() as f64 >= LEAST_ON_TRIAL).then(|| (profile, times[times.len() * 9 / 10]))
             };
--- a/src/seen.rs
+++ b/src/seen.rs
@@ -48,6 +48,13 @@
     pub over: bool,
 }
 
+impl Trip {
+    /// Whether it may have run, or may still.
+    pub fn may_have_run(&self) -> bool {
+        !matches!(self.ended, Some(Ending::Full | Ending::ConnectFailed | Ending::NeverSent))
+    }
+}
+
 impl Ticket {
     pub fn none_out(&self) -> bool {
         self.trips.iter().all(|trip| trip.ended.is_some())
@@ -69,6 +76,12 @@
 }
 
 impl Sample {
+    /// It failed, and not only late while its server answered others.
+    pub fn failed(&self) -> bool {
+        let late = matches!(self.ending, Ending::TimedOut | Ending::Stopped);
+        self.ending != Ending::Finished && (!late || self.silent)
+    }
+
     /// It timed out with nothing heard, and was not given up before.
     pub fn lost(&self) -> bool {
         self.silent && self.ending == Ending::TimedOut
@@ -165,6 +178,20 @@
         self.servers.values().filter(|server| server.listing.condition == Condition::Healthy)
     }
 
+    /// The trips that are still out, each with its ticket's profile.
+    pub fn out(&self) -> impl Iterator<Item = (ProfileId, &Trip)> {
+        self.tickets.values().flat_map(|ticket| {
+            let out = ticket.trips.iter().filter(|trip| trip.ended.is_none());
+            out.map(|trip| (ticket.arrival.profile, trip))
+        })
+    }
+
+    /// What a profile's last answers took.
+    pub fn answers(&self, profile: ProfileId, since: Micros) -> Vec<Micros> {
+        let kept = self.times.get(&profile).into_iter().flatten();
+        kept.filter(|s| s.at > since && s.ending == Ending::Finished).map(|s| s.took).collect()
+    }
+
     /// Marks a ticket as over.
     pub fn end(&mut self, id: TicketId) {
         if let Some(ticket) = self.tickets.get_mut(&id) {
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -538,3 +538,45 @@
     let (at, now) = (story.read(|book| book.wakes.last().expect("a wake-up").0), story.read(|book| book.now));
     assert!((3 * S..=5 * S).contains(&(at - now)), "a life of 6 s, 1 s for the answer");
 }
+
+#[test]
+fn lost_answers_among_quick_ones_are_no_jam() {
+    let mut story = Story::new(&[], fleet(6, 0));
+    story.run(40, 1, &[], 0, Ending::Finished);
+    // Half of the answers are lost, at all servers alike; the others are as quick as before.
+    let mut lost = Vec::new();
+    for round in 0..90 {
+        let ticket = story.ticket(1);
+        assert!(story.answers(ticket).is_empty(), "ticket {round} goes out");
+        story.pass(20 * MS);
+        if round % 2 == 0 {
+            story.ends(ticket, 0, 20 * MS, Ending::Finished);
+        } else {
+            lost.push(ticket);
+        }
+        if lost.len() > 15 {
+            story.ends(lost.remove(0), 0, 600 * MS, Ending::TimedOut);
+        }
+    }
+}
+
+#[test]
+fn a_server_that_only_looks_slow_leaves_tickets_to_one_in_time() {
+    for seed in 0..20 {
+        let mut story = Story::seeded(seed, &[], fleet(2, 0));
+        let heavy = story.ticket(0);
+        let slow = story.trips(heavy)[0];
+        while story.sent_to(1 - slow) < 10 {
+            let ticket = story.ticket(0);
+            story.pass(80 * MS);
+            let took = if story.trips(ticket) == [slow] { 900 * MS } else { 80 * MS };
+            story.ends(ticket, 0, took, Ending::Finished);
+        }
+        story.ends(heavy, 0, 900 * MS, Ending::Finished);
+        // The other is the busier one, and so the dearer.
+        for _ in 0..4 {
+            let ticket = story.ticket(0);
+            assert_eq!(story.trips(ticket), [1 - slow], "{seed}");
+        }
+    }
+}
