--- a/crates/garnetdoor-gateway/src/lifecycle/serve.rs
+++ b/crates/garnetdoor-gateway/src/lifecycle/serve.rs
@@ -66,6 +66,8 @@
         ),
         None => None,
     };
+    // An eighth: buffers grow by doubling, and what is held is copied on its way.
+    socket::hold_at_most(config.memory_mb * 1024 * 1024 / 8);
     let (reducer, effects) = Reducer::start(clock.now(), &config);
     let arrived = Arrived::default();
     let listener = Some(listen::listen(listener, arrived.clone(), events.clone()));
--- a/crates/garnetdoor-gateway/src/main.rs
+++ b/crates/garnetdoor-gateway/src/main.rs
@@ -16,7 +16,7 @@
 fn commands() -> OptionParser<Command> {
     let serve = pure(Command::Serve)
         .to_options()
-        .descr("Serves until SIGTERM, by the file that EDGE_CONFIG names and the other EDGE_ variables; SIGHUP has it read again.")
+        .descr("Serves until SIGTERM, by the file that EDGE_CONFIG names and other EDGE_ variables; SIGHUP rereads it.")
         .command("serve")
         .help("Serve tickets until told to stop");
     let file =
--- a/crates/garnetdoor-gateway/src/memory/conns.rs
+++ b/crates/garnetdoor-gateway/src/memory/conns.rs
@@ -14,6 +14,8 @@
 const SURPLUS_SLOW: Micros = SECOND;
 /// A client that has had nothing to do for so long has no ticket under way.
 const CLIENT_RESTS: Micros = 500 * MS;
+/// One that came so long ago and has said nothing is not about to.
+const CLIENT_MUTE: Micros = 50 * MS;
 
 /// What a connection to a server is busy with.
 #[derive(Clone, Copy)]
@@ -30,6 +32,10 @@
         last: bool,
         /// It is one too many: its ticket is turned back unseen.
         surplus: bool,
+        /// It has been answered before.
+        asked: bool,
+        /// A part of its next message has come.
+        begun: bool,
     },
     Server {
         server: ServerId,
@@ -100,17 +106,22 @@
         self.conns.entry(id).insert_entry(conn).into_mut()
     }
 
-    /// Makes room for one more connection, if some can be given up: idle clients first, then idle servers. A
-    /// client that came or was answered just now is likely to have a ticket under way, and sends what crosses
-    /// the closing only once more. With no old ones left, new clients are turned back instead.
+    /// Makes room for one more connection, if some can be given up: clients that came and say nothing first,
+    /// then idle clients, then idle servers. A client that came or was answered just now is likely to have a
+    /// ticket under way, and sends what crosses the closing only once more. With no old ones left, new
+    /// clients are turned back instead.
     fn room(&mut self, most: usize) -> bool {
         let leaving = || self.conns.values().filter(|conn| conn.leaves.is_some()).count();
         if self.conns.len() < most || self.conns.len() - leaving() < most {
             return true;
         }
         let idle = |conn: &Conn| match conn.kind {
-            Kind::Server { work: None, .. } => Some(1),
-            _ => (conn.is_idle_client() && self.now - conn.since >= CLIENT_RESTS).then_some(0),
+            Kind::Server { work: None, .. } => Some(2),
+            Kind::Client { asked, .. } => {
+                let (rank, least) = if asked { (1, CLIENT_RESTS) } else { (0, CLIENT_MUTE) };
+                (conn.is_idle_client() && self.now - conn.since >= least).then_some(rank)
+            }
+            _ => None,
         };
         let ranked = self.conns.iter().filter_map(|(id, conn)| Some((idle(conn)?, conn.since, *id)));
         let Some((.., id)) = ranked.min() else { return false };
@@ -134,10 +145,9 @@
     /// A client has connected.
     pub fn client_came(&mut self, id: ConnId) {
         let surplus = !self.room(self.clients_most);
-        self.add(id, Kind::Client { ticket: None, last: false, surplus });
-        if surplus {
-            self.due_at(id, Some(self.now + SURPLUS_SLOW));
-        }
+        self.add(id, Kind::Client { ticket: None, last: false, surplus, asked: false, begun: false });
+        let due = if surplus { self.now + SURPLUS_SLOW } else { self.client_due() };
+        self.due_at(id, Some(due));
         // Guards the last descriptors, which servers and votes need, against a flood. Harm: a client whose
         // ticket crosses two such closings has lost it.
         if self.conns.len() > self.most - self.most / 8 {
--- a/crates/garnetdoor-gateway/src/memory/desk.rs
+++ b/crates/garnetdoor-gateway/src/memory/desk.rs
@@ -26,16 +26,18 @@
 const NOTICES_SILENT: Micros = 3_500 * MS;
 /// First wait before the stream is asked for again; doubles up to the second.
 const NOTICES_AGAIN: (Micros, Micros) = (100 * MS, SECOND);
-/// A client has so long for the rest of a ticket, or to take an answer.
+/// A client has so long to take an answer.
 const CLIENT_SLOW: Micros = 10 * SECOND;
+/// And so long for a whole message: its first one from its coming, another one from its first byte.
+const CLIENT_ASKS: Micros = 2_500 * MS;
+/// A client that has been answered may rest so long. Some never ask again and never go.
+const CLIENT_STAYS: Micros = 5 * SECOND;
 /// How long a client may take to see an answer that ends its connection.
 const LINGER: Micros = SECOND;
 /// Descriptors that are no connections: standard streams, listener, peers, signals, `may`.
 const NO_CONNECTIONS: usize = 14;
 /// One in so many stays for dials given up, which end a little later.
 const DIALS_GIVEN_UP: usize = 32;
-/// A client with a ticket of full size out takes up to a quarter of a megabyte, its server's side included.
-const CLIENTS_PER_MB: usize = 4;
 
 /// What the decisions must still hear.
 pub enum Told {
@@ -113,7 +115,7 @@
             chance: oorandom::Rand64::new(u128::from(config.seed) << 1 | 1),
             most,
             // A quarter of the descriptors stays for servers and services.
-            clients_most: (most - most / 4).min(config.memory_mb * CLIENTS_PER_MB),
+            clients_most: most - most / 4,
             tries: count("policy_limits.try_limit"),
             dial_within: span("policy_limits.dial_timeout", 250 * MS),
             // Well before the server's machine closes it: a trip that crosses that closing may have run.
@@ -146,36 +148,55 @@
         self.now + left - AHEAD
     }
 
-    /// Whether the next answer on a connection is its last.
+    /// Whether the next answer on a connection is its last; so it is for a client that has sent more without
+    /// waiting for it. Guards against hundreds of tickets at once on one connection, which would all run.
     pub fn is_last(&self, id: ConnId) -> bool {
-        let last = |conn: &Conn| matches!(conn.kind, Kind::Client { last: true, .. });
+        let last =
+            |conn: &Conn| !conn.buffer.is_empty() || matches!(conn.kind, Kind::Client { last: true, .. });
         self.stopping || self.conns.get(&id).is_some_and(last)
     }
 
+    /// Whether a ticket of this id is still open here, or one of its trips out.
+    pub fn is_open(&self, id: &str) -> bool {
+        self.tickets.values().any(|ticket| ticket.request.id == id)
+    }
+
     /// Writes an answer to a client.
     pub fn answer(&mut self, id: ConnId, bytes: Vec<u8>, ends: bool) {
         self.write(id, bytes);
         self.due_at(id, Some(self.now + if ends { LINGER } else { CLIENT_SLOW }));
         let Some(conn) = self.conns.get_mut(&id) else { return };
-        if let Kind::Client { ticket, last, .. } = &mut conn.kind {
-            (*ticket, *last) = (None, ends);
+        if let Kind::Client { ticket, last, asked, begun, .. } = &mut conn.kind {
+            (*ticket, *last, *asked, *begun) = (None, ends, true, false);
         }
         if ends {
             self.effects.push(Effect::Finish(id));
         }
     }
 
-    /// How long a client may keep its ticket or answer half done.
+    /// How long a client may go on with nothing whole to show. Guards against connections that say nothing,
+    /// or a byte now and then: the time is not renewed by what comes. Harm: a client whose ticket takes
+    /// longer to come is cut off.
     pub fn client_waits(&mut self, id: ConnId) {
-        let Some(conn) = self.conns.get(&id) else { return };
-        match conn.kind {
+        let Some(conn) = self.conns.get_mut(&id) else { return };
+        let empty = conn.buffer.is_empty();
+        let Kind::Client { surplus, asked, begun, .. } = &mut conn.kind else { return };
+        let began = std::mem::replace(begun, !empty);
+        match (*asked, empty) {
             // Its time runs from its coming.
-            Kind::Client { surplus: true, .. } => {}
-            _ if conn.buffer.is_empty() => self.due_at(id, None),
-            _ => self.due_at(id, Some(self.now + CLIENT_SLOW)),
+            (false, _) => {}
+            _ if *surplus => {}
+            (true, true) => self.due_at(id, Some(self.now + CLIENT_STAYS)),
+            (true, false) if began => {}
+            (true, false) => self.due_at(id, Some(self.now + CLIENT_ASKS)),
         }
     }
 
+    /// When a client that has just come has had time enough for its first message.
+    pub(super) fn client_due(&self) -> Micros {
+        self.now + CLIENT_ASKS
+    }
+
     /// Gives a ticket its final answer, if it has none and its client is there.
     pub fn finish(&mut self, id: TicketId, bytes: impl FnOnce(bool) -> Vec<u8>) {
         let client = self.tickets.get_mut(&id).and_then(|ticket| ticket.client.take());
@@ -204,6 +225,9 @@
     pub fn trip_over(&mut self, id: TicketId, trip: TripNo, ending: Ending, load: Vec<Option<f64>>) {
         let Some(found) = self.out(id, trip) else { return };
         found.ended = true;
+        if let Some(due) = found.due.take() {
+            self.timers.unset(due);
+        }
         self.told.push_back(Told::Trip(id, trip, ending, load));
     }
 
--- a/crates/garnetdoor-gateway/src/memory/event.rs
+++ b/crates/garnetdoor-gateway/src/memory/event.rs
@@ -107,6 +107,8 @@
     Silent = "silent",
     /// The service refused the call.
     Refused = "refused",
+    /// A client came and said nothing.
+    Mute = "mute",
     /// The client took or sent its bytes too slowly.
     Slow = "slow",
     Stopping = "stopping",
--- a/crates/garnetdoor-gateway/src/memory/host.rs
+++ b/crates/garnetdoor-gateway/src/memory/host.rs
@@ -35,17 +35,17 @@
         let trip = TripNo(ticket.trips.len() as u32);
         let until = until.unwrap_or(ticket.until).min(ticket.until);
         let allowed = ticket.client.is_some() && now < until && ticket.trips.len() < desk.tries;
-        ticket.trips.push(Trip { server, sent: now, on: None, ended: false });
+        ticket.trips.push(Trip { server, sent: now, on: None, due: None, ended: false });
         let address = desk.servers.get(&server).map(|place| place.address).filter(|_| allowed);
         let message = address.map(|address| instance::trip(&ticket.request, address, until - now));
         let on = message.and_then(|message| desk.ask(server, Work::Trip(id, trip), message, until));
         if on.is_none() {
             return desk.trip_over(id, trip, Ending::NeverSent, Vec::new());
         }
+        let due = Some(desk.timers.set(until, Timer::Trip(id, trip)));
         if let Some(trip) = desk.out(id, trip) {
-            trip.on = on;
+            (trip.on, trip.due) = (on, due);
         }
-        desk.timers.set(until, Timer::Trip(id, trip));
     }
 
     fn stop_trip(&mut self, id: TicketId, trip: TripNo) {
--- a/crates/garnetdoor-gateway/src/memory/reducer.rs
+++ b/crates/garnetdoor-gateway/src/memory/reducer.rs
@@ -266,14 +266,22 @@
     }
 
     fn stood_too_long(&mut self, id: ConnId) {
-        let reason = match self.desk().conns.get(&id) {
-            Some(Conn { kind: Kind::Client { last: true, .. }, .. }) => Reason::LastMessage,
-            Some(Conn { kind: Kind::Client { .. }, .. }) => Reason::Slow,
-            Some(Conn { kind: Kind::Server { work: None, .. }, .. }) => Reason::Idle,
-            Some(Conn { kind: Kind::Server { work: Some(_), .. }, unwritten: true, .. }) => Reason::NoConnect,
-            Some(_) => Reason::Silent,
-            None => return,
+        let mut desk = self.desk();
+        let Some(conn) = desk.conns.get(&id) else { return };
+        let reason = match conn.kind {
+            Kind::Client { last: true, .. } => Reason::LastMessage,
+            Kind::Client { .. } if conn.unwritten => Reason::Slow,
+            Kind::Client { .. } if !conn.buffer.is_empty() => {
+                desk.log(format!("client conn={id} answered 408"));
+                return desk.answer(id, client::plain(408, true), true);
+            }
+            Kind::Client { asked: true, .. } => return desk.close_unused(id, Reason::Idle),
+            Kind::Client { .. } => return desk.close_unused(id, Reason::Mute),
+            Kind::Server { work: None, .. } => Reason::Idle,
+            Kind::Server { .. } if conn.unwritten => Reason::NoConnect,
+            _ => Reason::Silent,
         };
+        drop(desk);
         self.failed(id, reason, false);
     }
 
@@ -326,7 +334,7 @@
             let mut desk = self.desk();
             let now = desk.now;
             let Some(conn) = desk.conns.get(&id) else { return };
-            let Kind::Client { ticket: None, last: false, surplus } = conn.kind else { return };
+            let Kind::Client { ticket: None, last: false, surplus, .. } = conn.kind else { return };
             if conn.unwritten {
                 return;
             }
@@ -354,6 +362,11 @@
                     desk.log(format!("client conn={id} answered {status}"));
                     desk.answer(id, client::plain(status, last), last);
                 }
+                Asked::Ticket { request, .. } if desk.is_open(&request.id) => {
+                    // Guards against an answer or a trip taken for another ticket's.
+                    desk.log(format!("client conn={id} answered 400: its id is open already"));
+                    desk.answer(id, client::plain(400, true), true);
+                }
                 Asked::Ticket { .. } if surplus || desk.tickets.len() >= desk.max_open => {
                     desk.answer(id, client::turned_back(None, last), last);
                 }
--- a/crates/garnetdoor-gateway/src/memory/ticket.rs
+++ b/crates/garnetdoor-gateway/src/memory/ticket.rs
@@ -5,6 +5,7 @@
 use garnetdoor::host::{Condition, Micros, ServerId};
 
 use super::event::ConnId;
+use super::timers::Set;
 use crate::wire::client::Request;
 
 /// One trip of a ticket.
@@ -13,6 +14,8 @@
     pub sent: Micros,
     /// The connection that it went out on.
     pub on: Option<ConnId>,
+    /// The timer that gives it up.
+    pub due: Option<Set>,
     pub ended: bool,
 }
 
--- a/crates/garnetdoor-gateway/src/memory/timers.rs
+++ b/crates/garnetdoor-gateway/src/memory/timers.rs
@@ -20,18 +20,27 @@
     Exit,
 }
 
+/// When a timer is due, and its number.
+pub type Set = (Micros, u64);
+
 /// Timers in the order in which they are due, then in which they were set.
 #[derive(Default)]
 pub struct Timers {
-    waiting: BTreeMap<(Micros, u64), Timer>,
+    waiting: BTreeMap<Set, Timer>,
     set: u64,
 }
 
 impl Timers {
-    /// Timers can't be taken back; what is no longer wanted is ignored when due.
-    pub fn set(&mut self, at: Micros, timer: Timer) {
+    /// Sets a timer; it goes by what is returned, should it have to be taken back.
+    pub fn set(&mut self, at: Micros, timer: Timer) -> Set {
         self.set += 1;
         self.waiting.insert((at, self.set), timer);
+        (at, self.set)
+    }
+
+    /// Takes a timer back, so that long times ahead do not add up.
+    pub fn unset(&mut self, set: Set) {
+        self.waiting.remove(&set);
     }
 
     /// When the next one is due.
--- a/crates/garnetdoor-gateway/src/wire/client.rs
+++ b/crates/garnetdoor-gateway/src/wire/client.rs
@@ -24,6 +24,9 @@
     }
 }
 
+/// Milliseconds that a client may wait for an answer, less one.
+const DEADLINE_MOST: Micros = 3_600_000;
+
 /// What a client asks for.
 pub enum Asked {
     Health,
@@ -68,7 +71,12 @@
     }
     let plain = |id: &&str| !id.is_empty() && id.len() <= 128 && id.bytes().all(|b| b.is_ascii_graphic());
     let id = message.header("req-id").filter(plain).map(str::to_owned);
-    let whole = |text: &str| text.bytes().all(|b| b.is_ascii_digit()).then(|| text.parse::<u32>().ok());
+    // No client waits for an hour: what it asks for is not meant, and its timers would add up.
+    let whole = |text: &str| {
+        text.bytes()
+            .all(|b| b.is_ascii_digit())
+            .then(|| text.parse().ok().filter(|ms: &Micros| *ms < DEADLINE_MOST))
+    };
     let Some((id, deadline)) = id.zip(message.header("req-deadline-ms").and_then(whole).flatten()) else {
         return Asked::Wrong(400);
     };
@@ -78,7 +86,7 @@
         profile: ProfileId(number),
         cost: figure("effort").and_then(micros),
         key: figure("entity").and_then(|text| u64::from_str_radix(text, 16).ok()).map(KeyId),
-        left: Micros::from(deadline) * 1_000 - waited,
+        left: deadline * 1_000 - waited,
         writes: figure("write") == Some("1"),
         repeat: message.header("req-retry") == Some("1"),
         party: figure("user_group").and_then(|text| text.parse().ok()).map(PartyId),
--- a/crates/garnetdoor-gateway/src/wire/socket.rs
+++ b/crates/garnetdoor-gateway/src/wire/socket.rs
@@ -15,7 +15,7 @@
 use may::net::TcpStream;
 use nix::errno::Errno;
 use nix::sys::socket::sockopt::ReceiveTimestampns;
-use nix::sys::socket::{ControlMessageOwned, MsgFlags, recvmsg, setsockopt};
+use nix::sys::socket::{ControlMessageOwned, MsgFlags, recv, recvmsg, setsockopt};
 use nix::sys::time::TimeSpec;
 
 use super::http::HELD_MOST;
@@ -25,6 +25,13 @@
 /// One read takes at most this much; the worker's only copy of it is shared by its connections.
 const READ_MOST: usize = 16 * 1024;
 
+/// What a connection may hold unread though all together hold enough.
+const HELD_LEAST: usize = 4 * 1024;
+
+/// Bytes that all connections hold unread, and how many they may before each gets little room.
+static HELD: AtomicUsize = AtomicUsize::new(0);
+static HELD_ALL: AtomicUsize = AtomicUsize::new(usize::MAX);
+
 thread_local! {
     static READ: RefCell<Box<[u8]>> = RefCell::new(vec![0; READ_MOST].into_boxed_slice());
 }
@@ -127,22 +134,36 @@
     /// So many bytes of it are held no longer; it may read on.
     pub fn consumed(&self, count: usize) {
         let before = self.unread.fetch_sub(count, Ordering::AcqRel);
-        if before >= HELD_MOST && before - count < HELD_MOST {
+        HELD.fetch_sub(count, Ordering::AcqRel);
+        if before >= HELD_LEAST {
             self.wake();
         }
     }
 
-    /// Reads what is there, unless enough is held or the connection has been closed.
+    /// Reads what is there, unless enough is held or the connection has been closed. Guards against many
+    /// connections that each hold a little less than one may: beyond what all may hold together, each gets
+    /// room for a small message only.
     fn read(&self, stream: &TcpStream) -> nix::Result<Option<(Vec<u8>, Micros)>> {
         let _held = self.out();
-        if self.closed.load(Ordering::Acquire) || self.unread.load(Ordering::Acquire) >= HELD_MOST {
+        let all = HELD.load(Ordering::Acquire);
+        let most = if all < HELD_ALL.load(Ordering::Acquire) { HELD_MOST } else { HELD_LEAST };
+        let room = most.saturating_sub(self.unread.load(Ordering::Acquire)).min(READ_MOST);
+        if self.closed.load(Ordering::Acquire) || room == 0 {
             return Ok(None);
         }
-        let read = READ.with_borrow_mut(|room| read(stream, room))?;
+        let read = READ.with_borrow_mut(|all| read(stream, &mut all[..room]))?;
         self.unread.fetch_add(read.0.len(), Ordering::AcqRel);
+        HELD.fetch_add(read.0.len(), Ordering::AcqRel);
         Ok(Some(read))
     }
 
+    /// Throws away what is there once the last answer is on its way. Guards against a client that sends far
+    /// more than it was let: unread, it would hold up its own reading of the answer. False once it has ended.
+    fn discard(&self, stream: &TcpStream) -> nix::Result<bool> {
+        let fd = stream.inner().as_raw_fd();
+        READ.with_borrow_mut(|room| recv(fd, room, MsgFlags::MSG_TRUNC)).map(|count| count > 0)
+    }
+
     /// Runs in a coroutine of its own until the connection ends.
     fn run(&self, stream: TcpStream, clock: Clock, events: &Sender<Event>) {
         // Answers and trips are small, and each waits for the other side.
@@ -154,6 +175,15 @@
             if self.push(&mut self.out()) {
                 let _ = events.send(Event::Written(self.id));
             }
+            if self.out().last {
+                match self.discard(stream) {
+                    Ok(true) => may::coroutine::yield_now(),
+                    Err(Errno::EINTR) => {}
+                    Err(Errno::EAGAIN) => drop(stream.wait_io()),
+                    Ok(false) | Err(_) => break,
+                }
+                continue;
+            }
             match self.read(stream) {
                 Ok(Some((bytes, _))) if bytes.is_empty() => break,
                 Ok(Some((bytes, waited))) => {
@@ -175,6 +205,17 @@
     }
 }
 
+impl Drop for Link {
+    fn drop(&mut self) {
+        HELD.fetch_sub(self.unread.load(Ordering::Acquire), Ordering::AcqRel);
+    }
+}
+
+/// Bounds what all connections together may hold unread.
+pub fn hold_at_most(bytes: usize) {
+    HELD_ALL.store(bytes, Ordering::Release);
+}
+
 /// Reads what is there, and for how long it has been there: the kernel stamps what comes, so that a ticket
 /// which came while the process stood still is known to be old. Both times are of the same clock, so that a
 /// step of it can't make everything look old for long.
