--- a/crates/garnetdoor-gateway/src/lifecycle/serve.rs
+++ b/crates/garnetdoor-gateway/src/lifecycle/serve.rs
@@ -151,6 +151,18 @@
                         happened.push(Event::Written(id));
                     }
                 }
+                Effect::WriteUnused(id, bytes) => {
+                    match self.links.get(&id).map(|link| link.write_unused(&bytes)) {
+                        Some(Some(true)) => happened.push(Event::Written(id)),
+                        Some(Some(false)) => {}
+                        Some(None) | None => {
+                            if let Some(link) = self.links.remove(&id) {
+                                link.close();
+                            }
+                            happened.push(Event::Stale(id, bytes));
+                        }
+                    }
+                }
                 Effect::Consumed(id, count) => {
                     if let Some(link) = self.links.get(&id) {
                         link.consumed(count);
--- a/crates/garnetdoor-gateway/src/memory/conns.rs
+++ b/crates/garnetdoor-gateway/src/memory/conns.rs
@@ -6,6 +6,7 @@
 
 use super::desk::{Desk, MS, SECOND};
 use super::event::{ConnId, Effect, Reason};
+use super::ticket::Process;
 use super::timers::Timer;
 use crate::wire::buffer::Buffer;
 use crate::wire::http::Stream;
@@ -39,7 +40,7 @@
     },
     Server {
         server: ServerId,
-        address: SocketAddr,
+        process: Process,
         work: Option<Work>,
     },
     List,
@@ -71,6 +72,8 @@
     pub unwritten: bool,
     /// When the bytes read last had come.
     pub heard: Micros,
+    /// When it was last asked something.
+    pub asked: Micros,
     /// Since when it has had nothing to do, if it has.
     pub since: Micros,
     /// It is a client's that is to end unless something has come just now.
@@ -98,6 +101,7 @@
             pending: None,
             unwritten: false,
             heard,
+            asked: self.now,
             since,
             leaves: None,
             due: None,
--- a/crates/garnetdoor-gateway/src/memory/event.rs
+++ b/crates/garnetdoor-gateway/src/memory/event.rs
@@ -31,6 +31,8 @@
     Bytes(ConnId, Micros, Vec<u8>),
     /// All that was asked to be written has been.
     Written(ConnId),
+    /// An idle connection was no longer good for what was to be written to it, which comes back.
+    Stale(ConnId, Vec<u8>),
     /// The other side has ended a connection, or it could not be made.
     Ended(ConnId),
     Datagram(SocketAddr, Vec<u8>),
@@ -47,6 +49,9 @@
 pub enum Effect {
     Dial(ConnId, SocketAddr, Micros),
     Write(ConnId, Vec<u8>),
+    /// Write to a connection on which nothing has come that the reducer has not seen, its end included; told
+    /// as stale and closed otherwise.
+    WriteUnused(ConnId, Vec<u8>),
     /// So many bytes of the connection are no longer held.
     Consumed(ConnId, usize),
     /// End the sending side once all is written.
@@ -88,8 +93,10 @@
     LastMessage = "last-message",
     Malformed = "malformed",
     TooLarge = "too-large",
-    /// A server spoke with nothing asked.
+    /// A server spoke with nothing asked, or before it was asked all.
     Unasked = "unasked",
+    /// It was idle and had ended, or spoken, when it was to be used.
+    Stale = "stale",
     /// The trip was given up.
     TimedOut = "timed-out",
     Stopped = "stopped",
@@ -109,7 +116,7 @@
     Refused = "refused",
     /// A client came and said nothing.
     Mute = "mute",
-    /// The client took or sent its bytes too slowly.
+    /// The other side took or sent its bytes too slowly, or left a message half done.
     Slow = "slow",
     Stopping = "stopping",
 }
--- a/crates/garnetdoor-gateway/src/memory/host.rs
+++ b/crates/garnetdoor-gateway/src/memory/host.rs
@@ -36,7 +36,7 @@
         let until = until.unwrap_or(ticket.until).min(ticket.until);
         let allowed = ticket.client.is_some() && now < until && ticket.trips.len() < desk.tries;
         ticket.trips.push(Trip { server, sent: now, on: None, due: None, ended: false });
-        let address = desk.servers.get(&server).map(|place| place.address).filter(|_| allowed);
+        let address = desk.servers.get(&server).map(|place| place.process.address).filter(|_| allowed);
         let message = address.map(|address| instance::trip(&ticket.request, address, until - now));
         let on = message.and_then(|message| desk.ask(server, Work::Trip(id, trip), message, until));
         if on.is_none() {
@@ -77,7 +77,7 @@
 
     fn probe(&mut self, server: ServerId) {
         let desk = &mut *self.0.borrow_mut();
-        let (now, address) = (desk.now, desk.servers.get(&server).map(|place| place.address));
+        let (now, address) = (desk.now, desk.servers.get(&server).map(|place| place.process.address));
         let due = now + desk.dial_within;
         let sent = address.and_then(|at| desk.ask(server, Work::Probe(now), instance::probe(at), due));
         match sent {
--- a/crates/garnetdoor-gateway/src/memory/reducer.rs
+++ b/crates/garnetdoor-gateway/src/memory/reducer.rs
@@ -12,7 +12,7 @@
 use super::desk::{Desk, Told};
 use super::event::{ConnId, Effect, Event, Reason};
 use super::host::Handle;
-use super::ticket::Ticket;
+use super::ticket::{Place, Ticket};
 use super::timers::Timer;
 use crate::config::Config;
 use crate::wire::client::{self, Asked};
@@ -23,6 +23,8 @@
 
 /// How long new connections are taken after the word to stop: a front may still deal some out.
 const STILL_LISTENS: Micros = 500_000;
+/// The rest of an answer of which a part has come: servers write it at once.
+const ANSWER_SLOW: Micros = 250_000;
 /// Held tickets are answered by then at the latest, since SIGKILL follows.
 const STOPS_WITHIN: Micros = 3_600_000;
 
@@ -75,6 +77,7 @@
             Event::Up(id) => self.up(id),
             Event::Bytes(id, read, bytes) => self.bytes(id, read, &bytes),
             Event::Written(id) => self.written(id),
+            Event::Stale(id, message) => self.desk().stale(id, message),
             Event::Ended(id) => self.ended(id),
             Event::Datagram(from, bytes) => {
                 // Gateways are known by their addresses; whoever else sends is no peer.
@@ -202,9 +205,11 @@
         }
         let Some(conn) = desk.conns.get_mut(&id) else { return };
         let message = conn.pending.take();
-        if let Kind::Server { server, work: Some(work), .. } = conn.kind {
-            // Guards against a first byte after a drain's grace, for a dial that took long.
-            if desk.servers.get(&server).is_none_or(|place| place.condition != Condition::Healthy) {
+        if let Kind::Server { server, process, work: Some(work) } = conn.kind {
+            // Guards against a first byte after a drain's grace, for a dial that took long, and against one to
+            // another build than was meant, past the cap of its exposure.
+            let meant = |place: &Place| place.condition == Condition::Healthy && place.process == process;
+            if !desk.servers.get(&server).is_some_and(meant) {
                 if let Work::Trip(ticket, trip) = work {
                     desk.give_up(ticket, trip, Ending::ConnectFailed, Reason::Unlisted);
                 }
@@ -279,6 +284,7 @@
             Kind::Client { .. } => return desk.close_unused(id, Reason::Mute),
             Kind::Server { work: None, .. } => Reason::Idle,
             Kind::Server { .. } if conn.unwritten => Reason::NoConnect,
+            Kind::Server { .. } if !conn.buffer.is_empty() => Reason::Slow,
             _ => Reason::Silent,
         };
         drop(desk);
@@ -394,13 +400,29 @@
     fn answered(&mut self, id: ConnId, ended: bool) -> bool {
         let mut desk = self.desk();
         let Some(conn) = desk.conns.get(&id) else { return true };
-        if let Kind::Server { work: None, .. } = conn.kind {
+        let server = matches!(conn.kind, Kind::Server { .. });
+        let idle = matches!(conn.kind, Kind::Server { work: None, .. });
+        // Nor is it an answer to this trip that came before the trip was written, or all of it. Guards against a
+        // surplus behind the last answer that arrives late. Harm: a clock set forward fails the trips that are out.
+        if server && (idle || conn.unwritten || conn.heard < conn.asked) {
+            if let Some(conn) = desk.conns.get_mut(&id) {
+                conn.unwritten = false;
+            }
             drop(desk);
             self.failed(id, Reason::Unasked, ended);
             return true;
         }
         match http::answer(conn.buffer.data(), ended) {
-            Ok(None) if conn.buffer.data().len() < HELD_MOST => false,
+            Ok(None) if conn.buffer.data().len() < HELD_MOST => {
+                if server {
+                    // Guards against an answer that never gets whole: it is known to be spoilt while its ticket
+                    // may still go elsewhere. Harm: one that is written this slowly is lost.
+                    let due = desk.now + ANSWER_SLOW;
+                    let due = conn.due.map_or(due, |before| before.min(due));
+                    desk.due_at(id, Some(due));
+                }
+                false
+            }
             Ok(Some((message, used))) => {
                 desk.consume(id, used);
                 drop(desk);
--- a/crates/garnetdoor-gateway/src/memory/servers.rs
+++ b/crates/garnetdoor-gateway/src/memory/servers.rs
@@ -2,12 +2,12 @@
 
 use std::collections::BTreeSet;
 
-use garnetdoor::host::{Condition, Listing, Micros, ServerId};
+use garnetdoor::host::{Condition, Ending, Listing, Micros, ServerId};
 
 use super::conns::{Kind, Work};
-use super::desk::{Desk, MS};
-use super::event::{ConnId, Reason};
-use super::ticket::Place;
+use super::desk::{Desk, MS, Told};
+use super::event::{ConnId, Effect, Reason};
+use super::ticket::{Place, Process};
 use crate::wire::discovery::List;
 
 /// The list service says something every 2 s, and what it has to tell counts as told after 6 s.
@@ -19,27 +19,57 @@
         &mut self, server: ServerId, work: Work, message: Vec<u8>, due: Micros,
     ) -> Option<ConnId> {
         let place = self.servers.get_mut(&server)?;
-        let address = place.address;
+        let process = place.process;
         let Some(id) = place.idle.pop() else {
             let due = due.min(self.now + self.dial_within);
-            return self.dial(address, Kind::Server { server, address, work: Some(work) }, message, due);
+            let kind = Kind::Server { server, process, work: Some(work) };
+            return self.dial(process.address, kind, message, due);
         };
-        if let Some(Kind::Server { work: idle, .. }) = self.conns.get_mut(&id).map(|conn| &mut conn.kind) {
-            *idle = Some(work);
+        let now = self.now;
+        if let Some(conn) = self.conns.get_mut(&id) {
+            conn.kind = Kind::Server { server, process, work: Some(work) };
+            (conn.unwritten, conn.asked) = (true, now);
+            self.effects.push(Effect::WriteUnused(id, message));
         }
-        self.write(id, message);
         self.due_at(id, None);
         Some(id)
     }
 
+    /// An idle connection had ended, or brought something unasked, when it was to be used: nothing has been
+    /// written, and another one serves. Guards against a surplus taken for the next ticket's answer, and against
+    /// a trip written to a connection that its server has closed, which may have run then.
+    pub fn stale(&mut self, id: ConnId, message: Vec<u8>) {
+        let Some(conn) = self.forget(id, Reason::Stale) else { return };
+        let Kind::Server { server, work: Some(work), .. } = conn.kind else { return };
+        let due = match work {
+            Work::Trip(ticket, _) => self.tickets.get(&ticket).map_or(self.now, |ticket| ticket.until),
+            Work::Probe(sent) => sent + self.dial_within,
+        };
+        let on = self.ask(server, work, message, due);
+        match work {
+            Work::Trip(ticket, trip) if on.is_none() => {
+                self.trip_over(ticket, trip, Ending::NeverSent, Vec::new());
+            }
+            Work::Trip(ticket, trip) => {
+                if let Some(trip) = self.out(ticket, trip) {
+                    trip.on = on;
+                }
+            }
+            Work::Probe(_) if on.is_none() => {
+                self.told.push_back(Told::Probe(server, Ending::NeverSent, 0, Vec::new()));
+            }
+            Work::Probe(_) => {}
+        }
+    }
+
     /// Keeps a connection to a server for the next trip there, or closes it.
     pub fn keep(&mut self, id: ConnId, keep: bool) {
         let Some(conn) = self.conns.get_mut(&id) else { return };
         let whole = keep && conn.buffer.is_empty() && !conn.unwritten;
-        let Kind::Server { server, address, work } = &mut conn.kind else { return };
+        let Kind::Server { server, process, work } = &mut conn.kind else { return };
         *work = None;
         let place = self.servers.get_mut(server);
-        let listed = |place: &&mut Place| place.condition == Condition::Healthy && place.address == *address;
+        let listed = |place: &&mut Place| place.condition == Condition::Healthy && place.process == *process;
         match place.filter(listed) {
             Some(place) if whole => {
                 place.idle.push(id);
@@ -74,12 +104,13 @@
         let mut listings = Vec::new();
         for entry in list.entries {
             let server = ServerId(self.names.number(&entry.name) as u32);
-            let (address, condition) = (entry.address, entry.listing.condition);
-            if self.servers.get(&server).is_some_and(|place| place.address != address) {
+            let Listing { condition, build, started, .. } = entry.listing;
+            let process = Process { address: entry.address, build, started };
+            if self.servers.get(&server).is_some_and(|place| place.process != process) {
                 self.close_all_idle(server, Reason::Unlisted);
             }
-            let place = self.servers.entry(server).or_insert(Place { address, condition, idle: Vec::new() });
-            (place.address, place.condition) = (address, condition);
+            let place = self.servers.entry(server).or_insert(Place { process, condition, idle: Vec::new() });
+            (place.process, place.condition) = (process, condition);
             listings.push(Listing { server, ..entry.listing });
         }
         let unlisted = self.servers.iter().filter(|(_, place)| place.condition != Condition::Healthy);
--- a/crates/garnetdoor-gateway/src/memory/ticket.rs
+++ b/crates/garnetdoor-gateway/src/memory/ticket.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use garnetdoor::host::{Condition, Micros, ServerId};
+use garnetdoor::host::{BuildNo, Condition, Micros, ServerId};
 
 use super::event::ConnId;
 use super::timers::Set;
@@ -29,9 +29,17 @@
     pub trips: Vec<Trip>,
 }
 
+/// Which process a server is, by the list: an id or an address may come back as another one.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub struct Process {
+    pub address: SocketAddr,
+    pub build: BuildNo,
+    pub started: Option<Micros>,
+}
+
 /// A server as the list showed it last.
 pub struct Place {
-    pub address: SocketAddr,
+    pub process: Process,
     pub condition: Condition,
     /// Its idle connections, the one used last at the end.
     pub idle: Vec<ConnId>,
--- a/crates/garnetdoor-gateway/src/wire/http.rs
+++ b/crates/garnetdoor-gateway/src/wire/http.rs
@@ -9,6 +9,8 @@
 /// What a connection may hold unread: a whole message and the frames of its chunks.
 pub const HELD_MOST: usize = 2 * (HEAD_MOST + BODY_MOST);
 const HEADERS_MOST: usize = 64;
+/// Interim answers that may come ahead of an answer.
+const INTERIM_MOST: usize = 16;
 
 /// Why a message can't be read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -43,7 +45,9 @@
 fn fields(headers: &[httparse::Header]) -> Result<Fields, Fault> {
     let mut read = Fields { pairs: Vec::new(), framing: None, close: false, keep: false };
     for header in headers {
-        let text = str::from_utf8(header.value).map_err(|_| Fault::Malformed)?.trim();
+        // Bytes that are no text in a header that does not matter here spoil no message.
+        let text = String::from_utf8_lossy(header.value);
+        let text = text.trim();
         let name = header.name.to_ascii_lowercase();
         match name.as_str() {
             "content-length" => {
@@ -134,21 +138,43 @@
 
 /// Reads an answer; `ended` says that the connection has, so that what is here is all.
 pub fn answer(data: &[u8], ended: bool) -> Read {
-    let Some((mut message, framing, length)) = answer_head(data)? else { return Ok(None) };
-    if (100..200).contains(&message.status) {
-        let rest = answer(&data[length..], ended)?;
-        return Ok(rest.map(|(message, used)| (message, length + used)));
+    let mut from = 0;
+    for _ in 0..=INTERIM_MOST {
+        let Some((mut message, framing, length)) = answer_head(&data[from..])? else { return Ok(None) };
+        from += length;
+        if (100..200).contains(&message.status) {
+            continue;
+        }
+        message.keep &= framing != Framing::UntilClose;
+        let Some((body, used)) = body(&data[from..], framing, ended)? else { return Ok(None) };
+        message.body = body;
+        return Ok(Some((message, from + used)));
     }
-    message.keep &= framing != Framing::UntilClose;
-    let Some((body, used)) = body(&data[length..], framing, ended)? else { return Ok(None) };
-    message.body = body;
-    Ok(Some((message, length + used)))
+    Err(Fault::Malformed)
+}
+
+/// The head with the load report's bytes made harmless, if there is a report. Guards against a good answer lost,
+/// and its ticket with it, for a report that can't be read.
+fn without_report(data: &[u8]) -> Option<Vec<u8>> {
+    let name = b"\r\nsrv-load:";
+    let at = data.windows(name.len()).position(|part| part.eq_ignore_ascii_case(name))? + name.len();
+    let length = data[at..].windows(2).position(|end| end == b"\r\n")?;
+    let end = data.windows(4).position(|end| end == b"\r\n\r\n").filter(|end| at <= *end)?;
+    let mut head = data[..end + 4].to_vec();
+    head[at..at + length].fill(b'?');
+    Some(head)
 }
 
 fn answer_head(data: &[u8]) -> Result<Option<(Message, Framing, usize)>, Fault> {
     let mut headers = [httparse::EMPTY_HEADER; HEADERS_MOST];
     let mut head = httparse::Response::new(&mut headers);
-    let status = head.parse(data).map_err(head_fault)?;
+    let status = match head.parse(data) {
+        Ok(status) => status,
+        Err(error) => match without_report(data) {
+            Some(head) if head != data[..head.len()] => return answer_head(&head),
+            _ => return Err(head_fault(error)),
+        },
+    };
     let Some(length) = head_length(status, data)? else { return Ok(None) };
     let found = fields(head.headers)?;
     let status = head.code.unwrap_or_default();
--- a/crates/garnetdoor-gateway/src/wire/socket.rs
+++ b/crates/garnetdoor-gateway/src/wire/socket.rs
@@ -73,7 +73,20 @@
 
     /// Writes as much as goes at once; the coroutine does the rest. True once all is written.
     pub fn write(&self, bytes: &[u8]) -> bool {
-        let mut out = self.out();
+        self.put(self.out(), bytes)
+    }
+
+    /// The same where nothing has come that is not consumed, not even an end; else `None`, and nothing is
+    /// written.
+    pub fn write_unused(&self, bytes: &[u8]) -> Option<bool> {
+        let out = self.out();
+        let (stream, _) = self.stream.get()?;
+        let come = recv(stream.inner().as_raw_fd(), &mut [0], MsgFlags::MSG_PEEK | MsgFlags::MSG_DONTWAIT);
+        let unused = self.unread.load(Ordering::Acquire) == 0 && come == Err(Errno::EAGAIN);
+        unused.then(|| self.put(out, bytes))
+    }
+
+    fn put(&self, mut out: MutexGuard<'_, Out>, bytes: &[u8]) -> bool {
         out.bytes.extend_from_slice(bytes);
         out.untold = true;
         let done = self.push(&mut out);
--- a/crates/garnetdoor-gateway/tests/loopback.rs
+++ b/crates/garnetdoor-gateway/tests/loopback.rs
@@ -280,6 +280,33 @@
     assert!(left.is_some_and(|left| left < 14_400), "{head}");
 }
 
+#[test]
+fn a_surplus_behind_an_answer_never_goes_to_the_next_ticket() {
+    let (tell, told) = mpsc::channel();
+    let server = stand_in(move |mut stream| {
+        let _ = tell.send(stream.try_clone().expect("a copy"));
+        let mut reader = BufReader::new(stream.try_clone().expect("a copy"));
+        while let Some((head, _)) = message(&mut reader) {
+            let path = head.split(' ').nth(1).unwrap_or_default();
+            let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{path}", path.len());
+            let _ = stream.write_all(answer.as_bytes());
+        }
+    });
+    let gateway = Gateway::start(server);
+    let mut client = gateway.connect().expect("a connection");
+    let (_, body) = ask(&mut client, VIEW).expect("an answer");
+    assert_eq!(body, b"/view/7?a=b");
+    let mut surplus = told.recv_timeout(LONG).expect("a connection to the server");
+    // Both wait at the gateway when it goes on, the ticket first.
+    gateway.signal("STOP");
+    client.write_all(VIEW.replace("/7?", "/8?").as_bytes()).expect("it is written");
+    thread::sleep(Duration::from_millis(20));
+    surplus.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 11\r\n\r\n/view/7?a=b").expect("it is written");
+    gateway.signal("CONT");
+    let (_, body) = message(&mut BufReader::new(&mut client)).expect("an answer");
+    assert_eq!(body, b"/view/8?a=b");
+}
+
 #[test]
 fn a_killed_gateway_starts_again_at_its_address() {
     let (server, _told) = server(Duration::ZERO);
