--- a/src/balance.rs
+++ b/src/balance.rs
@@ -27,9 +27,8 @@
 const YOUNG: Micros = 5 * SECOND; // machines on trial younger than this are not judged
 const ON_WAIT: Micros = 3 * SECOND; // from the latest start among the trial build's machines
 
-// Our own.
 const WORSE_WAIT: Micros = 12 * SECOND; // longer than most passing slowdowns last
-const RECENT: Micros = 300 * SECOND; // nothing is counted over longer, the exposure window included
+const KEYS_MOST: usize = 100_000; // keys whose build is remembered; the rest is forgotten rather than run out
 const STAGE_WAIT: Micros = 10 * SECOND; // for a stage's machines to be listed
 const PRESENT: Micros = 3 * SECOND; // the earlier build's rate over this long counts where it is higher
 const EARLIER_KEPT: usize = 200; // outcomes a build and sign: seconds at a big gateway, else minutes
@@ -96,13 +95,16 @@
     host: H,
     settings: Settings,
     chance: oorandom::Rand64,
-    seen: Seen,
+    pub seen: Seen,
+    kept: Micros, // nothing is counted over longer: what came before is forgotten, however long a day is
 }
 
 impl<H: Host> Balance<H> {
     pub fn start(host: H, seed: u64, settings: Settings) -> Self {
         let chance = oorandom::Rand64::new(u128::from(seed));
-        let mut balance = Balance { host, settings, chance, seen: Seen::default() };
+        let counted = settings.micros("domain.exposure_window").max(settings.micros("safety.fall"));
+        let kept = counted.unwrap_or(0).max(FRESH_MOST);
+        let mut balance = Balance { host, settings, chance, seen: Seen::default(), kept };
         balance.woke(Wake::Beat);
         if balance.settings.text("discovery") == Some("subscribe") {
             let first = balance.host.now() + balance.between(0, balance.in_turn(LIST_EACH));
@@ -137,7 +139,7 @@
 
     pub fn ticket_came(&mut self, id: TicketId, arrival: Arrival) {
         let came = self.host.now();
-        self.seen.taken.add(came, arrival.profile, came - RECENT);
+        self.seen.taken.add(came, arrival.profile, came - self.kept);
         self.seen.tickets.insert(id, Ticket { arrival, came, trips: Vec::new(), over: false });
         if !self.send(id) {
             self.give_up(id);
@@ -229,16 +231,15 @@
         if further && left <= usual.unwrap_or(0) / 2 {
             return false;
         }
-        // Off it goes.
         if self.cap(build).is_some() {
-            self.seen.exposed.add(now, (build, profile), now - RECENT);
+            self.seen.exposed.add(now, (build, profile), now - self.kept);
         }
         if further {
-            self.seen.further.add(now, (), now - RECENT);
+            self.seen.further.add(now, (), now - self.kept);
         }
         let server = self.seen.servers.get_mut(&chosen).expect("just chosen");
         server.out.push(now);
-        server.sent.add(now, (), now - RECENT);
+        server.sent.add(now, (), now - self.kept);
         self.seen.tickets.get_mut(&id).expect("just read").trips.push(trip);
         self.host.send_trip(id, chosen, None);
         let wait = usual.map_or(aim / 2, |usual| (3 * usual).min(aim / 2));
@@ -281,10 +282,9 @@
             }
         }
         if ending == Ending::Finished {
-            self.seen.finished.add(now, (), now - RECENT);
+            self.seen.finished.add(now, (), now - self.kept);
             if let (Some(key), Some(true)) = (key, self.settings.flag("domain.keys_stay")) {
-                let newest = self.seen.answered.entry(key).or_insert(build);
-                *newest = build.max(*newest);
+                self.seen.key_answered(key, build, KEYS_MOST);
             }
         }
         self.judge(&on, profile, took, ending);
@@ -312,7 +312,6 @@
         if self.stood_still() {
             return self.host.wake_at(self.host.now() + BEAT / 2, Wake::Ticket(id));
         }
-        // Nor while the pressure is high: then all are slow.
         let (now, span) = (self.host.now(), self.span());
         let before = || self.seen.servers.values().any(|s| s.fresh(now, span).any(Sample::lost));
         let pressed = |zone| self.pressure(zone).is_some_and(|pressure| pressure >= LONG_OUT);
@@ -416,8 +415,6 @@
         seen.further.since(since).count() <= (RETRY_SHARE * seen.taken.since(since).count() as f64) as usize
     }
 
-    // ---- health, from the last samples ----
-
     /// How far back samples tell of a server's present: 4 s, or longer where trips are few.
     fn span(&self) -> Micros {
         let many = self.seen.taken.0.len().checked_sub(2 * self.seen.servers.len() + 1);
@@ -619,6 +616,7 @@
             Phase::OnTrial if worse.is_some() && timer => Vote::Hold,
             Phase::OnTrial if worse.is_some() && self.seen.cast.is_some() => Vote::None,
             Phase::OnTrial if timer || worse.is_some() => return,
+            Phase::OnTrial if std::mem::replace(&mut self.seen.ripe, ripe) == ripe && ripe > now => return,
             Phase::OnTrial if ripe > now => return self.host.wake_at(ripe, Wake::Vote),
             Phase::OnTrial => Vote::On,
         };
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,4 +5,4 @@
 pub mod balance;
 pub mod host;
 pub mod names;
-mod seen;
+pub mod seen;
--- a/src/seen.rs
+++ b/src/seen.rs
@@ -135,6 +135,8 @@
     /// The vote cast last, and when it is due again.
     pub cast: Option<(BuildNo, StageNo, Vote)>,
     pub again: Micros,
+    /// When the vote on is due, for which a wake-up is set.
+    pub ripe: Micros,
     pub alarm: Option<Sign>,
     /// The paper's statistic y, by build and sign.
     pub cusums: BTreeMap<(BuildNo, Sign), f64>,
@@ -192,6 +194,15 @@
         kept.filter(|s| s.at > since && s.ending == Ending::Finished).map(|s| s.took).collect()
     }
 
+    /// Notes the newest build that answered a key; no more than `most` keys stay.
+    pub fn key_answered(&mut self, key: KeyId, build: BuildNo, most: usize) {
+        let newest = self.answered.entry(key).or_insert(build);
+        *newest = build.max(*newest);
+        if self.answered.len() > most {
+            self.answered.pop_first();
+        }
+    }
+
     /// Marks a ticket as over.
     pub fn end(&mut self, id: TicketId) {
         if let Some(ticket) = self.tickets.get_mut(&id) {
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -580,3 +580,32 @@
         }
     }
 }
+
+#[test]
+fn what_is_remembered_does_not_grow_with_the_day() {
+    let mut story = trial_with(&[("domain.keys_stay", "true")]);
+    for key in 0..3_000 {
+        let ticket = story.keyed_ticket(0, Some(KeyId(key)));
+        story.pass(20 * MS);
+        if !story.trips(ticket).is_empty() {
+            story.ends(ticket, 0, 20 * MS, Ending::Finished);
+        }
+    }
+    let seen = &story.gate.seen;
+    let sent: usize = seen.servers.values().map(|server| server.sent.0.len()).sum();
+    let lists = [seen.taken.0.len(), seen.finished.0.len(), seen.exposed.0.len(), sent];
+    assert!(lists.iter().all(|kept| (1..=1_200).contains(kept)), "20 s of 60: {lists:?}");
+    let mut seen = garnetdoor::seen::Seen::default();
+    (0..200).for_each(|key| seen.key_answered(KeyId(key), BuildNo(1), 100));
+    assert_eq!(seen.answered.len(), 100);
+}
+
+#[test]
+fn one_wake_up_waits_for_the_vote_on() {
+    let mut story = Story::new(&[], fleet(8, 0));
+    story.gate.list_changed((100..102).map(|id| started(id, 2, 100 * S)).collect());
+    story.gate.news_came(news(2, 0, Phase::OnTrial, 0.1));
+    story.run(100, 0, &[], 0, Ending::Finished);
+    let wakes = story.read(|book| book.wakes.iter().filter(|(_, wake)| *wake == Wake::Vote).count());
+    assert!((1..=3).contains(&wakes), "{wakes}");
+}
