--- a/crates/garnetdoor-gateway/src/memory/desk.rs
+++ b/crates/garnetdoor-gateway/src/memory/desk.rs
@@ -31,7 +31,7 @@
 /// And so long for a whole message: its first one from its coming, another one from its first byte.
 const CLIENT_ASKS: Micros = 2_500 * MS;
 /// A client that has been answered may rest so long. Some never ask again and never go.
-const CLIENT_STAYS: Micros = 5 * SECOND;
+const CLIENT_STAYS: Micros = 2_200 * MS;
 /// How long a client may take to see an answer that ends its connection.
 const LINGER: Micros = SECOND;
 /// Descriptors that are no connections: standard streams, listener, peers, signals, `may`.
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -158,8 +158,7 @@
         if ticket.trips.len() >= tries || !again {
             return false;
         }
-        // The build on trial by its share of the listed machines, a cold one counted by what it can do, and
-        // capped by the sliding count.
+        // The build on trial by its share of the listed machines, cold ones by what they can do, and capped.
         let view = self.view();
         let mut builds: BTreeMap<BuildNo, (bool, bool)> = BTreeMap::new();
         let (mut all, mut trial, mut fleet, mut open) = (0.0, 0.0, 0.0, 0.0);
@@ -424,7 +423,6 @@
     /// What servers are looked at by, worked out once for all of them.
     fn view(&self) -> View {
         let (now, span) = (self.host.now(), self.span());
-        let longest = self.profiles().filter_map(|profile| self.usual(profile)).max();
         let mut zones: BTreeMap<ZoneId, (f64, f64)> = BTreeMap::new();
         for server in self.seen.healthy() {
             let (sum, count) = zones.entry(server.listing.zone).or_insert((PRIOR, PRIOR));
@@ -435,7 +433,8 @@
         View {
             now,
             span,
-            silence: (3 * longest.unwrap_or(SECOND)).max(200 * MS),
+            silence: (3 * self.profiles().filter_map(|p| self.usual(p)).max().unwrap_or(SECOND))
+                .max(200 * MS),
             cold: self.settings.micros("safety.cold").unwrap_or(0),
             cold_from: self.settings.number("safety.cold_from").unwrap_or(0.0),
             zone: self.settings.number("zone").map(|zone| ZoneId(zone as usize)),
@@ -505,18 +504,19 @@
         0.4 + 0.3 * density(profile).map_or(1.0, |own| own / most)
     }
 
-    /// Takes one ended trip as evidence, where it is any. Times are judged only while the earlier build still
-    /// answers beside the one on trial: with none left to compare with, a slowdown that all share or a jump
-    /// in traffic would send a good released build back. What this lets through, a build that turns slow
-    /// after its release, `Worse` is there for. Nor are they judged after a stall, or across zones, where
-    /// they tell as much of the link.
+    /// Takes one ended trip as evidence, where it is any. Times and resets are judged only while the earlier
+    /// build still answers beside the one on trial: with none left to compare with, a slowdown or broken
+    /// links that all share would send a good released build back. A build that turns slow after its release,
+    /// which this lets through, `Worse` is there for. Nor are they judged after a stall, or across zones,
+    /// where they tell as much of the link.
     fn judge(&mut self, on: &Trip, profile: ProfileId, took: Micros, ending: Ending) {
-        let (build, errs, late) = (on.build, ending.is_error(), took > self.aim(profile));
-        let finished = ending == Ending::Finished;
+        let (build, late, finished) = (on.build, took > self.aim(profile), ending == Ending::Finished);
         if finished {
             self.weigh(build, Sign::Disputed, 0.0, 1.0);
         }
         let judged = self.seen.news.is_some_and(|news| build >= news.build);
+        let compared = !judged || self.past(build, Sign::Failed(profile)).2 >= LEAST_ON_TRIAL;
+        let errs = ending == Ending::Error || (compared && ending == Ending::Reset);
         let timed_out = matches!(ending, Ending::TimedOut | Ending::Stopped) && late;
         let told = !self.stood_still() && (on.near || finished);
         if !(errs || (told && (finished || timed_out))) || (judged && on.young) {
@@ -529,7 +529,6 @@
                 self.tell(news.build, profile, judged, failed);
             }
         }
-        let compared = !judged || self.past(build, Sign::Failed(profile)).2 >= LEAST_ON_TRIAL;
         if compared || errs || finished {
             let failed = errs || (on.near && late && compared);
             self.weigh(build, Sign::Failed(profile), f64::from(u8::from(failed)), 1.0);
@@ -586,11 +585,13 @@
     fn speak(&mut self) {
         let now = self.host.now();
         let Some(news) = self.seen.news else { return };
-        // The more gateways must alarm, the less sure each need be of what it alone has seen: together they
-        // are as sure. It holds for disputes, which come one by one, not for what reaches many at once.
-        let alone = H - self.settings.number("domain.noes_needed").unwrap_or(1.0).max(1.0).ln();
+        // Any statistic may rise by chance: the more there are for each vote needed, the higher they must stand.
+        // Disputes come one by one: the more gateways must alarm, the less each need see.
+        let number = |name| self.settings.number(name).unwrap_or(1.0).max(1.0);
+        let alone = H - number("domain.noes_needed").ln();
+        let any = (alone + (number("fleet_size") * number("classes.count")).ln()).max(H);
         let up = |sign: Sign| {
-            let own = if sign == Sign::Disputed { alone.max(H / 4.0) } else { H };
+            let own = if sign == Sign::Disputed { alone.max(H / 4.0) } else { any };
             let height = if matches!(sign, Sign::Counted(_)) { H_COUNTED } else { own };
             let kept = self.seen.outcomes.get(&(news.build, sign)).into_iter().flatten();
             self.seen.cusums.get(&(news.build, sign)).is_some_and(|y| *y >= height)
