--- a/src/balance.rs
+++ b/src/balance.rs
@@ -42,7 +42,7 @@
 const FAILURE: f64 = 8.0; // a failed trip weighs like an answer that takes so many usual times
 const JAMMED: f64 = 1.5; // agreed times that a trip without an answer counts for in the pressure
 const LONG_OUT: f64 = 0.5; // of the agreed time: a trip out for so long tells of a jam before it ends
-const LOST: f64 = 4.0; // of what answers take, the most that a trip without one counts for in the pressure
+const LOST: f64 = 4.0; // of what many answers take, the most that a trip without one counts for as pressure
 const PRIOR: f64 = 2.0; // samples that a zone's or server's strain starts from
 const SHARP: f64 = 4.0; // how sharply the draw among servers follows their cost
 const NORMAL_KEPT: usize = 64; // answers a profile, for its usual time
@@ -455,7 +455,7 @@
                 Ending::Finished => Some((s.zone, s.took as f64 / aim(profile), true)),
                 Ending::Full => Some((s.zone, JAMMED, true)),
                 Ending::TimedOut => Some((s.zone, JAMMED, false)),
-                Ending::Stopped => Some((s.zone, s.took as f64 / aim(profile), false)),
+                Ending::Stopped => Some((s.zone, JAMMED, false)),
                 _ => None,
             })
         });
@@ -469,7 +469,7 @@
             let chosen = parts.iter().filter(|(there, ..)| all || *there == zone);
             let (quick, others): (Vec<_>, Vec<_>) = chosen.partition(|(.., answered)| *answered);
             let (sum, count) = (quick.iter().map(|(_, part, _)| part).sum::<f64>(), quick.len() as f64);
-            let most = if quick.is_empty() { JAMMED } else { LOST * sum / count };
+            let most = if quick.len() < SAMPLES { JAMMED } else { LOST * sum / count };
             let sum = others.iter().fold(sum, |sum, (_, part, _)| sum + part.min(most));
             let count = count + others.len() as f64;
             (count >= 2.0).then(|| sum / count)
@@ -585,11 +585,11 @@
     fn speak(&mut self) {
         let now = self.host.now();
         let Some(news) = self.seen.news else { return };
-        // Any statistic may rise by chance: the more there are for each vote needed, the higher they must stand.
-        // Disputes come one by one: the more gateways must alarm, the less each need see.
+        // Any statistic may rise by chance: the more there are, the higher they stand, less so where many
+        // must rise together. Disputes come one by one: the more gateways must alarm, the less each need see.
         let number = |name| self.settings.number(name).unwrap_or(1.0).max(1.0);
         let alone = H - number("domain.noes_needed").ln();
-        let any = (alone + (number("fleet_size") * number("classes.count")).ln()).max(H);
+        let any = H + (number("fleet_size") * number("classes.count")).ln() / number("domain.noes_needed");
         let up = |sign: Sign| {
             let own = if sign == Sign::Disputed { alone.max(H / 4.0) } else { any };
             let height = if matches!(sign, Sign::Counted(_)) { H_COUNTED } else { own };
