--- a/crates/garnetdoor-gateway/src/memory/conns.rs
+++ b/crates/garnetdoor-gateway/src/memory/conns.rs
@@ -15,6 +15,8 @@
 const SURPLUS_SLOW: Micros = SECOND;
 /// A client that has had nothing to do for so long has no ticket under way.
 const CLIENT_RESTS: Micros = 500 * MS;
+/// The same where clients that rest hold much of what clients may hold at all.
+const CLIENT_RESTS_LEAST: Micros = 250 * MS;
 /// One that came so long ago and has said nothing is not about to.
 const CLIENT_MUTE: Micros = 50 * MS;
 
@@ -146,6 +148,24 @@
         }
     }
 
+    /// Lets the clients go that have rested longest, where many rest. Guards against clients that ask once and
+    /// keep their connection: together they may hold a third of the descriptors, and until some are let go no
+    /// other client gets one. Harm: a client that would have asked again connects anew.
+    pub fn rested(&mut self) {
+        let resting =
+            |conn: &Conn| matches!(conn.kind, Kind::Client { asked: true, .. }) && conn.is_idle_client();
+        let mut idle: Vec<_> =
+            self.conns.iter().filter(|(_, conn)| resting(conn)).map(|(id, conn)| (conn.since, *id)).collect();
+        let many = idle.len().saturating_sub(self.resting_most);
+        if many > 0 {
+            idle.sort_unstable();
+            let old = idle.into_iter().take(many).filter(|(since, _)| self.now - since >= CLIENT_RESTS_LEAST);
+            for (_, id) in old.collect::<Vec<_>>() {
+                self.close_unused(id, Reason::Shed);
+            }
+        }
+    }
+
     /// A client has connected.
     pub fn client_came(&mut self, id: ConnId) {
         let surplus = !self.room(self.clients_most);
--- a/crates/garnetdoor-gateway/src/memory/desk.rs
+++ b/crates/garnetdoor-gateway/src/memory/desk.rs
@@ -74,6 +74,8 @@
     pub(super) chance: oorandom::Rand64,
     pub(super) most: usize,
     pub(super) clients_most: usize,
+    /// Half of the third that usual clients may hold.
+    pub(super) resting_most: usize,
     pub(super) tries: usize,
     pub(super) dial_within: Micros,
     pub(super) idle_for: Micros,
@@ -116,6 +118,7 @@
             most,
             // A quarter of the descriptors stays for servers and services.
             clients_most: most - most / 4,
+            resting_most: config.sockets / 6,
             tries: count("policy_limits.try_limit"),
             dial_within: span("policy_limits.dial_timeout", 250 * MS),
             // Well before the server's machine closes it: a trip that crosses that closing may have run.
--- a/crates/garnetdoor-gateway/src/memory/reducer.rs
+++ b/crates/garnetdoor-gateway/src/memory/reducer.rs
@@ -232,6 +232,7 @@
         if let Kind::Client { ticket: None, last: false, .. } = conn.kind {
             drop(desk);
             self.client(id);
+            self.desk().rested();
         }
     }
 
--- a/crates/garnetdoor-gateway/tests/reducer.rs
+++ b/crates/garnetdoor-gateway/tests/reducer.rs
@@ -303,6 +303,26 @@
     assert!(rig.done.contains(&Effect::CloseUnused(rests)));
 }
 
+#[test]
+fn where_many_clients_rest_those_that_rested_longest_make_room() {
+    let mut rig = Rig::new();
+    let mut clients = Vec::new();
+    // 80 descriptors: 13 clients may rest.
+    for _ in 0..15 {
+        let client = rig.client();
+        rig.says(client, "GET /_health HTTP/1.1\r\n\r\n");
+        rig.happens(Event::Written(client));
+        clients.push(client);
+    }
+    assert!(!rig.closed(clients[0]), "it was answered just now");
+    rig.wait(300 * MS);
+    let client = rig.client();
+    rig.says(client, "GET /_health HTTP/1.1\r\n\r\n");
+    rig.happens(Event::Written(client));
+    assert!(clients[..3].iter().all(|old| rig.done.contains(&Effect::CloseUnused(*old))));
+    assert!(!rig.closed(clients[3]) && !rig.closed(client));
+}
+
 #[test]
 fn the_id_of_an_open_ticket_is_no_other_clients() {
     let mut rig = Rig::new();
