--- a/crates/garnetdoor-gateway/src/memory/conns.rs
+++ b/crates/garnetdoor-gateway/src/memory/conns.rs
@@ -148,9 +148,9 @@
         }
     }
 
-    /// Lets the clients go that have rested longest, where many rest. Guards against clients that ask once and
-    /// keep their connection: together they may hold a third of the descriptors, and until some are let go no
-    /// other client gets one. Harm: a client that would have asked again connects anew.
+    /// Lets the clients go that have rested longest, where many rest. Guards against clients that ask once
+    /// and keep their connection: together they may hold a third of the descriptors, and until some are let
+    /// go no other client gets one. Harm: a client that would have asked again connects anew.
     pub fn rested(&mut self) {
         let resting =
             |conn: &Conn| matches!(conn.kind, Kind::Client { asked: true, .. }) && conn.is_idle_client();
--- a/crates/garnetdoor-gateway/src/memory/reducer.rs
+++ b/crates/garnetdoor-gateway/src/memory/reducer.rs
@@ -206,8 +206,8 @@
         let Some(conn) = desk.conns.get_mut(&id) else { return };
         let message = conn.pending.take();
         if let Kind::Server { server, process, work: Some(work) } = conn.kind {
-            // Guards against a first byte after a drain's grace, for a dial that took long, and against one to
-            // another build than was meant, past the cap of its exposure.
+            // Guards against a first byte after a drain's grace, for a dial that took long, and against one
+            // to another build than was meant, past the cap of its exposure.
             let meant = |place: &Place| place.condition == Condition::Healthy && place.process == process;
             if !desk.servers.get(&server).is_some_and(meant) {
                 if let Work::Trip(ticket, trip) = work {
@@ -403,8 +403,9 @@
         let Some(conn) = desk.conns.get(&id) else { return true };
         let server = matches!(conn.kind, Kind::Server { .. });
         let idle = matches!(conn.kind, Kind::Server { work: None, .. });
-        // Nor is it an answer to this trip that came before the trip was written, or all of it. Guards against a
-        // surplus behind the last answer that arrives late. Harm: a clock set forward fails the trips that are out.
+        // Nor is it an answer to this trip that came before the trip was written, or all of it. Guards
+        // against a surplus behind the last answer that arrives late. Harm: a clock set forward fails the
+        // trips that are out.
         if server && (idle || conn.unwritten || conn.heard < conn.asked) {
             if let Some(conn) = desk.conns.get_mut(&id) {
                 conn.unwritten = false;
@@ -416,8 +417,8 @@
         match http::answer(conn.buffer.data(), ended) {
             Ok(None) if conn.buffer.data().len() < HELD_MOST => {
                 if server {
-                    // Guards against an answer that never gets whole: it is known to be spoilt while its ticket
-                    // may still go elsewhere. Harm: one that is written this slowly is lost.
+                    // Guards against an answer that never gets whole: it is known to be spoilt while its
+                    // ticket may still go elsewhere. Harm: one that is written this slowly is lost.
                     let due = desk.now + ANSWER_SLOW;
                     let due = conn.due.map_or(due, |before| before.min(due));
                     desk.due_at(id, Some(due));
--- a/crates/garnetdoor-gateway/src/memory/servers.rs
+++ b/crates/garnetdoor-gateway/src/memory/servers.rs
@@ -36,8 +36,8 @@
     }
 
     /// An idle connection had ended, or brought something unasked, when it was to be used: nothing has been
-    /// written, and another one serves. Guards against a surplus taken for the next ticket's answer, and against
-    /// a trip written to a connection that its server has closed, which may have run then.
+    /// written, and another one serves. Guards against a surplus taken for the next ticket's answer, and
+    /// against a trip written to a connection that its server has closed, which may have run then.
     pub fn stale(&mut self, id: ConnId, message: Vec<u8>) {
         let Some(conn) = self.forget(id, Reason::Stale) else { return };
         let Kind::Server { server, work: Some(work), .. } = conn.kind else { return };
--- a/crates/garnetdoor-gateway/src/wire/http.rs
+++ b/crates/garnetdoor-gateway/src/wire/http.rs
@@ -153,8 +153,8 @@
     Err(Fault::Malformed)
 }
 
-/// The head with the load report's bytes made harmless, if there is a report. Guards against a good answer lost,
-/// and its ticket with it, for a report that can't be read.
+/// The head with the load report's bytes made harmless, if there is a report. Guards against a good answer
+/// lost, and its ticket with it, for a report that can't be read.
 fn without_report(data: &[u8]) -> Option<Vec<u8>> {
     let name = b"\r\nsrv-load:";
     let at = data.windows(name.len()).position(|part| part.eq_ignore_ascii_case(name))? + name.len();
