--- a/crates/garnetdoor-gateway/src/lib.rs
+++ b/crates/garnetdoor-gateway/src/lib.rs
@@ -1,7 +1,7 @@
 //! The gateway itself: garnetdoor's decisions on sockets. It decides nothing; `garnetdoor::balance` does.
 //!
-//! `wire` is what is spoken, `memory` what is kept and the one reducer that changes it, `lifecycle` start and
-//! stop. `docs/gateway.md` tells how they fit.
+//! `wire` is what is spoken, `memory` what is kept and the one reducer that changes it, `lifecycle` start,
+//! reload and stop. `docs/gateway.md` tells how they fit.
 
 pub mod config;
 pub mod lifecycle;
--- a/crates/garnetdoor-gateway/src/memory/conns.rs
+++ b/crates/garnetdoor-gateway/src/memory/conns.rs
@@ -4,7 +4,7 @@
 
 use garnetdoor::host::{Micros, ServerId, TicketId, TripNo};
 
-use super::desk::{Desk, MS, SECOND};
+use super::desk::{CLIENT_ASKS, Desk, MS, SECOND};
 use super::event::{ConnId, Effect, Reason};
 use super::ticket::Process;
 use super::timers::Timer;
@@ -35,8 +35,7 @@
         last: bool,
         /// It is one too many: its ticket is turned back unseen.
         surplus: bool,
-        /// It has been answered before.
-        asked: bool,
+        answered: bool,
         /// A part of its next message has come.
         begun: bool,
     },
@@ -123,8 +122,8 @@
         }
         let idle = |conn: &Conn| match conn.kind {
             Kind::Server { work: None, .. } => Some(2),
-            Kind::Client { asked, .. } => {
-                let (rank, least) = if asked { (1, CLIENT_RESTS) } else { (0, CLIENT_MUTE) };
+            Kind::Client { answered, .. } => {
+                let (rank, least) = if answered { (1, CLIENT_RESTS) } else { (0, CLIENT_MUTE) };
                 (conn.is_idle_client() && self.now - conn.since >= least).then_some(rank)
             }
             _ => None,
@@ -152,26 +151,25 @@
     /// and keep their connection: together they may hold a third of the descriptors, and until some are let
     /// go no other client gets one. Harm: a client that would have asked again connects anew.
     pub fn rested(&mut self) {
-        let resting =
-            |conn: &Conn| matches!(conn.kind, Kind::Client { asked: true, .. }) && conn.is_idle_client();
-        let mut idle: Vec<_> =
-            self.conns.iter().filter(|(_, conn)| resting(conn)).map(|(id, conn)| (conn.since, *id)).collect();
-        let many = idle.len().saturating_sub(self.resting_most);
-        if many > 0 {
-            idle.sort_unstable();
-            let old = idle.into_iter().take(many).filter(|(since, _)| self.now - since >= CLIENT_RESTS_LEAST);
-            for (_, id) in old.collect::<Vec<_>>() {
-                self.close_unused(id, Reason::Shed);
-            }
+        let rests =
+            |conn: &Conn| matches!(conn.kind, Kind::Client { answered: true, .. }) && conn.is_idle_client();
+        let resting = || self.conns.iter().filter(|(_, conn)| rests(conn));
+        let many = resting().count().saturating_sub(self.resting_most);
+        if many == 0 {
+            return;
         }
+        let mut idle: Vec<_> = resting().map(|(id, conn)| (conn.since, *id)).collect();
+        idle.sort_unstable();
+        idle.truncate(many);
+        idle.retain(|(since, _)| self.now - since >= CLIENT_RESTS_LEAST);
+        idle.into_iter().for_each(|(_, id)| self.close_unused(id, Reason::Shed));
     }
 
     /// A client has connected.
     pub fn client_came(&mut self, id: ConnId) {
         let surplus = !self.room(self.clients_most);
-        self.add(id, Kind::Client { ticket: None, last: false, surplus, asked: false, begun: false });
-        let due = if surplus { self.now + SURPLUS_SLOW } else { self.client_due() };
-        self.due_at(id, Some(due));
+        self.add(id, Kind::Client { ticket: None, last: false, surplus, answered: false, begun: false });
+        self.due_at(id, Some(self.now + if surplus { SURPLUS_SLOW } else { CLIENT_ASKS }));
         // Guards the last descriptors, which servers and votes need, against a flood. Harm: a client whose
         // ticket crosses two such closings has lost it.
         if self.conns.len() > self.most - self.most / 8 {
--- a/crates/garnetdoor-gateway/src/memory/desk.rs
+++ b/crates/garnetdoor-gateway/src/memory/desk.rs
@@ -29,7 +29,7 @@
 /// A client has so long to take an answer.
 const CLIENT_SLOW: Micros = 10 * SECOND;
 /// And so long for a whole message: its first one from its coming, another one from its first byte.
-const CLIENT_ASKS: Micros = 2_500 * MS;
+pub(super) const CLIENT_ASKS: Micros = 2_500 * MS;
 /// A client that has been answered may rest so long. Some never ask again and never go.
 const CLIENT_STAYS: Micros = 2_200 * MS;
 /// How long a client may take to see an answer that ends its connection.
@@ -169,8 +169,8 @@
         self.write(id, bytes);
         self.due_at(id, Some(self.now + if ends { LINGER } else { CLIENT_SLOW }));
         let Some(conn) = self.conns.get_mut(&id) else { return };
-        if let Kind::Client { ticket, last, asked, begun, .. } = &mut conn.kind {
-            (*ticket, *last, *asked, *begun) = (None, ends, true, false);
+        if let Kind::Client { ticket, last, answered, begun, .. } = &mut conn.kind {
+            (*ticket, *last, *answered, *begun) = (None, ends, true, false);
         }
         if ends {
             self.effects.push(Effect::Finish(id));
@@ -183,23 +183,16 @@
     pub fn client_waits(&mut self, id: ConnId) {
         let Some(conn) = self.conns.get_mut(&id) else { return };
         let empty = conn.buffer.is_empty();
-        let Kind::Client { surplus, asked, begun, .. } = &mut conn.kind else { return };
+        // The time of a first message runs from its client's coming, and is set then.
+        let Kind::Client { answered: true, begun, .. } = &mut conn.kind else { return };
         let began = std::mem::replace(begun, !empty);
-        match (*asked, empty) {
-            // Its time runs from its coming.
-            (false, _) => {}
-            _ if *surplus => {}
-            (true, true) => self.due_at(id, Some(self.now + CLIENT_STAYS)),
-            (true, false) if began => {}
-            (true, false) => self.due_at(id, Some(self.now + CLIENT_ASKS)),
+        if empty {
+            self.due_at(id, Some(self.now + CLIENT_STAYS));
+        } else if !began {
+            self.due_at(id, Some(self.now + CLIENT_ASKS));
         }
     }
 
-    /// When a client that has just come has had time enough for its first message.
-    pub(super) fn client_due(&self) -> Micros {
-        self.now + CLIENT_ASKS
-    }
-
     /// Gives a ticket its final answer, if it has none and its client is there.
     pub fn finish(&mut self, id: TicketId, bytes: impl FnOnce(bool) -> Vec<u8>) {
         let client = self.tickets.get_mut(&id).and_then(|ticket| ticket.client.take());
--- a/crates/garnetdoor-gateway/src/memory/event.rs
+++ b/crates/garnetdoor-gateway/src/memory/event.rs
@@ -104,7 +104,7 @@
     Idle = "idle",
     /// Room was needed.
     Shed = "shed",
-    /// The server drains, has gone, or has another address.
+    /// The server drains, has gone, or is another process by its address, build or start.
     Unlisted = "unlisted",
     /// A reload has given the service another address.
     Moved = "moved",
--- a/crates/garnetdoor-gateway/src/memory/host.rs
+++ b/crates/garnetdoor-gateway/src/memory/host.rs
@@ -38,13 +38,13 @@
         ticket.trips.push(Trip { server, sent: now, on: None, due: None, ended: false });
         let address = desk.servers.get(&server).map(|place| place.process.address).filter(|_| allowed);
         let message = address.map(|address| instance::trip(&ticket.request, address, until - now));
-        let on = message.and_then(|message| desk.ask(server, Work::Trip(id, trip), message, until));
-        if on.is_none() {
+        let Some(message) = message else {
             return desk.trip_over(id, trip, Ending::NeverSent, Vec::new());
-        }
-        let due = Some(desk.timers.set(until, Timer::Trip(id, trip)));
-        if let Some(trip) = desk.out(id, trip) {
-            (trip.on, trip.due) = (on, due);
+        };
+        desk.carry(server, Work::Trip(id, trip), message, until);
+        if desk.out(id, trip).is_some() {
+            let due = Some(desk.timers.set(until, Timer::Trip(id, trip)));
+            desk.out(id, trip).into_iter().for_each(|trip| trip.due = due);
         }
     }
 
@@ -79,9 +79,8 @@
         let desk = &mut *self.0.borrow_mut();
         let (now, address) = (desk.now, desk.servers.get(&server).map(|place| place.process.address));
         let due = now + desk.dial_within;
-        let sent = address.and_then(|at| desk.ask(server, Work::Probe(now), instance::probe(at), due));
-        match sent {
-            Some(id) => desk.due_at(id, Some(due)),
+        match address {
+            Some(at) => desk.carry(server, Work::Probe(now), instance::probe(at), due),
             None => desk.told.push_back(Told::Probe(server, Ending::NeverSent, 0, Vec::new())),
         }
     }
--- a/crates/garnetdoor-gateway/src/memory/reducer.rs
+++ b/crates/garnetdoor-gateway/src/memory/reducer.rs
@@ -177,22 +177,24 @@
             Kind::Vote | Kind::Notices(_) => votes,
             Kind::Client { .. } | Kind::Server { .. } => false,
         };
-        let old = desk.conns.iter().filter(|(_, conn)| moved(&conn.kind)).map(|(id, _)| *id);
-        let mut host = Handle(self.desk.clone());
-        for id in old.collect::<Vec<_>>() {
-            match desk.close(id, Reason::Moved).map(|conn| conn.kind) {
-                Some(Kind::Vote) => desk.told.push_back(Told::Vote(Taken::Unknown)),
-                Some(Kind::List) => desk.told.push_back(Told::ListFailed),
-                _ => {}
+        let stream = |kind: &Kind| matches!(kind, Kind::Watch(_) | Kind::Notices(_));
+        let old = desk.conns.iter().filter(|(_, conn)| moved(&conn.kind));
+        let old: Vec<_> = old.map(|(id, conn)| (*id, stream(&conn.kind))).collect();
+        let follows = desk.follows && list;
+        drop(desk);
+        for (id, stream) in old {
+            if stream {
+                // Asked for again below, and not after a while, as one that failed is.
+                self.desk().close(id, Reason::Moved);
+            } else {
+                self.failed(id, Reason::Moved, false);
             }
         }
         if votes {
-            desk.ask_notices();
+            self.desk().ask_notices();
         }
-        let follows = desk.follows && list;
-        drop(desk);
         if follows {
-            host.follow_list(true);
+            Handle(self.desk.clone()).follow_list(true);
         }
     }
 
@@ -281,7 +283,7 @@
                 desk.log(format!("client conn={id} answered 408"));
                 return desk.answer(id, client::plain(408, true), true);
             }
-            Kind::Client { asked: true, .. } => return desk.close_unused(id, Reason::Idle),
+            Kind::Client { answered: true, .. } => return desk.close_unused(id, Reason::Idle),
             Kind::Client { .. } => return desk.close_unused(id, Reason::Mute),
             Kind::Server { work: None, .. } => Reason::Idle,
             Kind::Server { .. } if conn.unwritten => Reason::NoConnect,
--- a/crates/garnetdoor-gateway/src/memory/servers.rs
+++ b/crates/garnetdoor-gateway/src/memory/servers.rs
@@ -14,10 +14,24 @@
 const LIST_SILENT: Micros = 4_500 * MS;
 
 impl Desk {
+    /// Has a server asked for a trip or a probe; the decisions hear of one that could not be sent.
+    pub(super) fn carry(&mut self, server: ServerId, work: Work, message: Vec<u8>, due: Micros) {
+        match (self.ask(server, work, message, due), work) {
+            (on @ Some(_), Work::Trip(ticket, trip)) => {
+                if let Some(trip) = self.out(ticket, trip) {
+                    trip.on = on;
+                }
+            }
+            (Some(id), Work::Probe(_)) => self.due_at(id, Some(due)),
+            (None, Work::Trip(ticket, trip)) => self.trip_over(ticket, trip, Ending::NeverSent, Vec::new()),
+            (None, Work::Probe(_)) => {
+                self.told.push_back(Told::Probe(server, Ending::NeverSent, 0, Vec::new()));
+            }
+        }
+    }
+
     /// Sends a message to a server on its idle connection used last, or on a new one.
-    pub(super) fn ask(
-        &mut self, server: ServerId, work: Work, message: Vec<u8>, due: Micros,
-    ) -> Option<ConnId> {
+    fn ask(&mut self, server: ServerId, work: Work, message: Vec<u8>, due: Micros) -> Option<ConnId> {
         let place = self.servers.get_mut(&server)?;
         let process = place.process;
         let Some(id) = place.idle.pop() else {
@@ -45,21 +59,7 @@
             Work::Trip(ticket, _) => self.tickets.get(&ticket).map_or(self.now, |ticket| ticket.until),
             Work::Probe(sent) => sent + self.dial_within,
         };
-        let on = self.ask(server, work, message, due);
-        match work {
-            Work::Trip(ticket, trip) if on.is_none() => {
-                self.trip_over(ticket, trip, Ending::NeverSent, Vec::new());
-            }
-            Work::Trip(ticket, trip) => {
-                if let Some(trip) = self.out(ticket, trip) {
-                    trip.on = on;
-                }
-            }
-            Work::Probe(_) if on.is_none() => {
-                self.told.push_back(Told::Probe(server, Ending::NeverSent, 0, Vec::new()));
-            }
-            Work::Probe(_) => {}
-        }
+        self.carry(server, work, message, due);
     }
 
     /// Keeps a connection to a server for the next trip there, or closes it.
--- a/crates/garnetdoor-gateway/src/wire/socket.rs
+++ b/crates/garnetdoor-gateway/src/wire/socket.rs
@@ -43,6 +43,8 @@
     untold: bool,
     /// Once all is written, the sending side ends.
     last: bool,
+    /// It has ended.
+    shut: bool,
 }
 
 /// A connection as the reducer's thread holds it.
@@ -108,7 +110,7 @@
                 Err(_) => return false,
             }
         }
-        if out.last {
+        if out.last && !std::mem::replace(&mut out.shut, true) {
             let _ = stream.shutdown(Shutdown::Write);
         }
         out.bytes.shrink_to(READ_MOST);
@@ -185,10 +187,13 @@
         let (stream, _) = self.stream.get_or_init(|| (stream, waker));
         let _ = events.send(Event::Up(self.id));
         while !self.closed.load(Ordering::Acquire) {
-            if self.push(&mut self.out()) {
+            let mut out = self.out();
+            let (written, last) = (self.push(&mut out), out.last);
+            drop(out);
+            if written {
                 let _ = events.send(Event::Written(self.id));
             }
-            if self.out().last {
+            if last {
                 match self.discard(stream) {
                     Ok(true) => may::coroutine::yield_now(),
                     Err(Errno::EINTR) => {}
--- a/src/host.rs
+++ b/src/host.rs
@@ -77,13 +77,6 @@
     NeverSent,
 }
 
-impl Ending {
-    /// The server failed the trip, rather than being slow, full or out of reach.
-    pub fn is_error(self) -> bool {
-        matches!(self, Ending::Error | Ending::Reset)
-    }
-}
-
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Condition {
     Healthy,
