--- a/src/balance.rs
+++ b/src/balance.rs
@@ -191,7 +191,9 @@
             let (on_trial, allowed) = builds.get(&server.listing.build).copied().unwrap_or((false, false));
             let tried = ticket.trips.iter().any(|trip| trip.server == *name);
             let healthy = server.listing.condition == Condition::Healthy;
-            if !healthy || !allowed || tried || !self.effect_allows(ticket, Some(&server.listing)) {
+            let room = || self.host.has_room(id, *name, server.listing.build);
+            if !healthy || !allowed || tried || !self.effect_allows(ticket, Some(&server.listing)) || !room()
+            {
                 continue;
             }
             let warm = view.warmth(server);
@@ -295,6 +297,20 @@
         self.speak();
     }
 
+    /// A session has stood for as long as it takes to be judged, or its server has broken it. What else
+    /// ends one, its client above all, says nothing of the build.
+    pub fn session_judged(&mut self, server: ServerId, build: BuildNo, profile: ProfileId, failed: bool) {
+        let now = self.host.now();
+        let judged = self.seen.news.is_some_and(|news| build >= news.build);
+        let started = self.seen.servers.get(&server).and_then(|server| server.listing.started);
+        let young = started.is_some_and(|at| now - at < YOUNG);
+        let compared = !judged || self.past(build, Sign::Broke(profile)).2 >= LEAST_ON_TRIAL;
+        if !(self.stood_still() || (judged && young) || (failed && !compared)) {
+            self.weigh(build, Sign::Broke(profile), f64::from(u8::from(failed)), 1.0);
+            self.speak();
+        }
+    }
+
     pub fn client_left(&mut self, id: TicketId) {
         self.seen.end(id);
     }
@@ -385,7 +401,7 @@
 
     /// The cap of a build that counts as on trial here; `None` for one that does not. A build that the news
     /// does not name yet is on trial in its first stage; before any news, every build but the oldest is.
-    fn cap(&self, build: BuildNo) -> Option<f64> {
+    pub fn cap(&self, build: BuildNo) -> Option<f64> {
         let oldest = || self.seen.servers.values().map(|server| server.listing.build).min();
         match &self.seen.news {
             Some(news) if build < news.build => return None,
@@ -567,7 +583,7 @@
     fn past(&self, build: BuildNo, sign: Sign) -> (f64, f64, f64) {
         let least = match sign {
             Sign::Worse => return (TAIL_P0, f64::INFINITY, f64::INFINITY),
-            Sign::Failed(_) | Sign::Counted(_) => P0_LEAST,
+            Sign::Failed(_) | Sign::Counted(_) | Sign::Broke(_) => P0_LEAST,
             Sign::Disputed => DISPUTED_LEAST,
         };
         let rate = |since: Micros, least: f64| {
@@ -599,7 +615,8 @@
                 && self.past(news.build, sign).1 >= LEAST_EARLIER
         };
         let worse = up(Sign::Worse).then(|| self.seen.worse.unwrap_or(now));
-        let signs = self.profiles().flat_map(|p| [Sign::Failed(p), Sign::Counted(p)]).chain([Sign::Disputed]);
+        let of = |p| [Sign::Failed(p), Sign::Counted(p), Sign::Broke(p)];
+        let signs = self.profiles().flat_map(of).chain([Sign::Disputed]);
         let lasting = worse.filter(|since| now - since >= WORSE_WAIT).map(|_| Sign::Worse);
         let alarm = signs.filter(|sign| up(*sign)).chain(lasting).next();
         self.seen.worse = worse;
--- a/src/host.rs
+++ b/src/host.rs
@@ -187,6 +187,11 @@
     fn now(&self) -> Micros;
     /// Sends a trip; it times out at `until`, or when the client quits if that is `None`.
     fn send_trip(&mut self, ticket: TicketId, server: ServerId, until: Option<Micros>);
+    /// Whether what this ticket would leave standing has room at the server, and on its build. Tickets that
+    /// leave nothing behind always have.
+    fn has_room(&self, _ticket: TicketId, _server: ServerId, _build: BuildNo) -> bool {
+        true
+    }
     /// Waits no longer for a trip; it may have run.
     fn stop_trip(&mut self, ticket: TicketId, trip: TripNo);
     /// Final answer: trying again does no harm.
--- a/src/seen.rs
+++ b/src/seen.rs
@@ -113,13 +113,15 @@
 
 /// What the statistic is kept on, for each build: the design page's failures of a profile, and our
 /// departures: answers that clients dispute, trips at any build slower than nearly all before the trial
-/// began, and failures of a profile that others count too.
+/// began, failures of a profile that others count too, and sessions of a profile that were broken.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug)]
 pub enum Sign {
     Failed(ProfileId),
     Disputed,
     Worse,
     Counted(ProfileId),
+    /// Sessions that their servers broke.
+    Broke(ProfileId),
 }
 
 /// Some outcomes: when they came, how many failed, and how many there were.
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -632,3 +632,43 @@
     let wakes = story.read(|book| book.wakes.iter().filter(|(_, wake)| *wake == Wake::Vote).count());
     assert!((1..=3).contains(&wakes), "{wakes}");
 }
+
+/// Sessions of both builds side by side, of which so many in ten break on the earlier and on the new one.
+fn sessions(story: &mut Story, rounds: usize, earlier: usize, new: usize) {
+    for round in 0..rounds {
+        story.gate.session_judged(ServerId(0), BuildNo(1), ProfileId(0), round % 10 < earlier);
+        story.gate.session_judged(ServerId(100), BuildNo(2), ProfileId(0), round % 10 < new);
+        story.pass(50 * MS);
+    }
+}
+
+#[test_case(0, 0, false; "none breaks")]
+#[test_case(4, 4, false; "both builds' sessions break alike")]
+#[test_case(0, 6, true; "the new build's break")]
+fn sessions_that_their_servers_break_are_evidence_beside_the_earlier_builds(
+    earlier: usize, new: usize, back: bool,
+) {
+    let mut story = trial();
+    sessions(&mut story, 80, earlier, new);
+    assert_eq!(!story.never_voted_back(), back);
+}
+
+#[test]
+fn a_session_that_breaks_on_a_machine_just_started_is_not_judged() {
+    let mut story = trial();
+    let now = story.read(|book| book.now);
+    story.gate.list_changed(vec![started(100, 2, now)]);
+    sessions(&mut story, 80, 0, 10);
+    assert!(story.never_voted_back());
+}
+
+#[test]
+fn an_upgrade_goes_where_its_session_may_stand() {
+    let mut story = trial();
+    story.book.0.borrow_mut().full = vec![2];
+    story.run(40, 0, &[], 0, Ending::Finished);
+    assert!((100..105).all(|id| story.sent_to(id) == 0));
+    story.book.0.borrow_mut().full = vec![1, 2];
+    let ticket = story.ticket(0);
+    assert_eq!(story.answers(ticket), ["turned back"]);
+}
