--- a/crates/garnetdoor-gateway/src/lib.rs
+++ b/crates/garnetdoor-gateway/src/lib.rs
@@ -3,7 +3,9 @@
 //! `wire` is what is spoken, `memory` what is kept and the one reducer that changes it, `lifecycle` start,
 //! reload and stop. `docs/gateway.md` tells how they fit.
 
+pub mod clock;
 pub mod config;
+pub mod event;
 pub mod lifecycle;
 pub mod memory;
 pub mod wire;
--- a/crates/garnetdoor-gateway/src/lifecycle/listen.rs
+++ b/crates/garnetdoor-gateway/src/lifecycle/listen.rs
@@ -9,7 +9,7 @@
 use may::coroutine;
 use may::net::{TcpListener, TcpStream, UdpSocket};
 
-use crate::memory::event::Event;
+use crate::event::Event;
 
 /// Connections that were taken and that the reducer's thread has not seen yet.
 pub type Arrived = Arc<Mutex<Vec<TcpStream>>>;
--- a/crates/garnetdoor-gateway/src/lifecycle/log.rs
+++ b/crates/garnetdoor-gateway/src/lifecycle/log.rs
@@ -8,7 +8,7 @@
 use std::thread;
 use std::time::Duration;
 
-use super::clock;
+use crate::clock;
 
 /// Lines a second. More would cost time that tickets need, and hide what matters.
 const LINES_MOST: u64 = 200;
--- a/crates/garnetdoor-gateway/src/lifecycle/mod.rs
+++ b/crates/garnetdoor-gateway/src/lifecycle/mod.rs
@@ -1,6 +1,5 @@
-//! Start, reload and stop: the clock, the log, the listener, signals, and the loop that drives the reducer.
+//! Start, reload and stop: the log, the listener, signals, and the loop that drives the reducer.
 
-pub mod clock;
 pub mod listen;
 pub mod log;
 pub mod reload;
--- a/crates/garnetdoor-gateway/src/lifecycle/reload.rs
+++ b/crates/garnetdoor-gateway/src/lifecycle/reload.rs
@@ -8,8 +8,8 @@
 use signal_hook::iterator::Signals;
 
 use crate::config::{self, Config};
+use crate::event::Event;
 use crate::log;
-use crate::memory::event::Event;
 
 /// Takes signals from now on; what comes before `follow` waits. Guards against a reload that comes while the
 /// program starts: unhandled, SIGHUP ends it.
--- a/crates/garnetdoor-gateway/src/lifecycle/serve.rs
+++ b/crates/garnetdoor-gateway/src/lifecycle/serve.rs
@@ -12,12 +12,12 @@
 use may::net::{TcpListener, UdpSocket};
 use signal_hook::iterator::Signals;
 
-use super::clock::Clock;
 use super::listen::{self, Arrived};
 use super::{log, reload};
+use crate::clock::Clock;
 use crate::config::{self, Config};
+use crate::event::{ConnId, Effect, Event};
 use crate::log;
-use crate::memory::event::{ConnId, Effect, Event};
 use crate::memory::reducer::Reducer;
 use crate::wire::socket::{self, Link};
 
--- a/crates/garnetdoor-gateway/src/memory/conns.rs
+++ b/crates/garnetdoor-gateway/src/memory/conns.rs
@@ -5,9 +5,9 @@
 use garnetdoor::host::{Micros, ServerId, TicketId, TripNo};
 
 use super::desk::{CLIENT_ASKS, Desk, MS, SECOND};
-use super::event::{ConnId, Effect, Reason};
 use super::ticket::Process;
 use super::timers::Timer;
+use crate::event::{ConnId, Effect, Reason};
 use crate::wire::buffer::Buffer;
 use crate::wire::http::Stream;
 
--- a/crates/garnetdoor-gateway/src/memory/desk.rs
+++ b/crates/garnetdoor-gateway/src/memory/desk.rs
@@ -7,10 +7,10 @@
 use garnetdoor::names::Names;
 
 use super::conns::{Conn, Kind};
-use super::event::{ConnId, Effect, Reason};
 use super::ticket::{Place, Ticket, Trip};
 use super::timers::{Timer, Timers};
 use crate::config::Config;
+use crate::event::{ConnId, Effect, Reason};
 use crate::wire::client::Profiles;
 use crate::wire::discovery::Words;
 use crate::wire::http::Stream;
--- a/crates/garnetdoor-gateway/src/memory/host.rs
+++ b/crates/garnetdoor-gateway/src/memory/host.rs
@@ -10,9 +10,9 @@
 
 use super::conns::{Kind, Work};
 use super::desk::{Desk, Told};
-use super::event::{Effect, Reason};
 use super::ticket::Trip;
 use super::timers::Timer;
+use crate::event::{Effect, Reason};
 use crate::wire::http::Stream;
 use crate::wire::{client, discovery, instance, platform};
 
--- a/crates/garnetdoor-gateway/src/memory/mod.rs
+++ b/crates/garnetdoor-gateway/src/memory/mod.rs
@@ -3,7 +3,6 @@
 
 pub mod conns;
 pub mod desk;
-pub mod event;
 pub mod host;
 pub mod reducer;
 pub mod servers;
--- a/crates/garnetdoor-gateway/src/memory/reducer.rs
+++ b/crates/garnetdoor-gateway/src/memory/reducer.rs
@@ -10,11 +10,11 @@
 
 use super::conns::{Conn, Kind, Work};
 use super::desk::{Desk, Told};
-use super::event::{ConnId, Effect, Event, Reason};
 use super::host::Handle;
 use super::ticket::{Place, Ticket};
 use super::timers::Timer;
 use crate::config::Config;
+use crate::event::{ConnId, Effect, Event, Reason};
 use crate::wire::client::{self, Asked};
 use crate::wire::discovery::{self, List};
 use crate::wire::http::{self, Fault, HELD_MOST, Message, StreamEnd};
--- a/crates/garnetdoor-gateway/src/memory/servers.rs
+++ b/crates/garnetdoor-gateway/src/memory/servers.rs
@@ -6,8 +6,8 @@
 
 use super::conns::{Kind, Work};
 use super::desk::{Desk, MS, Told};
-use super::event::{ConnId, Effect, Reason};
 use super::ticket::{Place, Process};
+use crate::event::{ConnId, Effect, Reason};
 use crate::wire::discovery::List;
 
 /// The list service says something every 2 s, and what it has to tell counts as told after 6 s.
--- a/crates/garnetdoor-gateway/src/memory/ticket.rs
+++ b/crates/garnetdoor-gateway/src/memory/ticket.rs
@@ -4,8 +4,8 @@
 
 use garnetdoor::host::{BuildNo, Condition, Micros, ServerId};
 
-use super::event::ConnId;
 use super::timers::Set;
+use crate::event::ConnId;
 use crate::wire::client::Request;
 
 /// One trip of a ticket.
--- a/crates/garnetdoor-gateway/src/memory/timers.rs
+++ b/crates/garnetdoor-gateway/src/memory/timers.rs
@@ -4,7 +4,7 @@
 
 use garnetdoor::host::{Micros, TicketId, TripNo, Wake};
 
-use super::event::ConnId;
+use crate::event::ConnId;
 
 /// What is to happen then.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/garnetdoor-gateway/src/wire/socket.rs
+++ b/crates/garnetdoor-gateway/src/wire/socket.rs
@@ -19,8 +19,8 @@
 use nix::sys::time::TimeSpec;
 
 use super::http::HELD_MOST;
-use crate::lifecycle::clock::{self, Clock};
-use crate::memory::event::{ConnId, Event};
+use crate::clock::{self, Clock};
+use crate::event::{ConnId, Event};
 
 /// One read takes at most this much; the worker's only copy of it is shared by its connections.
 const READ_MOST: usize = 16 * 1024;
--- a/crates/garnetdoor-gateway/tests/reducer.rs
+++ b/crates/garnetdoor-gateway/tests/reducer.rs
@@ -1,7 +1,7 @@
 //! Stories of the reducer without a socket: what happens goes in, what is to be done comes out.
 
 use garnetdoor_gateway::config::{self, Config};
-use garnetdoor_gateway::memory::event::{ConnId, Effect, Event};
+use garnetdoor_gateway::event::{ConnId, Effect, Event};
 use garnetdoor_gateway::memory::reducer::Reducer;
 use serde_json::{Value, json};
 use test_case::test_case;
