--- a/crates/garnetdoor-gateway/src/memory/sessions.rs
+++ b/crates/garnetdoor-gateway/src/memory/sessions.rs
@@ -17,9 +17,6 @@
 use crate::wire::client::{self, Request};
 use crate::wire::http::Message;
 
-/// How often the sessions' connections are looked at, if there are any.
-const GLANCES: Micros = 500 * MS;
-
 /// A session's ticket and connections.
 struct Lines {
     ticket: TicketId,
@@ -214,7 +211,7 @@
         }
         if !room.glances && !room.by_conn.is_empty() {
             room.glances = true;
-            desk.timers.set(desk.now + GLANCES, Timer::Glance);
+            desk.timers.set(desk.now + room.sessions.limits().glances(), Timer::Glance);
         }
     }
 
--- a/crates/garnetdoor-gateway/src/wire/relay.rs
+++ b/crates/garnetdoor-gateway/src/wire/relay.rs
@@ -1,6 +1,7 @@
 //! A session's two connections joined: what one reads the other writes, checked on its way. Nothing of it
 //! passes through the reducer but what changes a session.
 
+use std::cell::RefCell;
 use std::os::fd::AsRawFd;
 use std::sync::atomic::{AtomicI64, Ordering};
 use std::sync::mpsc::Sender;
@@ -13,10 +14,20 @@
 use nix::errno::Errno;
 use nix::sys::socket::{MsgFlags, recv};
 
-use super::socket::{Link, READ};
+use super::socket::{self, Link};
 use crate::clock::Clock;
 use crate::event::{Event, Join, Parting};
 
+/// One read of a session takes at most this much, which is held if the other side takes nothing of it; and this
+/// much where all connections together hold enough already.
+const READ_MOST: usize = 128 * 1024;
+const READ_LEAST: usize = 2 * 1024;
+
+thread_local! {
+    /// The worker's only one, made with the first session.
+    static READ: RefCell<Box<[u8]>> = RefCell::new(vec![0; READ_MOST].into_boxed_slice());
+}
+
 /// What goes from one side to the other.
 struct Way {
     flow: Flow,
@@ -97,7 +108,9 @@
         if !ways[side as usize].done && other.is_stuck() {
             return Next::Wait;
         }
+        let most = if socket::holds_much() { READ_LEAST } else { READ_MOST };
         READ.with_borrow_mut(|room| {
+            let room = &mut room[..most];
             // Not blocking: the descriptor is `may`'s.
             match recv(stream.inner().as_raw_fd(), room, MsgFlags::MSG_DONTWAIT) {
                 Ok(0) => Next::Over,
--- a/crates/garnetdoor-gateway/src/wire/socket.rs
+++ b/crates/garnetdoor-gateway/src/wire/socket.rs
@@ -35,7 +35,7 @@
 static HELD_ALL: AtomicUsize = AtomicUsize::new(usize::MAX);
 
 thread_local! {
-    pub(super) static READ: RefCell<Box<[u8]>> = RefCell::new(vec![0; READ_MOST].into_boxed_slice());
+    static READ: RefCell<Box<[u8]>> = RefCell::new(vec![0; READ_MOST].into_boxed_slice());
 }
 
 #[derive(Default)]
@@ -49,8 +49,9 @@
     shut: bool,
     /// The session that it is one side of. Its reads and writes are the relay's then.
     relay: Option<(Arc<Relay>, Side)>,
-    /// Since when something of a session waits to be written.
+    /// Since when something of a session waits to be written, and how many bytes count as held for it.
     stuck: Option<Micros>,
+    waits: usize,
 }
 
 /// A connection as the reducer's thread holds it.
@@ -117,6 +118,7 @@
             }
         }
         out.stuck = None;
+        HELD.fetch_sub(std::mem::take(&mut out.waits), Ordering::AcqRel);
         if out.last && !std::mem::replace(&mut out.shut, true) {
             let _ = stream.shutdown(Shutdown::Write);
         }
@@ -169,6 +171,8 @@
             }
             out.bytes.extend_from_slice(part);
         }
+        HELD.fetch_add(out.bytes.len() - out.waits, Ordering::AcqRel);
+        out.waits = out.bytes.len();
         if !waits && !out.bytes.is_empty() {
             (out.stuck, out.untold) = (Some(now), true);
             drop(out);
@@ -314,10 +318,16 @@
 
 impl Drop for Link {
     fn drop(&mut self) {
-        HELD.fetch_sub(self.unread.load(Ordering::Acquire), Ordering::AcqRel);
+        let held = self.unread.load(Ordering::Acquire) + self.out().waits;
+        HELD.fetch_sub(held, Ordering::AcqRel);
     }
 }
 
+/// Whether all connections together hold as much as they may.
+pub(super) fn holds_much() -> bool {
+    HELD.load(Ordering::Acquire) >= HELD_ALL.load(Ordering::Acquire)
+}
+
 /// Bounds what all connections together may hold unread.
 pub fn hold_at_most(bytes: usize) {
     HELD_ALL.store(bytes, Ordering::Release);
--- /dev/null
+++ b/crates/garnetdoor-lab/src/demo.rs
@@ -0,0 +1,1 @@
+//! One command with which a newcomer sees the main job.
--- /dev/null
+++ b/crates/garnetdoor-lab/src/emulate.rs
@@ -0,0 +1,1 @@
+//! The emulator.
--- a/crates/garnetdoor-sessions/src/limits.rs
+++ b/crates/garnetdoor-sessions/src/limits.rs
@@ -41,6 +41,14 @@
 const EACH: usize = 2;
 
 impl Limits {
+    /// How often the sessions' connections are looked at: often enough for the shortest of the times that rest on
+    /// it, and no oftener, since thousands stand idle.
+    pub fn glances(&self) -> Micros {
+        let shortest =
+            self.ping.min(self.slow).min(self.silence - self.ping).min(self.idle.unwrap_or(Micros::MAX));
+        (shortest / 8).clamp(SECOND / 10, 2 * SECOND)
+    }
+
     /// The same with no more sessions than their part of `descriptors` holds, and the descriptors set aside.
     pub fn within(mut self, descriptors: usize) -> (Limits, usize) {
         self.sessions = self.sessions.min(descriptors / OF_ALL / EACH);
--- a/crates/garnetdoor-sessions/src/state.rs
+++ b/crates/garnetdoor-sessions/src/state.rs
@@ -463,7 +463,7 @@
         }
     }
 
-    /// What the connections show of a session; asked for every half a second or so.
+    /// What the connections show of a session; asked for every [`Limits::glances`].
     pub fn glanced(&mut self, now: Micros, id: SessionId, seen: Glance) {
         let limits = &self.limits;
         let Some(session) = self.sessions.get_mut(&id).filter(|s| s.stage == Stage::Open) else { return };
