--- a/crates/garnetdoor-gateway/tests/reducer.rs
+++ b/crates/garnetdoor-gateway/tests/reducer.rs
@@ -975,3 +975,24 @@
     assert_eq!(rig.written(dialled[0]), "");
     assert!(rig.written(client).starts_with("HTTP/1.1 503 "), "{}", rig.written(client));
 }
+
+#[test]
+fn handshakes_split_at_every_position_open_the_same_session() {
+    for at in 1..UPGRADE.len() {
+        let mut rig = upgrading();
+        let client = rig.client();
+        rig.says(client, &UPGRADE[..at]);
+        assert!(rig.dialled(&[A, B]).is_empty(), "split at {at}");
+        rig.says(client, &UPGRADE[at..]);
+        assert_eq!(rig.dialled(&[A, B]).len(), 1, "split at {at}");
+    }
+    for at in 1..SWITCHED.len() {
+        let mut rig = upgrading();
+        let (client, server) = upgraded(&mut rig);
+        rig.says(server, &SWITCHED[..at]);
+        assert!(joins(&rig).is_empty() && rig.written(client).is_empty(), "split at {at}");
+        rig.says(server, &SWITCHED[at..]);
+        let nothing: [Vec<u8>; 2] = Default::default();
+        assert_eq!(joins(&rig), [nothing], "split at {at}");
+    }
+}
