--- a/crates/garnetdoor-match/src/lib.rs
+++ b/crates/garnetdoor-match/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod cost;
 pub mod eval;
 pub mod head;
+pub mod needs;
 pub mod syntax;
 
 pub use check::{Program, Type};
