--- a/crates/garnetdoor-operator/src/lib.rs
+++ b/crates/garnetdoor-operator/src/lib.rs
@@ -56,8 +56,11 @@
     let schema = jsonschema::validator_for(&schema());
     let schema = schema.map_err(|error| whole(error.to_string(), "a schema of this program"))?;
     let mut faults: Vec<Fault> = schema.iter_errors(&file).flat_map(|error| faults(&file, &error)).collect();
+    // What the schema faults is left out, so that the rest is checked all the same and all faults come together.
+    let mut rest = file;
+    faults.iter().for_each(|fault| remove(&mut rest, &fault.at));
     // A number may be whole and still too large for its type; the schema's ranges leave little of that.
-    let operator = serde_json::from_value::<Operator>(file.clone());
+    let operator = serde_json::from_value::<Operator>(rest);
     match operator {
         Ok(operator) => {
             if let Some(websocket) = &operator.websocket {
@@ -70,6 +73,14 @@
     }
 }
 
+/// Takes out what stands at a pointer, if anything does.
+fn remove(file: &mut Value, at: &str) {
+    let Some((parent, key)) = at.rsplit_once('/') else { return };
+    if let Some(object) = file.pointer_mut(parent).and_then(Value::as_object_mut) {
+        object.remove(&key.replace("~1", "/").replace("~0", "~"));
+    }
+}
+
 /// What the schema's checker found, in our words; one fault for each unknown key.
 fn faults(file: &Value, error: &jsonschema::ValidationError) -> Vec<Fault> {
     let at = error.instance_path().as_str().to_owned();
@@ -78,10 +89,17 @@
     match error.kind() {
         Kind::AdditionalProperties { unexpected } => {
             let known = known(&at);
+            let near = |key: &str| {
+                let best = known.iter().map(|other| (strsim::damerau_levenshtein(key, other), other)).min();
+                best.filter(|(distance, _)| *distance <= 3).map(|(_, other)| other)
+            };
             let unknown = |key: &String| Fault {
                 at: format!("{at}/{}", key.replace('~', "~0").replace('/', "~1")),
                 found: "an unknown key".to_owned(),
-                expected: format!("one of {known}"),
+                expected: match near(key) {
+                    Some(near) => format!("a known one, perhaps {near}"),
+                    None => format!("one of {}", known.join(", ")),
+                },
             };
             unexpected.iter().map(unknown).collect()
         }
@@ -110,7 +128,7 @@
 }
 
 /// The keys that the object at a pointer may have.
-fn known(at: &str) -> String {
+fn known(at: &str) -> Vec<String> {
     let schema = schema();
     let section = at.trim_start_matches('/');
     let object = match section {
@@ -121,7 +139,7 @@
         }
     };
     let keys = object["properties"].as_object().map(|keys| keys.keys().cloned().collect::<Vec<_>>());
-    keys.unwrap_or_default().join(", ")
+    keys.unwrap_or_default()
 }
 
 fn short(value: &Value) -> String {
