--- a/crates/garnetdoor-lab/src/stand/client.rs
+++ b/crates/garnetdoor-lab/src/stand/client.rs
@@ -185,26 +185,22 @@
 
 /// Asks an ordinary ticket; returns the answer's status, 0 for none.
 pub fn ticket(to: SocketAddr, method: &str, path: &str) -> u16 {
-    let ask = || -> io::Result<u16> {
-        let mut stream = TcpStream::connect_timeout(&to, PATIENCE)?;
-        stream.set_read_timeout(Some(PATIENCE))?;
-        let length = if method == "POST" { "Content-Length: 0\r\n" } else { "" };
-        let head = format!(
-            "{method} {path} HTTP/1.1\r\nReq-Id: u{}\r\nReq-Deadline-Ms: 1000\r\n{length}\r\n",
-            next_id()
-        );
-        stream.write_all(head.as_bytes())?;
-        Ok(message(&mut BufReader::new(stream)).map_or(0, |answer| answer.status()))
-    };
-    ask().unwrap_or(0)
+    let length = if method == "POST" { "Content-Length: 0\r\n" } else { "" };
+    let id = next_id();
+    status(to, &format!("{method} {path} HTTP/1.1\r\nReq-Id: u{id}\r\nReq-Deadline-Ms: 1000\r\n{length}\r\n"))
 }
 
 /// The status of the daemon's health, 0 for none.
 pub fn health(at: SocketAddr) -> u16 {
+    status(at, "GET /_health HTTP/1.1\r\nConnection: close\r\n\r\n")
+}
+
+/// Sends a message on a connection of its own; the status of the answer, 0 for none.
+fn status(to: SocketAddr, text: &str) -> u16 {
     let ask = || -> io::Result<u16> {
-        let mut stream = TcpStream::connect_timeout(&at, PATIENCE)?;
+        let mut stream = TcpStream::connect_timeout(&to, PATIENCE)?;
         stream.set_read_timeout(Some(PATIENCE))?;
-        stream.write_all(b"GET /_health HTTP/1.1\r\nConnection: close\r\n\r\n")?;
+        stream.write_all(text.as_bytes())?;
         Ok(message(&mut BufReader::new(stream)).map_or(0, |answer| answer.status()))
     };
     ask().unwrap_or(0)
--- a/crates/garnetdoor-match/src/check.rs
+++ b/crates/garnetdoor-match/src/check.rs
@@ -80,7 +80,8 @@
     Not(Box<Code>),
     /// Numbers, durations, texts, truths or addresses of one type.
     Compare(Comparison, Box<Code>, Box<Code>),
-    InTexts(Box<Code>, BTreeSet<String>),
+    /// With the length of the longest.
+    InTexts(Box<Code>, BTreeSet<String>, usize),
     InNumbers(Box<Code>, BTreeSet<i64>),
     InNets(Box<Code>, Vec<IpNet>),
     InList(Box<Code>, Box<Code>),
@@ -299,7 +300,9 @@
                 let texts = self.literals(items, "text", |l| {
                     if let Literal::Text(t) = l { Some(t.clone()) } else { None }
                 });
-                sure(Code::InTexts(code, texts?.into_iter().collect()), Type::Truth)
+                let texts = texts?;
+                let longest = texts.iter().map(String::len).max().unwrap_or(0);
+                sure(Code::InTexts(code, texts.into_iter().collect(), longest), Type::Truth)
             }
             Type::Number => {
                 let numbers = self.literals(items, "a number", |l| {
--- a/crates/garnetdoor-match/src/cost.rs
+++ b/crates/garnetdoor-match/src/cost.rs
@@ -58,10 +58,9 @@
         }
         Code::Not(code) | Code::Present(code) => units(of(code).units),
         Code::Compare(_, a, b) => units(of(a).units + of(b).units + scan(of(a).bytes.min(of(b).bytes))),
-        Code::InTexts(code, set) => {
-            let longest = set.iter().map(String::len).max().unwrap_or(0);
+        Code::InTexts(code, set, longest) => {
             // A tree's depth of comparisons, each as far as the two agree.
-            units(of(code).units + (usize::BITS - set.len().leading_zeros()) as u64 * scan(longest))
+            units(of(code).units + (usize::BITS - set.len().leading_zeros()) as u64 * scan(*longest))
         }
         Code::InNumbers(code, set) => {
             units(of(code).units + (usize::BITS - set.len().leading_zeros()) as u64)
--- a/crates/garnetdoor-match/src/eval.rs
+++ b/crates/garnetdoor-match/src/eval.rs
@@ -80,11 +80,10 @@
             Code::And(codes) => Value::Truth(codes.iter().all(|code| self.truth(code))),
             Code::Not(code) => Value::Truth(!self.truth(code)),
             Code::Compare(how, a, b) => self.compare(*how, a, b),
-            Code::InTexts(code, set) => {
+            Code::InTexts(code, set, longest) => {
                 let text = self.text(code);
-                let longest = set.iter().map(String::len).max().unwrap_or(0);
                 self.spent +=
-                    (usize::BITS - set.len().leading_zeros()) as u64 * cost::scan(longest.min(text.len()));
+                    (usize::BITS - set.len().leading_zeros()) as u64 * cost::scan((*longest).min(text.len()));
                 Value::Truth(set.contains(text.as_ref()))
             }
             Code::InNumbers(code, set) => {
--- a/crates/garnetdoor-match/src/needs.rs
+++ b/crates/garnetdoor-match/src/needs.rs
@@ -43,7 +43,7 @@
             }
             _ => return None,
         },
-        Code::InTexts(input, set) => (is(input)?, set.clone()),
+        Code::InTexts(input, set, _) => (is(input)?, set.clone()),
         _ => return None,
     };
     // Where absence counts as one of them, heads without it match too.
