--- a/crates/garnetdoor-gateway/src/memory/reducer.rs
+++ b/crates/garnetdoor-gateway/src/memory/reducer.rs
@@ -27,7 +27,9 @@
 const STILL_LISTENS: Micros = 500_000;
 /// The rest of an answer of which a part has come: servers write it at once.
 const ANSWER_SLOW: Micros = 250_000;
-/// Held tickets are answered by then at the latest, since SIGKILL follows.
+/// Held tickets are answered by then at the latest, since SIGKILL follows 3.7 s after the word to stop at the
+/// soonest, however long clients wait; and what is left to do then may take so long.
+const ANSWERS_WITHIN: Micros = 3_500_000;
 const STOPS_WITHIN: Micros = 3_600_000;
 
 impl From<Fault> for Reason {
@@ -177,6 +179,9 @@
                 desk.effects.push(Effect::StopListening);
                 close_idle_clients(&mut desk);
             }
+            // Guards against tickets whose clients wait longer than there is time to stop: an end without their
+            // answers loses them all. Harm: those that would have been finished in the last 0.2 s are not.
+            Timer::AnswerAll => self.gate.stops(),
             Timer::Exit => self.desk().effects.push(Effect::Exit),
         }
     }
@@ -187,6 +192,7 @@
             let now = desk.now;
             desk.log("stopping".to_owned());
             desk.timers.set(now + STILL_LISTENS, Timer::StopListening);
+            desk.timers.set(now + ANSWERS_WITHIN, Timer::AnswerAll);
             desk.timers.set(now + STOPS_WITHIN, Timer::Exit);
             close_idle_clients(&mut desk);
             if let Some(room) = &mut desk.room {
--- a/crates/garnetdoor-gateway/src/memory/timers.rs
+++ b/crates/garnetdoor-gateway/src/memory/timers.rs
@@ -21,6 +21,8 @@
     /// The sessions' connections are looked at.
     Glance,
     StopListening,
+    /// What is held gets its answer before the end.
+    AnswerAll,
     Exit,
 }
 
--- a/crates/garnetdoor-gateway/tests/reducer.rs
+++ b/crates/garnetdoor-gateway/tests/reducer.rs
@@ -840,6 +840,28 @@
     assert!(rig.done.contains(&Effect::Exit));
 }
 
+fn waits_long(line: &str, id: ConnId) -> String {
+    format!("{line} HTTP/1.1\r\nReq-Id: l{}\r\nReq-Deadline-Ms: 9000\r\n\r\n", id.0)
+}
+
+#[test]
+fn a_stop_answers_clients_that_wait_longer_than_there_is_time_to_stop() {
+    let mut rig = Rig::new();
+    let [(view, _), (print, _)] = [
+        rig.trip_out(|rig, id| rig.says(id, &waits_long("GET /view/1", id))),
+        rig.trip_out(|rig, id| rig.says(id, &waits_long("POST /print", id))),
+    ];
+    rig.happens(Event::Stop);
+    rig.wait(3_450 * MS);
+    assert_eq!((rig.written(view).len(), rig.written(print).len()), (0, 0));
+    rig.wait(60 * MS);
+    assert_eq!((rig.status(view).as_str(), rig.status(print).as_str()), ("503", "504"));
+    assert!(!rig.done.contains(&Effect::Exit));
+    rig.happens(Event::Written(view));
+    rig.happens(Event::Written(print));
+    assert!(rig.done.contains(&Effect::Exit));
+}
+
 #[test_case(&["listen"], json!("nowhere"); "listen")]
 #[test_case(&["discovery"], json!(null); "discovery")]
 #[test_case(&["seed"], json!("xyz"); "seed")]
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -342,6 +342,12 @@
         }
     }
 
+    /// The gateway ends: every ticket still open gets its final answer now.
+    pub fn stops(&mut self) {
+        let open = self.seen.tickets.iter().filter(|(_, ticket)| !ticket.over).map(|(id, _)| *id);
+        open.collect::<Vec<_>>().into_iter().for_each(|id| self.give_up(id));
+    }
+
     /// The final answer of a ticket that gets no further trip: turned back where that promises no lie.
     fn give_up(&mut self, id: TicketId) {
         let ticket = &self.seen.tickets[&id];
