--- a/src/balance.rs
+++ b/src/balance.rs
@@ -642,6 +642,7 @@
             Phase::OnTrial if timer || worse.is_some() => return,
             Phase::OnTrial if std::mem::replace(&mut self.seen.ripe, ripe) == ripe && ripe > now => return,
             Phase::OnTrial if ripe > now => return self.host.wake_at(ripe, Wake::Vote),
+            Phase::OnTrial if !self.may_pass() => return,
             Phase::OnTrial => Vote::On,
         };
         let cast = Some((news.build, news.stage, vote));
@@ -692,18 +693,37 @@
 
     /// A vote that counted is renewed well within its life; one that did not is cast again after a while
     /// that differs between gateways, since the platform's calls are shared. A moot one waits for news.
+    /// Where calls are so few that not all votes can stand at once, one that stands is not renewed before its
+    /// end: it would take the call of another, and less than half of what can stand would. Harm: it lapses
+    /// for a moment. One back asks again at once, as it must get through before those on.
     pub fn vote_answered(&mut self, taken: Taken) {
         let life = self.settings.micros("domain.vote_life").unwrap_or(SECOND);
         let answer = self.settings.micros("domain.vote_wait").unwrap_or(SECOND);
-        let each = SECOND as f64 / self.settings.number("domain.votes_per_s").unwrap_or(100.0).max(1.0);
+        let fleet = self.settings.number("fleet_size").unwrap_or(1.0);
+        let turn = (fleet / self.calls() * SECOND as f64) as Micros;
+        let back = matches!(self.seen.cast, Some((.., Vote::Back)));
         let wait = match taken {
-            Taken::Counted => self.between(life / 2, (life - answer).max(life / 2)),
+            Taken::Counted => {
+                let least = (life / 2).max(turn.min(life));
+                self.between(least, (life - answer).max(least))
+            }
             Taken::Moot => SECOND,
-            _ => self.between(200 * MS, 600 * MS + self.in_turn(each as Micros)),
+            _ => self.between(200 * MS, 600 * MS + if back { 0 } else { turn.min(5 * SECOND) }),
         };
         self.again_in(wait);
     }
 
+    /// Votes a second that the platform takes of all gateways.
+    fn calls(&self) -> f64 {
+        self.settings.number("domain.votes_per_s").unwrap_or(100.0).max(1.0)
+    }
+
+    /// Whether votes on can stand in time at all; where not, they only take the calls of those back.
+    fn may_pass(&self) -> bool {
+        let life = self.settings.number("domain.vote_life").unwrap_or(1.0);
+        self.settings.number("domain.ayes_needed").unwrap_or(1.0) <= (self.calls() * life).max(1.0)
+    }
+
     /// A tally waits until the rest of its batch is in: with the earlier build's still missing, trouble that
     /// all share would look like the new build's.
     pub fn tally_came(&mut self, tally: Tally) {
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -562,6 +562,36 @@
     assert!((3 * S..=5 * S).contains(&(at - now)), "a life of 6 s, 1 s for the answer");
 }
 
+/// Fewer calls than gateways for as long as a vote stands.
+const SCARCE: &[(&str, &str)] =
+    &[("fleet_size", "300"), ("domain.votes_per_s", "16"), ("domain.noes_needed", "75")];
+
+fn next_vote_in(story: &Story) -> Micros {
+    story.read(|book| book.wakes.last().expect("a wake-up").0 - book.now)
+}
+
+#[test]
+fn where_calls_are_scarce_a_standing_vote_takes_none_from_the_others() {
+    let mut story = trial_with(SCARCE);
+    story.run(80, 0, &[100, 101, 102, 103, 104], 30 * MS, Ending::Error);
+    assert_eq!(story.last_vote(), Some((2, 1, Vote::Back)));
+    story.gate.vote_answered(Taken::Counted);
+    // 16 a second that stand for 6 s each are 96, if none is renewed sooner; at half of the life 48 and too few.
+    assert!((6 * S..=6100 * MS).contains(&next_vote_in(&story)), "{}", next_vote_in(&story));
+    story.gate.vote_answered(Taken::Full);
+    assert!(next_vote_in(&story) <= 600 * MS, "one back asks again at once");
+}
+
+#[test_case("180", false; "more than can stand at once")]
+#[test_case("90", true; "as many as can stand")]
+fn votes_on_that_can_never_stand_together_leave_the_calls_to_those_back(needed: &str, cast: bool) {
+    let more: Vec<_> = SCARCE.iter().copied().chain([("domain.ayes_needed", needed)]).collect();
+    let mut story = trial_with(&more);
+    story.pass(10 * S);
+    story.gate.woke(Wake::Vote);
+    assert_eq!(story.last_vote(), cast.then_some((2, 1, Vote::On)));
+}
+
 #[test]
 fn lost_answers_among_quick_ones_are_no_jam() {
     let mut story = Story::new(&[], fleet(6, 0));
