--- a/crates/garnetdoor-lab/src/lib.rs
+++ b/crates/garnetdoor-lab/src/lib.rs
@@ -6,6 +6,8 @@
 pub mod daemon;
 pub mod demo;
 pub mod emulate;
+pub mod fleet;
+pub mod port;
 pub mod prove;
 pub mod record;
 pub mod rules;
--- a/crates/garnetdoor-lab/src/prove/mod.rs
+++ b/crates/garnetdoor-lab/src/prove/mod.rs
@@ -1,6 +1,7 @@
 //! Proofs: each starts what it needs, plays its direction's hard cases, checks the rules on what the stand-ins
 //! saw, and ends with figures beside their limits.
 
+pub mod fleet;
 pub mod measure;
 pub mod websocket;
 
@@ -108,8 +109,15 @@
 pub type Entry = (&'static str, &'static str, fn(u64) -> std::io::Result<Proof>);
 
 /// All proofs.
-pub const ALL: &[Entry] = &[(
-    "websocket",
-    "upgrades, shares, drains, keys and stops of WebSocket sessions through the daemon, and what they cost",
-    websocket::prove,
-)];
+pub const ALL: &[Entry] = &[
+    (
+        "fleet",
+        "1, 3, 100 and 300 gateways in one emulated world: the rules, calls, connections, loads and verdicts",
+        fleet::prove,
+    ),
+    (
+        "websocket",
+        "upgrades, shares, drains, keys and stops of WebSocket sessions through the daemon, and what they cost",
+        websocket::prove,
+    ),
+];
