--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -1,1 +1,143 @@
-//! ledger
+//! Ledger (durable state): the form of the core's state on disk and its recovery, over a `Store`.
+//!
+//! Each value carries a format version and a checksum over its key and bytes, so that what is torn, rotten or
+//! misplaced is found out when it is read. The record of the hard state also tells which entries there must be:
+//! an entry that is missing, even the newest, is an error and never a shorter log.
+
+mod form;
+mod store;
+
+use promptbook::{Saved, Write};
+use props::{Index, Life};
+use thiserror::Error;
+
+use form::{Hard, entry_key};
+pub use store::{Batch, Pairs, Step, Store, StoreError};
+
+/// Why a ledger can't be opened, or a write is not kept.
+#[derive(Debug, Error, PartialEq, Eq)]
+pub enum LedgerError {
+    /// The store failed. Whether a batch it was handed is there is unknown until it has been kept again.
+    #[error(transparent)]
+    Store(#[from] StoreError),
+    /// A value that is torn, rotten or not of this ledger; `at` names its key.
+    #[error("{at} is damaged: {why}")]
+    Damaged { at: String, why: &'static str },
+    /// What must be there is not.
+    #[error("{at} is missing")]
+    Missing { at: String },
+    /// A value written by a newer program.
+    #[error("{at} has the form {form}, which this program does not know")]
+    Unknown { at: String, form: u8 },
+    /// A write that does not follow on what is kept: it would leave a gap, or write over entries without a cut.
+    #[error("entry {found} can't follow entry {last} of the log")]
+    Misfit { last: u64, found: u64 },
+}
+
+/// What a disk held when it was opened.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Opened {
+    /// The disk's life, the one it got when it was first opened.
+    pub life: Life,
+    pub saved: Saved,
+    /// The disk was empty; it promised nothing before.
+    pub fresh: bool,
+}
+
+/// The state of one core machine on its store.
+#[derive(Debug)]
+pub struct Ledger<S> {
+    store: S,
+    /// What is kept, as of the last write that succeeded.
+    span: Span,
+}
+
+/// Which part of the log is kept: entries after `base` (the snapshot's index) up to `last`.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct Span {
+    base: u64,
+    last: u64,
+}
+
+impl<S: Store> Ledger<S> {
+    /// Opens what is in the store, or begins it with the life `fresh` if it is empty; the beginning is durable
+    /// at return. Damage is an error that names its place: nothing is dropped to get on, since all that was
+    /// ever kept may have been acknowledged.
+    pub fn open(mut store: S, fresh: Life) -> Result<(Self, Opened), LedgerError> {
+        let all = store.scan(&[], &[])?;
+        if all.is_empty() {
+            let mut batch = Batch::default();
+            batch.put(form::LIFE.to_vec(), form::seal_life(fresh));
+            batch.put(form::HARD.to_vec(), form::seal_hard(&Hard::default()));
+            store.put(&batch)?;
+            let opened = Opened { life: fresh, saved: Saved::default(), fresh: true };
+            return Ok((Self { store, span: Span::default() }, opened));
+        }
+        let recovered = form::read_all(all)?;
+        let span = Span { base: recovered.hard.base, last: recovered.hard.last };
+        let opened = Opened { life: recovered.life, saved: recovered.saved, fresh: false };
+        Ok((Self { store, span }, opened))
+    }
+
+    /// Keeps one write: durable at return. See `keep_all`.
+    pub fn keep(&mut self, write: &Write) -> Result<(), LedgerError> {
+        self.keep_all(std::slice::from_ref(write))
+    }
+
+    /// Keeps writes in order in one batch, all or none: durable at return. After an error of the store it is
+    /// unknown whether they are there; keeping the same ones again is safe, and must come before any other.
+    pub fn keep_all(&mut self, writes: &[Write]) -> Result<(), LedgerError> {
+        let Some(newest) = writes.last() else { return Ok(()) };
+        let mut batch = Batch::default();
+        let mut span = self.span;
+        for write in writes {
+            span = lay(&mut batch, span, write)?;
+        }
+        let hard = Hard { term: newest.term, voted: newest.voted, base: span.base, last: span.last };
+        batch.put(form::HARD.to_vec(), form::seal_hard(&hard));
+        self.store.put(&batch)?;
+        self.span = span;
+        Ok(())
+    }
+
+    /// The newest entry kept, or the snapshot's index where there is none.
+    pub fn last(&self) -> Index {
+        Index(self.span.last)
+    }
+
+    pub fn into_store(self) -> S {
+        self.store
+    }
+}
+
+/// Adds one write's steps to a batch; tells what is kept after it.
+fn lay(batch: &mut Batch, mut span: Span, write: &Write) -> Result<Span, LedgerError> {
+    if let Some(Index(from)) = write.cut_from {
+        let from = from.max(span.base + 1);
+        if from <= span.last {
+            batch.cut(entry_key(from).to_vec(), form::AFTER_ENTRIES.to_vec());
+            span.last = from - 1;
+        }
+    }
+    if let Some(snapshot) = &write.snapshot {
+        let Index(index) = snapshot.index;
+        if index < span.base {
+            return Err(LedgerError::Misfit { last: span.base, found: index });
+        }
+        batch.put(form::SNAPSHOT.to_vec(), form::seal_snapshot(snapshot));
+        batch.cut(entry_key(0).to_vec(), entry_key(index + 1).to_vec());
+        span = Span { base: index, last: span.last.max(index) };
+    }
+    for entry in &write.entries {
+        let Index(index) = entry.index;
+        if index <= span.base {
+            continue;
+        }
+        if index != span.last + 1 {
+            return Err(LedgerError::Misfit { last: span.last, found: index });
+        }
+        batch.put(entry_key(index).to_vec(), form::seal_entry(entry));
+        span.last = index;
+    }
+    Ok(span)
+}
--- /dev/null
+++ b/crates/ledger/src/store.rs
@@ -0,0 +1,74 @@
+//! What a ledger asks of a store.
+
+use thiserror::Error;
+
+/// Why a store could not do what it was asked to. After a failed `put` the batch is there whole or not at all.
+#[derive(Clone, Debug, Error, PartialEq, Eq)]
+pub enum StoreError {
+    /// The disk is full, gone or failing; later tries may succeed.
+    #[error("{doing}: {why}")]
+    Failed { doing: &'static str, why: String },
+    /// What is on disk can't be read as a store any more.
+    #[error("store is damaged: {why}")]
+    Damaged { why: String },
+}
+
+/// One change of a store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Step {
+    Put {
+        key: Vec<u8>,
+        value: Vec<u8>,
+    },
+    Delete {
+        key: Vec<u8>,
+    },
+    /// Deletes all keys from `from` (included) to `until` (not included).
+    Cut {
+        from: Vec<u8>,
+        until: Vec<u8>,
+    },
+}
+
+/// Changes that are made together, in order: all or none. Carrying out the same batch again, whether or not it
+/// was carried out before, gives the same store.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Batch {
+    pub steps: Vec<Step>,
+}
+
+impl Batch {
+    pub fn put(&mut self, key: Vec<u8>, value: Vec<u8>) {
+        self.steps.push(Step::Put { key, value });
+    }
+
+    pub fn delete(&mut self, key: Vec<u8>) {
+        self.steps.push(Step::Delete { key });
+    }
+
+    pub fn cut(&mut self, from: Vec<u8>, until: Vec<u8>) {
+        self.steps.push(Step::Cut { from, until });
+    }
+}
+
+/// Keys with their values, in the order of the keys.
+pub type Pairs = Vec<(Vec<u8>, Vec<u8>)>;
+
+/// Ordered keys with values that outlast the process and a loss of power. May wait for the disk.
+pub trait Store: Send {
+    /// Makes the batch's changes, atomic and durable at return.
+    fn put(&mut self, batch: &Batch) -> Result<(), StoreError>;
+
+    /// Keys from `from` (included) to `until` (not included; empty: no bound), in order, with their values.
+    fn scan(&mut self, from: &[u8], until: &[u8]) -> Result<Pairs, StoreError>;
+}
+
+impl<S: Store + ?Sized> Store for Box<S> {
+    fn put(&mut self, batch: &Batch) -> Result<(), StoreError> {
+        (**self).put(batch)
+    }
+
+    fn scan(&mut self, from: &[u8], until: &[u8]) -> Result<Pairs, StoreError> {
+        (**self).scan(from, until)
+    }
+}
--- /dev/null
+++ b/crates/wings/src/disk.rs
@@ -0,0 +1,227 @@
+//! Disk store: one redb file in the data directory.
+//!
+//! The file is made under another name, synced, then renamed, so that the final name stands only for a file that
+//! was whole; what can't be read under it is damage, never a beginning that was cut short.
+
+use std::fmt;
+use std::fs::{self, File, OpenOptions};
+use std::io::{self, ErrorKind};
+use std::panic::{AssertUnwindSafe, catch_unwind};
+use std::path::{Path, PathBuf};
+
+use ledger::{Batch, Pairs, Step, Store, StoreError};
+use redb::backends::FileBackend;
+use redb::{Builder, Database, Durability, ReadableDatabase, StorageBackend, TableDefinition};
+
+const NAME: &str = "ledger.redb";
+/// The file while it is made; worth nothing under this name.
+const UNBORN: &str = "ledger.new";
+const ASIDE: &str = "ledger.bad";
+const TABLE: TableDefinition<&[u8], &[u8]> = TableDefinition::new("ledger");
+const CACHE_BYTES: usize = 1 << 20;
+
+/// The few things a store asks of a directory; tests put one below it that loses power.
+pub trait Folder: Send {
+    type File: StorageBackend;
+
+    /// Opens a file if there is one, and syncs it: what a dead process wrote without a sync, and this one is
+    /// about to read and believe, must not be lost later.
+    fn open(&self, name: &str) -> io::Result<Option<Self::File>>;
+    /// Makes a new, empty file in place of any of that name.
+    fn create(&self, name: &str) -> io::Result<Self::File>;
+    /// Takes the place of any file of the new name; lasting only after `sync`.
+    fn rename(&self, from: &str, to: &str) -> io::Result<()>;
+    /// Makes the names last.
+    fn sync(&self) -> io::Result<()>;
+}
+
+/// A directory of the file system.
+#[derive(Debug)]
+pub struct DirFolder(PathBuf);
+
+impl Folder for DirFolder {
+    type File = FileBackend;
+
+    fn open(&self, name: &str) -> io::Result<Option<FileBackend>> {
+        match OpenOptions::new().read(true).write(true).open(self.0.join(name)) {
+            Ok(file) => {
+                file.sync_all()?;
+                FileBackend::new(file).map(Some).map_err(io::Error::other)
+            }
+            Err(error) if error.kind() == ErrorKind::NotFound => Ok(None),
+            Err(error) => Err(error),
+        }
+    }
+
+    fn create(&self, name: &str) -> io::Result<FileBackend> {
+        let path = self.0.join(name);
+        let file = OpenOptions::new().read(true).write(true).create(true).truncate(true).open(path)?;
+        FileBackend::new(file).map_err(io::Error::other)
+    }
+
+    fn rename(&self, from: &str, to: &str) -> io::Result<()> {
+        fs::rename(self.0.join(from), self.0.join(to))
+    }
+
+    fn sync(&self) -> io::Result<()> {
+        File::open(&self.0)?.sync_all()
+    }
+}
+
+/// A store in one file of a directory. Each batch is one transaction with one sync before it returns.
+pub struct DiskStore<F: Folder = DirFolder> {
+    folder: F,
+    /// None after a failure: what is on disk is unknown then, and the file is made anew before it is used.
+    database: Option<Database>,
+}
+
+impl DiskStore<DirFolder> {
+    /// Opens the store in `dir`, or makes an empty one there. Fails with `Damaged` where the file can't be read:
+    /// it may hold what was acknowledged, so nothing is begun over it.
+    pub fn open(dir: &Path) -> Result<Self, StoreError> {
+        fs::create_dir_all(dir).map_err(|e| failed("making the data directory", &e))?;
+        Self::over(DirFolder(dir.to_owned()))
+    }
+
+    /// Puts a damaged file out of the way, so that the next `open` begins an empty store: the disk then has a
+    /// new life, and nothing it promised in the one before is expected of it.
+    pub fn set_aside(dir: &Path) -> Result<(), StoreError> {
+        let folder = DirFolder(dir.to_owned());
+        folder.rename(NAME, ASIDE).map_err(|e| failed("setting the file aside", &e))?;
+        folder.sync().map_err(|e| failed("syncing the folder", &e))
+    }
+}
+
+impl<F: Folder> DiskStore<F> {
+    /// As `open`, over any folder.
+    pub fn over(folder: F) -> Result<Self, StoreError> {
+        let database = open_or_make(&folder)?;
+        Ok(Self { folder, database: Some(database) })
+    }
+
+    /// Does something with the database; after a failure of any kind it is closed and in doubt.
+    fn with<T>(
+        &mut self, doing: &'static str, work: impl FnOnce(&Database) -> Result<T, redb::Error>,
+    ) -> Result<T, StoreError> {
+        let database = match self.database.take() {
+            Some(database) => database,
+            None => make_anew(&self.folder)?,
+        };
+        let done = guarded(doing, || work(&database))?;
+        self.database = Some(database);
+        Ok(done)
+    }
+}
+
+impl<F: Folder> Store for DiskStore<F> {
+    fn put(&mut self, batch: &Batch) -> Result<(), StoreError> {
+        self.with("writing", |database| write(database, batch))
+    }
+
+    fn scan(&mut self, from: &[u8], until: &[u8]) -> Result<Pairs, StoreError> {
+        self.with("reading", |database| read(database, from, until))
+    }
+}
+
+impl<F: Folder> fmt::Debug for DiskStore<F> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("DiskStore").field("in_doubt", &self.database.is_none()).finish()
+    }
+}
+
+fn open_or_make<F: Folder>(folder: &F) -> Result<Database, StoreError> {
+    if let Some(file) = folder.open(NAME).map_err(|e| failed("opening", &e))? {
+        // The renaming may have been the last thing a killed process did.
+        folder.sync().map_err(|e| failed("syncing the folder", &e))?;
+        return open_file("opening", file);
+    }
+    replace(folder, &Batch::default())
+}
+
+/// After a failure that may have been one of syncing: pages the system counts as written may not be on the disk
+/// and won't be tried again, so all that can be read is written to a new file.
+fn make_anew<F: Folder>(folder: &F) -> Result<Database, StoreError> {
+    let database = open_or_make(folder)?;
+    let pairs = guarded("reading", || read(&database, &[], &[]))?;
+    drop(database);
+    let steps = pairs.into_iter().map(|(key, value)| Step::Put { key, value }).collect();
+    replace(folder, &Batch { steps })
+}
+
+/// Makes a file with what the batch puts in it, whole and synced, and only then gives it its name.
+fn replace<F: Folder>(folder: &F, batch: &Batch) -> Result<Database, StoreError> {
+    let file = folder.create(UNBORN).map_err(|e| failed("making the file", &e))?;
+    let database = open_file("making the file", file)?;
+    guarded("making the file", || write(&database, batch))?;
+    drop(database);
+    folder.open(UNBORN).map_err(|e| failed("syncing the new file", &e))?;
+    folder.rename(UNBORN, NAME).map_err(|e| failed("naming the file", &e))?;
+    folder.sync().map_err(|e| failed("syncing the folder", &e))?;
+    let file = folder.open(NAME).map_err(|e| failed("opening", &e))?;
+    let file = file.ok_or_else(|| failed("opening", &io::Error::from(ErrorKind::NotFound)))?;
+    open_file("opening", file)
+}
+
+fn open_file(doing: &'static str, file: impl StorageBackend) -> Result<Database, StoreError> {
+    guarded(doing, || {
+        let mut builder = Builder::new();
+        builder.set_cache_size(CACHE_BYTES).set_check_integrity_on_open(true);
+        Ok(builder.create_with_backend(file)?)
+    })
+}
+
+fn write(database: &Database, batch: &Batch) -> Result<(), redb::Error> {
+    let mut transaction = database.begin_write()?;
+    transaction.set_durability(Durability::Immediate)?;
+    {
+        let mut table = transaction.open_table(TABLE)?;
+        for step in &batch.steps {
+            match step {
+                Step::Put { key, value } => {
+                    table.insert(&key[..], &value[..])?;
+                }
+                Step::Delete { key } => {
+                    table.remove(&key[..])?;
+                }
+                Step::Cut { from, until } if from < until => {
+                    table.retain_in(&from[..]..&until[..], |_, _| false)?;
+                }
+                Step::Cut { .. } => {}
+            }
+        }
+    }
+    transaction.commit()?;
+    Ok(())
+}
+
+fn read(database: &Database, from: &[u8], until: &[u8]) -> Result<Pairs, redb::Error> {
+    let table = database.begin_read()?.open_table(TABLE)?;
+    let range = if until.is_empty() { table.range(from..)? } else { table.range(from..until.max(from))? };
+    range
+        .map(|pair| {
+            let (key, value) = pair?;
+            Ok((key.value().to_vec(), value.value().to_vec()))
+        })
+        .collect()
+}
+
+/// Turns the library's errors, and its panics over a damaged file, into values.
+fn guarded<T>(doing: &'static str, work: impl FnOnce() -> Result<T, redb::Error>) -> Result<T, StoreError> {
+    match catch_unwind(AssertUnwindSafe(work)) {
+        Ok(Ok(done)) => Ok(done),
+        Ok(Err(redb::Error::Io(error)))
+            if !matches!(error.kind(), ErrorKind::InvalidData | ErrorKind::UnexpectedEof) =>
+        {
+            Err(failed(doing, &error))
+        }
+        Ok(Err(error @ (redb::Error::PreviousIo | redb::Error::DatabaseAlreadyOpen))) => {
+            Err(failed(doing, &error))
+        }
+        Ok(Err(error)) => Err(StoreError::Damaged { why: error.to_string() }),
+        Err(_) => Err(StoreError::Damaged { why: format!("panic while {doing}") }),
+    }
+}
+
+fn failed(doing: &'static str, error: &dyn std::error::Error) -> StoreError {
+    StoreError::Failed { doing, why: error.to_string() }
+}
--- /dev/null
+++ b/crates/wings/src/incoming.rs
@@ -0,0 +1,105 @@
+//! What comes in: datagrams, and streams of messages that each begin with their length.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::io::{AsyncReadExt, BufReader};
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
+use tokio::sync::{Semaphore, mpsc};
+use tokio::task::JoinSet;
+use tokio::time::{sleep, timeout};
+
+use crate::post::PostLimits;
+
+type Arrived = mpsc::Sender<(Ipv4Addr, Vec<u8>)>;
+
+/// After an error of a listening socket, such as a lack of descriptors.
+const REST: Duration = Duration::from_millis(100);
+const READ_BYTES: usize = 16 << 10;
+
+/// Hands on datagrams until the receiver is gone; drops them while it is full, and those over `longest`.
+pub(crate) async fn datagrams(socket: Rc<UdpSocket>, arrived: Arrived, longest: usize) {
+    let mut buffer = vec![0; longest + 1];
+    loop {
+        match socket.recv_from(&mut buffer).await {
+            Ok((length, SocketAddr::V4(from))) if length <= longest => {
+                match arrived.try_send((*from.ip(), buffer[..length].to_vec())) {
+                    Ok(()) => {}
+                    Err(mpsc::error::TrySendError::Full(_)) => log::debug!("datagram dropped: queue is full"),
+                    Err(mpsc::error::TrySendError::Closed(_)) => return,
+                }
+            }
+            Ok(_) => {}
+            Err(error) => {
+                log::warn!("datagrams: {error}");
+                sleep(REST).await;
+            }
+        }
+    }
+}
+
+/// Takes in streams from others.
+pub(crate) struct Door {
+    listener: TcpListener,
+    arrived: Arrived,
+    limits: PostLimits,
+}
+
+impl Door {
+    pub(crate) fn new(listener: TcpListener, arrived: Arrived, limits: PostLimits) -> Self {
+        Self { listener, arrived, limits }
+    }
+
+    /// Ends, with all its streams, when it is dropped.
+    pub(crate) async fn run(self) {
+        let reading = Arc::new(Semaphore::new(self.limits.reading));
+        let mut streams = JoinSet::new();
+        loop {
+            while streams.len() >= self.limits.streams {
+                streams.join_next().await;
+            }
+            while streams.try_join_next().is_some() {}
+            match self.listener.accept().await {
+                Ok((stream, SocketAddr::V4(from))) => {
+                    let arrived = self.arrived.clone();
+                    streams.spawn_local(frames(stream, *from.ip(), arrived, reading.clone(), self.limits));
+                }
+                Ok(_) => {}
+                Err(error) => {
+                    log::warn!("streams: {error}");
+                    sleep(REST).await;
+                }
+            }
+        }
+    }
+}
+
+/// Hands on a stream's messages until it ends, errs or dawdles; a message cut off is dropped.
+async fn frames(
+    stream: TcpStream, from: Ipv4Addr, arrived: Arrived, reading: Arc<Semaphore>, limits: PostLimits,
+) {
+    let mut stream = BufReader::with_capacity(READ_BYTES, stream);
+    loop {
+        // A peer that lost power says nothing; its stream must not stay for ever.
+        let Ok(Ok(length)) = timeout(limits.idle * 2, stream.read_u32()).await else { return };
+        let length = length as usize;
+        if length > limits.message {
+            log::warn!("stream from {from} closed: message of {length} bytes");
+            return;
+        }
+        let permits = length.min(limits.reading) as u32;
+        let frame = async {
+            let _permit = reading.acquire_many(permits).await.ok()?;
+            let mut bytes = Vec::new();
+            // Grows with what arrives: a length that is a lie costs no memory.
+            let read = (&mut stream).take(length as u64).read_to_end(&mut bytes).await.ok()?;
+            (read == length).then_some(bytes)
+        };
+        let Ok(Some(bytes)) = timeout(limits.frame, frame).await else { return };
+        if arrived.send((from, bytes)).await.is_err() {
+            return;
+        }
+    }
+}
--- a/crates/wings/src/lib.rs
+++ b/crates/wings/src/lib.rs
@@ -1,1 +1,29 @@
-//! wings
+//! Wings (transports and stores): what carries the words between machines and keeps them on disk. Nothing here
+//! decides anything; every transport and every store passes the contracts in `tests/contracts.rs`.
+
+mod disk;
+mod hand;
+mod incoming;
+mod memory_post;
+mod memory_store;
+mod outgoing;
+mod post;
+
+use std::net::Ipv4Addr;
+
+use tokio::sync::mpsc;
+
+pub use disk::{DirFolder, DiskStore, Folder};
+pub use hand::{DiskHand, Done};
+pub use memory_post::{MemoryHall, MemoryPost};
+pub use memory_store::{Fault, MemoryStore};
+pub use post::{Post, PostLimits};
+
+/// What arrived: the place it came from, and the bytes as they were sent.
+pub type Incoming = mpsc::Receiver<(Ipv4Addr, Vec<u8>)>;
+
+/// Carries messages like datagrams: each one whole, once or not at all, in any order, never waiting.
+pub trait Transport {
+    /// Sends, or drops what can't be sent now. Whoever needs an answer asks again.
+    fn send(&self, to: Ipv4Addr, bytes: Vec<u8>);
+}
--- /dev/null
+++ b/crates/wings/src/post.rs
@@ -0,0 +1,139 @@
+//! Post (network transport): short messages by datagram, long ones by a stream to the same port number.
+
+use std::fmt;
+use std::io;
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::rc::Rc;
+use std::time::Duration;
+
+use socket2::SockRef;
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::sync::mpsc;
+use tokio::task::AbortHandle;
+
+use crate::incoming::{self, Door};
+use crate::outgoing::Outgoing;
+use crate::{Incoming, Transport};
+
+/// Bounds of a post; sizes in bytes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PostLimits {
+    /// Messages up to this long go by datagram.
+    pub datagram: usize,
+    /// Longer messages are dropped, and a stream that announces one is closed.
+    pub message: usize,
+    /// What may wait for one peer; the oldest go when it is more.
+    pub queue: usize,
+    /// Peers that long messages go to at one time.
+    pub peers: usize,
+    /// Streams from others at one time.
+    pub streams: usize,
+    /// Long messages being read at one time, in all streams together.
+    pub reading: usize,
+    /// Messages that wait for the receiver's owner; datagrams beyond are dropped, streams wait.
+    pub arrived: usize,
+    pub connect: Duration,
+    /// A write that makes no progress for so long drops the stream and what waits for it.
+    pub stall: Duration,
+    /// An outgoing stream without use is closed after this; an incoming one after twice as long.
+    pub idle: Duration,
+    /// A message that takes longer to come in drops its stream.
+    pub frame: Duration,
+}
+
+impl Default for PostLimits {
+    fn default() -> Self {
+        Self {
+            datagram: 1_200,
+            message: 16 << 20,
+            queue: 4 << 20,
+            peers: 128,
+            streams: 256,
+            reading: 32 << 20,
+            arrived: 256,
+            connect: Duration::from_secs(1),
+            stall: Duration::from_secs(3),
+            idle: Duration::from_secs(10),
+            frame: Duration::from_secs(10),
+        }
+    }
+}
+
+/// The transport of one process. Clones share it; it ends with the last of them.
+#[derive(Clone)]
+pub struct Post(Rc<Inner>);
+
+struct Inner {
+    socket: Rc<UdpSocket>,
+    port: u16,
+    limits: PostLimits,
+    outgoing: Outgoing,
+    listeners: [AbortHandle; 2],
+}
+
+impl Post {
+    /// Binds `port` at this machine's address for datagrams and streams. To be called within a `LocalSet`.
+    pub fn bind(own: Ipv4Addr, port: u16, limits: PostLimits) -> io::Result<(Self, Incoming)> {
+        let at = SocketAddrV4::new(own, port);
+        let socket = std::net::UdpSocket::bind(at)?;
+        socket.set_nonblocking(true)?;
+        let socket = Rc::new(UdpSocket::from_std(socket)?);
+        let listener = listen(at)?;
+        let (arrived, receiver) = mpsc::channel(limits.arrived);
+        let datagrams = incoming::datagrams(socket.clone(), arrived.clone(), limits.datagram);
+        let door = Door::new(listener, arrived, limits);
+        let listeners = [
+            tokio::task::spawn_local(datagrams).abort_handle(),
+            tokio::task::spawn_local(door.run()).abort_handle(),
+        ];
+        let outgoing = Outgoing::new(own, port, limits);
+        Ok((Self(Rc::new(Inner { socket, port, limits, outgoing, listeners })), receiver))
+    }
+
+    /// Sends without waiting: whole and once, or not at all.
+    pub fn send(&self, to: Ipv4Addr, bytes: Vec<u8>) {
+        let inner = &*self.0;
+        if bytes.len() <= inner.limits.datagram {
+            // Not by way of the runtime, which lets nothing out before it has heard of the socket. A datagram
+            // that the system won't take now is dropped like one that the network loses.
+            let to = SocketAddrV4::new(to, inner.port);
+            if let Err(error) = SockRef::from(&*inner.socket).send_to(&bytes, &to.into()) {
+                log::debug!("datagram to {to} dropped: {error}");
+            }
+        } else if bytes.len() <= inner.limits.message {
+            inner.outgoing.send(to, &bytes);
+        } else {
+            log::warn!("message of {} bytes to {to} is over the limit", bytes.len());
+        }
+    }
+}
+
+impl Transport for Post {
+    fn send(&self, to: Ipv4Addr, bytes: Vec<u8>) {
+        Post::send(self, to, bytes);
+    }
+}
+
+impl Drop for Inner {
+    fn drop(&mut self) {
+        for listener in &self.listeners {
+            listener.abort();
+        }
+    }
+}
+
+impl fmt::Debug for Post {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Post").field("port", &self.0.port).finish()
+    }
+}
+
+fn listen(at: SocketAddrV4) -> io::Result<TcpListener> {
+    let listener = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None)?;
+    // A process that is started again must get its port although old streams linger.
+    listener.set_reuse_address(true)?;
+    listener.set_nonblocking(true)?;
+    listener.bind(&at.into())?;
+    listener.listen(128)?;
+    TcpListener::from_std(listener.into())
+}
--- /dev/null
+++ b/crates/wings/tests/contracts.rs
@@ -0,0 +1,134 @@
+//! Contracts: what every transport and every store must keep.
+
+use std::future::Future;
+use std::net::{Ipv4Addr, TcpListener, UdpSocket};
+use std::time::Duration;
+
+use ledger::{Batch, Store};
+use tokio::task::LocalSet;
+use tokio::time::timeout;
+use wings::{DiskStore, Incoming, MemoryHall, MemoryStore, Post, PostLimits, Transport};
+
+const LONG: Duration = Duration::from_secs(10);
+
+/// Runs a future as the programs do: one thread, one local set.
+fn play<T>(work: impl Future<Output = T>) -> T {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    LocalSet::new().block_on(&runtime, async { timeout(LONG * 2, work).await.expect("took too long") })
+}
+
+/// A port that is free at all the places, for datagrams and streams.
+fn free_port(places: &[Ipv4Addr]) -> u16 {
+    for _ in 0..100 {
+        let probe = TcpListener::bind((places[0], 0)).unwrap();
+        let port = probe.local_addr().unwrap().port();
+        let free =
+            |&at: &Ipv4Addr| UdpSocket::bind((at, port)).is_ok() && TcpListener::bind((at, port)).is_ok();
+        drop(probe);
+        if places.iter().all(free) {
+            return port;
+        }
+    }
+    panic!("no free port");
+}
+
+fn place(machine: u8) -> Ipv4Addr {
+    Ipv4Addr::new(127, 0, 47, machine)
+}
+
+fn body(length: usize, salt: usize) -> Vec<u8> {
+    (0..length).map(|i| ((i * 31 + i / 251) ^ salt) as u8).collect()
+}
+
+async fn next(incoming: &mut Incoming) -> (Ipv4Addr, Vec<u8>) {
+    timeout(LONG, incoming.recv()).await.expect("nothing arrived").expect("closed")
+}
+
+/// Short and long messages come whole, from the place that sent them, both ways; words to a place where nobody
+/// is, and words over every limit, harm nobody.
+async fn transport_contract(a: impl Transport, mut at_a: Incoming, b: impl Transport, mut at_b: Incoming) {
+    a.send(place(99), body(10, 0));
+    a.send(place(99), body(5_000, 0));
+    a.send(place(2), body((16 << 20) + 1, 0));
+    let lengths = [0, 1, 1_200, 1_201, 70_000, 3 << 20];
+    for (salt, &length) in lengths.iter().enumerate() {
+        a.send(place(2), body(length, salt));
+        b.send(place(1), body(length, salt + 100));
+        let (from, bytes) = next(&mut at_b).await;
+        assert_eq!((from, bytes.len()), (place(1), length));
+        assert!(bytes == body(length, salt));
+        let (from, bytes) = next(&mut at_a).await;
+        assert_eq!((from, bytes.len()), (place(2), length));
+        assert!(bytes == body(length, salt + 100));
+    }
+    let mut waiting: Vec<usize> = (0..50).map(|i| if i % 2 == 0 { 300 + i } else { 9_000 + i }).collect();
+    for &length in &waiting {
+        a.send(place(2), body(length, length));
+    }
+    while !waiting.is_empty() {
+        let (_, bytes) = next(&mut at_b).await;
+        let at = waiting.iter().position(|&length| length == bytes.len()).expect("came twice, or cut off");
+        assert!(bytes == body(bytes.len(), bytes.len()));
+        waiting.swap_remove(at);
+    }
+}
+
+#[test]
+fn post_keeps_the_transport_contract() {
+    play(async {
+        let port = free_port(&[place(1), place(2)]);
+        let (a, at_a) = Post::bind(place(1), port, PostLimits::default()).unwrap();
+        let (b, at_b) = Post::bind(place(2), port, PostLimits::default()).unwrap();
+        transport_contract(a, at_a, b, at_b).await;
+    });
+}
+
+#[test]
+fn memory_post_keeps_the_transport_contract() {
+    play(async {
+        let hall = MemoryHall::new(1, 0, 16 << 20);
+        let (a, at_a) = hall.join(place(1));
+        let (b, at_b) = hall.join(place(2));
+        transport_contract(a, at_a, b, at_b).await;
+    });
+}
+
+/// Batches are carried out in order, a repeated one changes nothing, ranges end where they should, and all of it
+/// is there when the store is opened again.
+fn store_contract<S: Store>(mut open: impl FnMut() -> S) {
+    let pair = |key: &[u8], value: &[u8]| (key.to_vec(), value.to_vec());
+    let mut store = open();
+    assert_eq!(store.scan(&[], &[]), Ok(vec![]));
+    let mut batch = Batch::default();
+    for key in [&b"a"[..], b"b", b"bb", b"c", b"d"] {
+        batch.put(key.to_vec(), body(key.len() * 9_000, 3));
+    }
+    batch.cut(b"b".to_vec(), b"c".to_vec());
+    batch.cut(b"z".to_vec(), b"a".to_vec());
+    batch.put(b"bb".to_vec(), b"after the cut".to_vec());
+    batch.put(b"a".to_vec(), b"over".to_vec());
+    batch.delete(b"d".to_vec());
+    batch.delete(b"nothing there".to_vec());
+    let all = vec![pair(b"a", b"over"), pair(b"bb", b"after the cut"), pair(b"c", &body(9_000, 3))];
+    for _ in 0..2 {
+        store.put(&batch).unwrap();
+        assert_eq!(store.scan(&[], &[]).as_ref(), Ok(&all));
+    }
+    assert_eq!(store.scan(b"b", b"c").unwrap(), all[1..2]);
+    assert_eq!(store.scan(b"b", &[]).unwrap(), all[1..]);
+    assert_eq!(store.scan(b"c", b"b"), Ok(vec![]));
+    drop(store);
+    assert_eq!(open().scan(&[], &[]), Ok(all));
+}
+
+#[test]
+fn disk_store_keeps_the_store_contract() {
+    let dir = tempfile::tempdir().unwrap();
+    store_contract(|| DiskStore::open(&dir.path().join("data")).unwrap());
+}
+
+#[test]
+fn memory_store_keeps_the_store_contract() {
+    let store = MemoryStore::default();
+    store_contract(|| store.clone());
+}
