--- /dev/null
+++ b/crates/cast/src/cast.rs
@@ -0,0 +1,591 @@
+//! One node's part: beats and drains taken, news passed on, copies compared, silence judged.
+
+use indexmap::IndexMap;
+use oorandom::Rand32;
+use props::{Ask, MS, Micros, Place, SECOND};
+
+use crate::drains::{MOST_ROUNDS, Need, Round};
+use crate::list::{Heard, Learnt, List};
+use crate::{Beat, Effect, Event, InstanceId, Key, Known, Message, Record, State, Timing};
+
+/// Up to this many other nodes, news goes to each directly; beyond, each hub tells its share of the foyers.
+const SMALL: usize = 24;
+/// Changes are gathered for this long, so that many at once travel together.
+const GATHER: Micros = 50 * MS;
+/// The same for drains that are passed on.
+const GATHER_LEAVING: Micros = 15 * MS;
+/// How many others get a drain from each node that hears of it for the first time.
+const PASSED_TO: usize = 2;
+/// A drain that is found by comparing copies is passed on while it is younger.
+const FRESH: Micros = 3 * SECOND;
+/// Between two comparisons; half a second more or less by chance.
+const COMPARE: Micros = 750 * MS;
+const COMPARE_SPREAD: u32 = 500;
+/// One that starts with nothing asks this often, so many times.
+const FIRST_ASK: Micros = 250 * MS;
+const FIRST_ASKS: u32 = 12;
+/// How often a hub looks for silent instances.
+const SWEEP: Micros = 250 * MS;
+/// A step that comes this late means that the process stood still: it can't judge who was silent meanwhile.
+const STALL: Micros = 2 * SECOND;
+/// After standing still for longer than instances may be silent, beats may have lain in buffers: not taken.
+const THAW: Micros = 250 * MS;
+/// One that has never heard of another node acknowledges drains by itself after this.
+const ALONE: Micros = 5 * SECOND;
+/// An instance is sent to another hub at most this often.
+const MOVES: Micros = 30 * SECOND;
+/// Records in a message, in bytes.
+const PIECE: usize = 930;
+/// Keys and hashes in a message.
+const KEYS: usize = 40;
+const HASHES: usize = 90;
+
+/// Which instances there are, as one node knows it.
+#[derive(Debug)]
+pub struct Cast {
+    own: Place,
+    timing: Timing,
+    rng: Rand32,
+    list: List,
+    /// Other nodes that are up, in order.
+    hubs: Vec<Place>,
+    others: Vec<Place>,
+    /// Whether this node takes beats.
+    hub: bool,
+    /// Whether another node was ever named.
+    met: bool,
+    born: Micros,
+    last_step: Micros,
+    /// Silence before this moment is not judged.
+    watch_from: Micros,
+    /// Beats before this moment are not taken.
+    mute_until: Micros,
+    /// Keepers that are not up, and since when.
+    absent: IndexMap<Place, Micros>,
+    rounds: Vec<Round>,
+    next_round: u64,
+    /// To be told to all; to the own share of the foyers, with whether they leave; to a few.
+    wide: Vec<InstanceId>,
+    share: Vec<(InstanceId, bool)>,
+    few: Vec<InstanceId>,
+    flush_at: Micros,
+    sweep_at: Micros,
+    compare_at: Micros,
+    /// How often one that starts with nothing will still ask for everything.
+    first_asks: u32,
+    /// Another hub that is to get the next instance, for balance.
+    shed_to: Option<Place>,
+}
+
+impl Cast {
+    /// A node that knows nothing yet.
+    pub fn start(own: Place, timing: Timing, seed: u64, now: Micros) -> Cast {
+        let mut rng = Rand32::new(seed);
+        // Answers to the rounds of an earlier life must not count for this one's.
+        let next_round = u64::from(rng.rand_u32()) << 24;
+        Cast {
+            own,
+            timing,
+            rng,
+            list: List::default(),
+            hubs: Vec::new(),
+            others: Vec::new(),
+            hub: false,
+            met: false,
+            born: now,
+            last_step: now,
+            watch_from: now,
+            mute_until: now,
+            absent: IndexMap::new(),
+            rounds: Vec::new(),
+            next_round,
+            wide: Vec::new(),
+            share: Vec::new(),
+            few: Vec::new(),
+            flush_at: Micros::MAX,
+            sweep_at: now + SWEEP,
+            compare_at: now,
+            first_asks: FIRST_ASKS,
+            shed_to: None,
+        }
+    }
+
+    /// Takes one event at `now` of the own steady clock, and does what is due.
+    pub fn step(&mut self, now: Micros, event: Event) -> Vec<Effect> {
+        let mut out = Vec::new();
+        self.notice_stall(now);
+        match event {
+            Event::Tick => {}
+            Event::Received { from, message } => self.received(now, from, message, &mut out),
+            Event::Beat { ask, beat } => self.beat(now, ask, beat, &mut out),
+            Event::Detach { ask, id } => self.detach(now, ask, id, &mut out),
+            Event::Peers { hubs, others } => self.peers(now, hubs, others),
+        }
+        self.work(now, &mut out);
+        out
+    }
+
+    /// When `Event::Tick` is wanted next, at the latest.
+    pub fn due(&self) -> Micros {
+        let rounds = self.rounds.iter().map(Round::due).min().unwrap_or(Micros::MAX);
+        self.sweep_at.min(self.compare_at).min(self.flush_at).min(rounds)
+    }
+
+    /// All that are known, those that are gone for a while too.
+    pub fn records(&self) -> impl Iterator<Item = &Known> {
+        self.list.entries().map(|entry| &entry.known)
+    }
+
+    pub fn get(&self, id: &InstanceId) -> Option<&Known> {
+        self.list.get(id).map(|entry| &entry.known)
+    }
+
+    /// Whether this node has got the list from another one, or has asked long enough.
+    pub fn has_asked(&self) -> bool {
+        self.first_asks == 0
+    }
+
+    /// A process that stood still (frozen, starved) has heard nothing meanwhile: it judges nobody by that.
+    fn notice_stall(&mut self, now: Micros) {
+        let stood = now - self.last_step;
+        self.last_step = now.max(self.last_step);
+        if stood < STALL.min(self.timing.silent) {
+            return;
+        }
+        self.watch_from = now;
+        self.absent.values_mut().for_each(|since| *since = now);
+        self.compare_at = now;
+        if stood >= self.timing.silent {
+            self.mute_until = now + THAW;
+        }
+    }
+
+    fn peers(&mut self, now: Micros, hubs: Vec<Place>, others: Vec<Place>) {
+        self.hub |= hubs.contains(&self.own);
+        let sorted = |places: Vec<Place>, not: &[Place]| {
+            let mut places = places;
+            places.retain(|place| *place != self.own && !not.contains(place));
+            places.sort_unstable();
+            places.dedup();
+            places
+        };
+        let hubs = sorted(hubs, &[]);
+        let others = sorted(others, &hubs);
+        for gone in self.hubs.iter().filter(|place| !hubs.contains(place)) {
+            self.absent.insert(*gone, now);
+        }
+        self.absent.retain(|place, _| !hubs.contains(place));
+        if hubs.iter().any(|place| !self.hubs.contains(place)) {
+            // A hub that was not there: after a start or a cut there is most to compare.
+            let soon = if self.hubs.is_empty() { 0 } else { self.chance(300) * MS };
+            self.compare_at = self.compare_at.min(now + soon);
+        }
+        self.met |= !hubs.is_empty() || !others.is_empty();
+        (self.hubs, self.others) = (hubs, others);
+        let others = &self.others;
+        self.rounds.iter_mut().for_each(|round| round.keep_foyers(others));
+    }
+
+    fn beat(&mut self, now: Micros, ask: Ask, beat: Beat, out: &mut Vec<Effect>) {
+        self.hub = true;
+        let mut learnt = Learnt::default();
+        if now < self.mute_until
+            || !beat.fits()
+            || self.list.hear(now, self.own, &beat, &mut learnt) == Heard::Full
+        {
+            return out.push(Effect::NotTaken { ask });
+        }
+        if beat.draining {
+            self.spread(now, learnt, Some(&beat.id), out);
+            return self.leaves(now, ask, beat.id, out);
+        }
+        self.spread(now, learnt, None, out);
+        let mut target = self.own;
+        if let (Some(other), Some(entry)) = (self.shed_to, self.list.get_mut(&beat.id))
+            && entry.known.state == State::InService
+            && entry.moved.is_none_or(|moved| now - moved >= MOVES)
+        {
+            entry.moved = Some(now);
+            self.shed_to = None;
+            target = other;
+        }
+        out.push(Effect::Taken { ask, target: Some(target) });
+    }
+
+    fn detach(&mut self, now: Micros, ask: Ask, id: InstanceId, out: &mut Vec<Effect>) {
+        self.hub = true;
+        let mut learnt = Learnt::default();
+        if id.0.len() > crate::LONGEST_TEXT || !self.list.detach(now, self.own, &id, &mut learnt) {
+            return out.push(Effect::NotTaken { ask });
+        }
+        // Where it is confirmed that others know it to be draining, they get this as ordinary news.
+        let confirmed = self.list.get(&id).is_some_and(|entry| entry.confirmed);
+        self.spread(now, learnt, Some(&id).filter(|_| !confirmed), out);
+        self.leaves(now, ask, id, out);
+    }
+
+    /// Acknowledges that a life leaves, at once where enough others are known to know, else after a round.
+    fn leaves(&mut self, now: Micros, ask: Ask, id: InstanceId, out: &mut Vec<Effect>) {
+        if self.list.get(&id).is_none_or(|entry| entry.confirmed) {
+            return out.push(Effect::Taken { ask, target: Some(self.own) });
+        }
+        let until = now + self.timing.beat_answer;
+        let index = match self.rounds.iter().position(|round| round.id == id) {
+            Some(index) => {
+                self.rounds[index].again(now);
+                index
+            }
+            None if self.rounds.len() >= MOST_ROUNDS => return out.push(Effect::NotTaken { ask }),
+            None => {
+                self.next_round += 1;
+                let all = self.small();
+                let foyers = if all { self.others.clone() } else { self.own_share(true) };
+                self.rounds.push(Round::new(self.next_round, id, now, foyers, all));
+                self.rounds.len() - 1
+            }
+        };
+        if !self.rounds[index].join(ask, until) {
+            out.push(Effect::NotTaken { ask });
+        }
+    }
+
+    fn received(&mut self, now: Micros, from: Place, message: Message, out: &mut Vec<Effect>) {
+        match message {
+            Message::News { relay, records } => self.news(now, relay, records, out),
+            Message::Leaving { round, record } => self.told_leaving(now, from, round, record, out),
+            Message::Heard { round } => {
+                if let Some(round) = self.rounds.iter_mut().find(|known| known.number == round) {
+                    round.heard(from, &self.hubs);
+                }
+            }
+            Message::Digest { sums, empty } => self.digest(now, from, &sums, empty, out),
+            Message::Nothing => {}
+            Message::Keys { whole, keys } => self.keys(now, from, whole, &keys, out),
+            Message::Want { hashes } => give(from, self.list.wanted(now, &hashes), out),
+            Message::Give { records } => {
+                self.first_asks = 0;
+                let mut learnt = Learnt::default();
+                for record in records {
+                    self.list.merge(now, self.own, record, &mut learnt);
+                }
+                self.pass_on(now, learnt, false, out);
+            }
+        }
+    }
+
+    fn news(&mut self, now: Micros, relay: bool, records: Vec<Record>, out: &mut Vec<Effect>) {
+        let mut learnt = Learnt::default();
+        for record in records {
+            self.list.merge(now, self.own, record, &mut learnt);
+        }
+        self.pass_on(now, learnt, relay, out);
+    }
+
+    /// Answered only if it is known here as leaving: a record that was not taken over must not count.
+    fn told_leaving(&mut self, now: Micros, from: Place, round: u64, record: Record, out: &mut Vec<Effect>) {
+        let id = record.id.clone();
+        let mut learnt = Learnt::default();
+        self.list.merge(now, self.own, record, &mut learnt);
+        self.pass_on(now, learnt, true, out);
+        if self.list.get(&id).is_some_and(|entry| entry.known.state.leaving()) {
+            out.push(Effect::Send { to: from, message: Message::Heard { round } });
+        }
+    }
+
+    /// What came from another node: hubs relay it to their share, drains go on to a few from everywhere.
+    fn pass_on(&mut self, now: Micros, learnt: Learnt, relay: bool, out: &mut Vec<Effect>) {
+        let relay = relay && self.hub && !self.small();
+        for (id, leaves) in learnt.news {
+            let young = |entry: &crate::list::Entry| now - entry.known.since < FRESH;
+            let leaves = leaves && self.list.get(&id).is_some_and(young);
+            if leaves {
+                self.few.push(id.clone());
+                self.flush_at = self.flush_at.min(now + GATHER_LEAVING);
+            }
+            if relay {
+                self.share.push((id, leaves));
+                self.flush_at = self.flush_at.min(now + if leaves { GATHER_LEAVING } else { GATHER });
+            }
+        }
+        if !learnt.again.is_empty() {
+            self.wide.extend(learnt.again);
+            self.flush_at = self.flush_at.min(now + GATHER);
+        }
+        out.extend(learnt.shown.into_iter().map(|record| Effect::Changed { record }));
+    }
+
+    /// What began here: told to all, save the one that gets a round of its own.
+    fn spread(&mut self, now: Micros, learnt: Learnt, round: Option<&InstanceId>, out: &mut Vec<Effect>) {
+        for (id, _) in learnt.news {
+            if Some(&id) != round {
+                self.wide.push(id);
+                self.flush_at = self.flush_at.min(now + GATHER);
+            }
+        }
+        out.extend(learnt.shown.into_iter().map(|record| Effect::Changed { record }));
+    }
+
+    fn digest(
+        &mut self, now: Micros, from: Place, sums: &[u64; crate::BUCKETS], empty: bool, out: &mut Vec<Effect>,
+    ) {
+        if empty {
+            let all = self.list.all(now);
+            if all.is_empty() {
+                out.push(Effect::Send { to: from, message: Message::Nothing });
+            }
+            return give(from, all, out);
+        }
+        let unlike = self.list.keys_where_unlike(sums);
+        let mut gathered: (u16, Vec<Key>) = (0, Vec::new());
+        for (range, keys) in unlike {
+            if keys.len() > KEYS {
+                // Too many for one message: listed in parts, none of which is the whole range.
+                for part in keys.chunks(KEYS) {
+                    let message = Message::Keys { whole: 0, keys: part.to_vec() };
+                    out.push(Effect::Send { to: from, message });
+                }
+                continue;
+            }
+            if gathered.1.len() + keys.len() > KEYS {
+                let (whole, keys) = std::mem::take(&mut gathered);
+                out.push(Effect::Send { to: from, message: Message::Keys { whole, keys } });
+            }
+            gathered.0 |= 1 << range;
+            gathered.1.extend(keys);
+        }
+        if gathered.0 != 0 {
+            let (whole, keys) = gathered;
+            out.push(Effect::Send { to: from, message: Message::Keys { whole, keys } });
+        }
+    }
+
+    fn keys(&mut self, now: Micros, from: Place, whole: u16, keys: &[Key], out: &mut Vec<Effect>) {
+        let (records, want) = self.list.compare(now, whole, keys);
+        give(from, records, out);
+        for part in want.chunks(HASHES) {
+            out.push(Effect::Send { to: from, message: Message::Want { hashes: part.to_vec() } });
+        }
+    }
+
+    /// Does what is due at `now`.
+    fn work(&mut self, now: Micros, out: &mut Vec<Effect>) {
+        if now >= self.sweep_at {
+            self.sweep_at = now + SWEEP * if self.hub { 1 } else { 4 };
+            self.sweep(now, out);
+        }
+        if now >= self.flush_at {
+            self.flush(now, out);
+        }
+        if !self.rounds.is_empty() {
+            self.work_rounds(now, out);
+        }
+        if now >= self.compare_at {
+            self.compare(now, out);
+        }
+    }
+
+    fn work_rounds(&mut self, now: Micros, out: &mut Vec<Effect>) {
+        let alone = !self.met && now - self.born >= ALONE;
+        let mut rounds = std::mem::take(&mut self.rounds);
+        for round in &mut rounds {
+            let need = Need { hubs: &self.hubs, alone };
+            if let Some(asks) = round.take_known(now, need) {
+                if let Some(entry) = self.list.get_mut(&round.id) {
+                    entry.confirmed = true;
+                }
+                let target = Some(self.own);
+                out.extend(asks.into_iter().map(|ask| Effect::Taken { ask, target }));
+            }
+            out.extend(round.take_late(now).into_iter().map(|ask| Effect::NotTaken { ask }));
+            let to = round.take_send(now, &self.hubs);
+            if let Some(entry) = self.list.get(&round.id).filter(|_| !to.is_empty()) {
+                let record = entry.known.record(now);
+                out.extend(to.into_iter().map(|to| {
+                    let message = Message::Leaving { round: round.number, record: record.clone() };
+                    Effect::Send { to, message }
+                }));
+            }
+        }
+        rounds.retain(|round| !round.over(now, &self.hubs));
+        self.rounds = rounds;
+    }
+
+    /// Sends what was gathered.
+    fn flush(&mut self, now: Micros, out: &mut Vec<Effect>) {
+        self.flush_at = Micros::MAX;
+        let mut wide = std::mem::take(&mut self.wide);
+        let mut share = std::mem::take(&mut self.share);
+        let mut few = std::mem::take(&mut self.few);
+        for ids in [&mut wide, &mut few] {
+            ids.sort_unstable();
+            ids.dedup();
+        }
+        share.sort_unstable();
+        share.dedup();
+        let small = self.small();
+        if !wide.is_empty() {
+            let records = pieces(self.list.records(now, &wide));
+            tell(&self.hubs, &records, !small, out);
+            let foyers = if small { self.others.clone() } else { self.own_share(false) };
+            tell(&foyers, &records, false, out);
+        }
+        if !share.is_empty() {
+            let all: Vec<InstanceId> = share.iter().map(|(id, _)| id.clone()).collect();
+            let leaving: Vec<InstanceId> =
+                share.into_iter().filter(|(_, leaves)| *leaves).map(|(id, _)| id).collect();
+            let mine = self.own_share(false);
+            tell(&mine, &pieces(self.list.records(now, &all)), false, out);
+            // Two hubs tell each foyer of a drain, as the one may die.
+            let second: Vec<Place> =
+                self.own_share(true).into_iter().filter(|place| !mine.contains(place)).collect();
+            tell(&second, &pieces(self.list.records(now, &leaving)), false, out);
+        }
+        if !few.is_empty() {
+            let to = self.some_others(PASSED_TO);
+            tell(&to, &pieces(self.list.records(now, &few)), false, out);
+        }
+    }
+
+    /// Silence judged, memories dropped, balance looked at.
+    fn sweep(&mut self, now: Micros, out: &mut Vec<Effect>) {
+        let mut shown = Vec::new();
+        self.list.forget(now, &mut shown);
+        out.extend(shown.into_iter().map(|record| Effect::Changed { record }));
+        if !self.hub {
+            return;
+        }
+        let patience = self.patience();
+        let mut quiet = Vec::new();
+        for entry in self.list.entries() {
+            let Known { id, state, keeper, .. } = &entry.known;
+            if !matches!(state, State::InService | State::Draining) {
+                continue;
+            }
+            let over = if *keeper == self.own {
+                now - entry.heard.max(self.watch_from) > self.timing.silent
+            } else if self.hubs.contains(keeper) {
+                false
+            } else {
+                let since = *self.absent.entry(*keeper).or_insert(now);
+                now - since.max(self.watch_from) > patience
+            };
+            if over {
+                quiet.push(id.clone());
+            }
+        }
+        let list = &self.list;
+        self.absent.retain(|place, _| list.entries().any(|entry| entry.known.keeper == *place));
+        let mut learnt = Learnt::default();
+        for id in quiet {
+            self.list.quiet(now, self.own, &id, &mut learnt);
+        }
+        self.spread(now, learnt, None, out);
+        self.balance();
+    }
+
+    /// How long a keeper has to be away before this hub speaks for it: hubs one after the other, and those
+    /// that see fewer than half of the hubs there were last, as after a cut, much later.
+    fn patience(&self) -> Micros {
+        let rank = self.hubs.iter().filter(|place| **place < self.own).count() as Micros;
+        let absent = self.absent.len();
+        let cut_off = absent > self.hubs.len() + 1;
+        self.timing.silent * if cut_off { 3 } else { 1 } + rank * 100 * MS
+    }
+
+    /// Chooses a hub that gets an instance where this one has far more than its share.
+    fn balance(&mut self) {
+        self.shed_to = None;
+        let mut loads: IndexMap<Place, usize> = self.hubs.iter().map(|place| (*place, 0)).collect();
+        let (mut mine, mut all) = (0, 0);
+        for entry in self.list.entries().filter(|entry| entry.known.state == State::InService) {
+            all += 1;
+            if entry.known.keeper == self.own {
+                mine += 1;
+            } else if let Some(load) = loads.get_mut(&entry.known.keeper) {
+                *load += 1;
+            }
+        }
+        let share = all / (self.hubs.len() + 1);
+        if mine <= share + (share / 2).max(2) {
+            return;
+        }
+        loads.retain(|_, load| *load < share.max(1));
+        if !loads.is_empty() {
+            let index = self.rng.rand_range(0..loads.len() as u32) as usize;
+            self.shed_to = loads.get_index(index).map(|(place, _)| *place);
+        }
+    }
+
+    /// Compares copies with one other node, mostly a hub; asks for everything where nothing is known yet.
+    fn compare(&mut self, now: Micros, out: &mut Vec<Effect>) {
+        let first = self.first_asks > 0;
+        let wait = if first { FIRST_ASK } else { COMPARE + self.chance(COMPARE_SPREAD) * MS };
+        self.compare_at = now + wait;
+        let hub = !self.hubs.is_empty() && (self.others.is_empty() || self.chance(4) > 0);
+        let from = if hub { &self.hubs } else { &self.others };
+        if from.is_empty() {
+            return;
+        }
+        let to = from[self.rng.rand_range(0..from.len() as u32) as usize];
+        self.first_asks = self.first_asks.saturating_sub(1);
+        let empty = first && self.list.entries().next().is_none();
+        out.push(Effect::Send { to, message: Message::Digest { sums: *self.list.sums(), empty } });
+    }
+
+    fn small(&self) -> bool {
+        self.hubs.len() + self.others.len() < SMALL
+    }
+
+    /// Foyers that this hub tells: each has one hub for all news, and with `second` another for drains.
+    fn own_share(&self, second: bool) -> Vec<Place> {
+        let rank = self.hubs.iter().filter(|place| **place < self.own).count();
+        let hubs = self.hubs.len() + 1;
+        let mine = |index: usize| index % hubs == rank || (second && (index + 1) % hubs == rank);
+        let foyers = self.others.iter().enumerate();
+        foyers.filter(|(index, _)| mine(*index)).map(|(_, place)| *place).collect()
+    }
+
+    fn some_others(&mut self, count: usize) -> Vec<Place> {
+        let mut all: Vec<Place> = self.hubs.iter().chain(&self.others).copied().collect();
+        let mut chosen = Vec::with_capacity(count);
+        while chosen.len() < count && !all.is_empty() {
+            let index = self.rng.rand_range(0..all.len() as u32) as usize;
+            chosen.push(all.swap_remove(index));
+        }
+        chosen
+    }
+
+    fn chance(&mut self, below: u32) -> Micros {
+        Micros::from(self.rng.rand_range(0..below))
+    }
+}
+
+fn give(to: Place, records: Vec<Record>, out: &mut Vec<Effect>) {
+    let gives = pieces(records).into_iter().map(|records| Message::Give { records });
+    out.extend(gives.map(|message| Effect::Send { to, message }));
+}
+
+fn tell(to: &[Place], pieces: &[Vec<Record>], relay: bool, out: &mut Vec<Effect>) {
+    for to in to {
+        for records in pieces {
+            let message = Message::News { relay, records: records.clone() };
+            out.push(Effect::Send { to: *to, message });
+        }
+    }
+}
+
+/// Records in portions that fit one message each.
+fn pieces(records: Vec<Record>) -> Vec<Vec<Record>> {
+    let (mut pieces, mut length) = (Vec::new(), PIECE);
+    for record in records {
+        length += record.length();
+        if length > PIECE {
+            pieces.push(Vec::new());
+            length = record.length();
+        }
+        if let Some(piece) = pieces.last_mut() {
+            piece.push(record);
+        }
+    }
+    pieces
+}
--- /dev/null
+++ b/crates/cast/src/drains.rs
@@ -0,0 +1,124 @@
+//! Drains in flight: who was told, who has answered, who waits for the acknowledgement.
+
+use props::{Ask, MS, Micros, Place, SECOND};
+
+use crate::InstanceId;
+
+/// Most drains in flight at once, and callers that wait for one.
+pub(crate) const MOST_ROUNDS: usize = 1024;
+const MOST_ASKS: usize = 16;
+/// Between sendings to those that have not answered: while someone waits, and after.
+const RETRY: Micros = 100 * MS;
+const SLOW_RETRY: Micros = 300 * MS;
+/// How long those that don't answer are told again.
+const LASTS: Micros = 2 * SECOND;
+/// How long the answers of all foyers are waited for.
+const FOYERS_WAIT: Micros = 250 * MS;
+
+/// One life that leaves, until enough others know.
+#[derive(Debug)]
+pub(crate) struct Round {
+    pub number: u64,
+    pub id: InstanceId,
+    /// Until when the answers of all foyers are waited for, and when those that don't answer are given up.
+    foyers_until: Micros,
+    ends: Micros,
+    /// Callers, each with the moment at which its answer is due.
+    asks: Vec<(Ask, Micros)>,
+    /// Foyers told directly.
+    pub foyers: Vec<Place>,
+    /// Whether all foyers were told directly and are still waited for: worth a little, not a failure.
+    all_foyers: bool,
+    heard: Vec<Place>,
+    next_send: Micros,
+    known: bool,
+}
+
+/// Who has to know before a drain is acknowledged.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Need<'a> {
+    /// Other hubs that are up.
+    pub hubs: &'a [Place],
+    /// Whether one that never knew of another node may acknowledge by itself.
+    pub alone: bool,
+}
+
+impl Round {
+    pub fn new(number: u64, id: InstanceId, now: Micros, foyers: Vec<Place>, all_foyers: bool) -> Round {
+        let (asks, heard) = (Vec::new(), Vec::new());
+        let foyers_until = if all_foyers { now + FOYERS_WAIT } else { Micros::MAX };
+        let (ends, next_send) = (now + LASTS, now);
+        Round { number, id, foyers_until, ends, asks, foyers, all_foyers, heard, next_send, known: false }
+    }
+
+    /// Another caller waits. `false` where too many do.
+    pub fn join(&mut self, ask: Ask, until: Micros) -> bool {
+        let room = self.asks.len() < MOST_ASKS;
+        if room {
+            self.asks.push((ask, until));
+            self.ends = self.ends.max(until);
+        }
+        room
+    }
+
+    pub fn heard(&mut self, from: Place, hubs: &[Place]) {
+        if !self.heard.contains(&from) && (hubs.contains(&from) || self.foyers.contains(&from)) {
+            self.heard.push(from);
+        }
+    }
+
+    /// Whether a majority of the hubs, this one counted, and at least one other node know.
+    fn enough(&self, need: Need) -> bool {
+        let hubs = self.heard.iter().filter(|place| need.hubs.contains(place)).count();
+        let majority = 2 * (hubs + 1) > need.hubs.len() + 1;
+        majority && (!self.heard.is_empty() || need.alone)
+    }
+
+    /// Callers that get their acknowledgement now. The first time, `confirmed` is to be kept with the life.
+    pub fn take_known(&mut self, now: Micros, need: Need) -> Option<Vec<Ask>> {
+        if now >= self.foyers_until {
+            (self.foyers_until, self.all_foyers) = (Micros::MAX, false);
+        }
+        let foyers = !self.all_foyers || self.foyers.iter().all(|place| self.heard.contains(place));
+        self.known |= foyers && self.enough(need);
+        self.known.then(|| self.asks.drain(..).map(|(ask, _)| ask).collect())
+    }
+
+    /// Callers whose time is over.
+    pub fn take_late(&mut self, now: Micros) -> Vec<Ask> {
+        let late = self.asks.iter().filter(|(_, until)| *until <= now).map(|(ask, _)| *ask).collect();
+        self.asks.retain(|(_, until)| *until > now);
+        late
+    }
+
+    /// Those to be told now: all at first, later those that have not answered.
+    pub fn take_send(&mut self, now: Micros, hubs: &[Place]) -> Vec<Place> {
+        if now < self.next_send {
+            return Vec::new();
+        }
+        self.next_send = now + if self.asks.is_empty() { SLOW_RETRY } else { RETRY };
+        hubs.iter().chain(&self.foyers).filter(|place| !self.heard.contains(place)).copied().collect()
+    }
+
+    /// A node that is down is not told any more.
+    pub fn keep_foyers(&mut self, up: &[Place]) {
+        self.foyers.retain(|place| up.contains(place));
+    }
+
+    /// Tells it all again: for a caller that came after the round had gone on for a while.
+    pub fn again(&mut self, now: Micros) {
+        self.ends = now + LASTS;
+        self.next_send = now;
+    }
+
+    pub fn over(&self, now: Micros, hubs: &[Place]) -> bool {
+        let all = hubs.iter().chain(&self.foyers).all(|place| self.heard.contains(place));
+        self.asks.is_empty() && (now >= self.ends || (self.known && all))
+    }
+
+    /// When it has something to do, at the latest.
+    pub fn due(&self) -> Micros {
+        let asks = self.asks.iter().map(|(_, until)| *until).min().unwrap_or(Micros::MAX);
+        self.next_send.min(self.ends).min(self.foyers_until).min(asks)
+    }
+}
--- a/crates/cast/src/lib.rs
+++ b/crates/cast/src/lib.rs
@@ -1,12 +1,21 @@
 //! Cast (instances): which instances there are, by their beats: lives, states, warm-up, addresses used again,
 //! silent ones, drains that others know of before they are acknowledged, copies compared by digests over
 //! ranges and mended from the newer. No I/O: time and events in, effects out.
+//!
+//! Hubs (prompters) take beats; the hub that took the last one is the instance's keeper. Records pass between
+//! nodes when something changed, never for each beat. `docs/cast.md` weighs the ways and tells what is promised.
+
+mod cast;
+mod drains;
+mod list;
 
 use std::net::SocketAddrV4;
 
-use props::{Ask, Micros, Place};
+use props::{Ask, MS, Micros, Place, SECOND};
 use serde::{Deserialize, Serialize};
 
+pub use cast::Cast;
+
 /// An instance's own id: one life of it.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct InstanceId(pub String);
@@ -14,12 +23,37 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum State {
     InService,
-    /// Said nothing for too long.
+    /// Said nothing for too long; a later beat brings it back.
     Silent,
+    /// On its way out: no life comes back from here.
     Draining,
     Gone,
 }
 
+impl State {
+    /// Whether a life in this state is to get nothing more, ever.
+    pub fn leaving(self) -> bool {
+        matches!(self, State::Draining | State::Gone)
+    }
+}
+
+/// Spans that depend on the deployment.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Timing {
+    /// An instance that says nothing for longer is silent.
+    pub silent: Micros,
+    /// A drain that others don't know of within this is answered `NotTaken`. Under the second that an
+    /// instance waits, with room for the way there and back.
+    pub beat_answer: Micros,
+}
+
+impl Timing {
+    /// For instances that beat once in `heartbeat`: two lost beats and a late third are forgiven.
+    pub fn of_heartbeat(heartbeat: Micros) -> Timing {
+        Timing { silent: heartbeat.saturating_mul(26) / 10 + SECOND / 2, beat_answer: 800 * MS }
+    }
+}
+
 /// What a beat says.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Beat {
@@ -35,7 +69,7 @@
     pub sequence: u64,
 }
 
-/// An instance as all nodes know it.
+/// An instance as it travels between nodes. Clocks differ, so times are spans, as of the moment of sending.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Record {
     pub id: InstanceId,
@@ -45,18 +79,86 @@
     pub version: String,
     pub slots: u32,
     pub state: State,
+    /// Of the call that brought the last change; the keeper may have heard later ones.
     pub sequence: u64,
     /// How long ago its first beat came, when this was sent; how much longer it stays slow.
     pub age: Micros,
     pub warmup_left: Micros,
+    /// How long ago it came into its state.
+    pub state_age: Micros,
     /// The prompter that takes its beats, and alone says when it has fallen silent.
     pub keeper: Place,
 }
 
+/// An instance as this node knows it: a record with its spans as moments of the own steady clock.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Known {
+    pub id: InstanceId,
+    pub service: String,
+    pub address: SocketAddrV4,
+    pub zone: String,
+    pub version: String,
+    pub slots: u32,
+    pub state: State,
+    pub sequence: u64,
+    /// When its first beat came to the system.
+    pub first_seen: Micros,
+    /// Until when it is slow; in the past once it is warm.
+    pub slow_until: Micros,
+    /// When it came into its state.
+    pub since: Micros,
+    pub keeper: Place,
+}
+
+/// What two copies of one record are compared by.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Key {
+    /// Of the id.
+    pub hash: u64,
+    pub state: State,
+    pub sequence: u64,
+    pub keeper: Place,
+}
+
+/// Number of ranges that the hashes of ids are cut into for comparing.
+pub const BUCKETS: usize = 16;
+
+/// What nodes say to each other. Each takes at most about 1000 bytes by postcard.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Message {
-    /// To be replaced by the real set.
+    /// What changed. A hub that is asked to `relay` hands what is new to it to its share of the foyers.
+    News {
+        relay: bool,
+        records: Vec<Record>,
+    },
+    /// One that leaves; to be answered by `Heard` once it is known here.
+    Leaving {
+        round: u64,
+        record: Record,
+    },
+    Heard {
+        round: u64,
+    },
+    /// One sum for each range. One who knows nothing at all says so, and gets everything.
+    Digest {
+        sums: [u64; BUCKETS],
+        empty: bool,
+    },
+    /// To one who knows nothing: neither do I.
     Nothing,
+    /// What I have in ranges that differ; bits of `whole` name the ranges that are listed here completely.
+    Keys {
+        whole: u16,
+        keys: Vec<Key>,
+    },
+    /// Please give me these, by the hashes of their ids.
+    Want {
+        hashes: Vec<u64>,
+    },
+    /// Mends what the other has older or lacks.
+    Give {
+        records: Vec<Record>,
+    },
 }
 
 #[derive(Clone, Debug)]
@@ -74,7 +176,8 @@
         ask: Ask,
         id: InstanceId,
     },
-    /// Nodes that are up now; `hubs` are those that take beats.
+    /// Nodes that are up now; `hubs` are those that take beats (the own place among them tells this node
+    /// that it is one; so does its first beat).
     Peers {
         hubs: Vec<Place>,
         others: Vec<Place>,
@@ -87,16 +190,105 @@
         to: Place,
         message: Message,
     },
-    /// The beat is acknowledged, with a place for later ones where another is better.
+    /// The beat is acknowledged, with a place for later ones.
     Taken {
         ask: Ask,
         target: Option<Place>,
     },
-    /// Not known to others in time; the instance is to ask elsewhere.
+    /// Not known to others in time, or out of bounds; the instance is to ask elsewhere.
     NotTaken {
         ask: Ask,
     },
+    /// State, service, address, zone, version, slots or warm-up changed. One that is forgotten is shown as
+    /// `Gone` if it was not yet.
     Changed {
-        record: Record,
+        record: Known,
     },
 }
+
+/// Longest span that is believed from the wire; keeps sums of times from overflowing.
+const LONGEST: Micros = 400 * 24 * 3600 * SECOND;
+
+/// Longest id, service, zone or version, in bytes; a record with all four at this length fits a message.
+const LONGEST_TEXT: usize = 128;
+
+impl Known {
+    /// As it travels, at `now`.
+    pub fn record(&self, now: Micros) -> Record {
+        Record {
+            id: self.id.clone(),
+            service: self.service.clone(),
+            address: self.address,
+            zone: self.zone.clone(),
+            version: self.version.clone(),
+            slots: self.slots,
+            state: self.state,
+            sequence: self.sequence,
+            age: (now - self.first_seen).max(0),
+            warmup_left: (self.slow_until - now).max(0),
+            state_age: (now - self.since).max(0),
+            keeper: self.keeper,
+        }
+    }
+
+    /// Whether a driver that knew `self` has to be told of `next`.
+    fn differs(&self, next: &Known, now: Micros) -> bool {
+        self.state != next.state
+            || self.address != next.address
+            || self.slots != next.slots
+            || self.service != next.service
+            || self.version != next.version
+            || self.zone != next.zone
+            || moved(self.slow_until, next.slow_until, now)
+    }
+}
+
+/// Whether an end of warm-up moved by more than beats differ by on their ways.
+fn moved(a: Micros, b: Micros, now: Micros) -> bool {
+    (a.max(now) - b.max(now)).abs() > SECOND / 2
+}
+
+impl Record {
+    /// As moments of the clock here, at `now`.
+    fn known(self, now: Micros) -> Known {
+        Known {
+            id: self.id,
+            service: self.service,
+            address: self.address,
+            zone: self.zone,
+            version: self.version,
+            slots: self.slots,
+            state: self.state,
+            sequence: self.sequence,
+            first_seen: now - self.age.clamp(0, LONGEST),
+            slow_until: now + self.warmup_left.clamp(0, LONGEST),
+            since: now - self.state_age.clamp(0, LONGEST),
+            keeper: self.keeper,
+        }
+    }
+
+    fn fits(&self) -> bool {
+        [&self.id.0, &self.service, &self.zone, &self.version].iter().all(|text| text.len() <= LONGEST_TEXT)
+    }
+
+    /// Its length by postcard, in bytes.
+    fn length(&self) -> usize {
+        let texts = [&self.id.0, &self.service, &self.zone, &self.version];
+        let texts: usize = texts.iter().map(|text| varint(text.len() as u64) + text.len()).sum();
+        let spans = [self.age, self.warmup_left, self.state_age];
+        let spans: usize = spans.iter().map(|span| varint(span.unsigned_abs().saturating_mul(2))).sum();
+        let address = 4 + varint(u64::from(self.address.port()));
+        texts + spans + address + varint(u64::from(self.slots)) + varint(self.sequence) + 1 + 4
+    }
+}
+
+impl Beat {
+    fn fits(&self) -> bool {
+        [&self.id.0, &self.service, &self.zone, &self.version].iter().all(|text| text.len() <= LONGEST_TEXT)
+    }
+}
+
+/// Bytes that postcard takes for a number.
+fn varint(number: u64) -> usize {
+    (64 - number.leading_zeros() as usize).div_ceil(7).max(1)
+}
--- /dev/null
+++ b/crates/cast/src/list.rs
@@ -0,0 +1,455 @@
+//! The list itself: one entry for each life, the order of two views of it, one function for each change, sums
+//! over ranges. Knows nothing of other nodes.
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+use indexmap::IndexMap;
+use props::{Micros, Place, SECOND};
+
+use crate::{BUCKETS, Beat, InstanceId, Key, Known, LONGEST, Record, State};
+
+/// Most entries kept; beyond, the oldest that are gone make room, or newcomers are refused.
+const MOST: usize = 4096;
+/// How long one that is gone is remembered, so that late calls and lagging copies can't bring it back.
+const GONE_KEPT: Micros = 60 * SECOND;
+/// How long a silent one is remembered, in case that it beats again.
+const SILENT_KEPT: Micros = 120 * SECOND;
+/// This long before its end a memory is no longer compared or taken over: nodes that forget at slightly
+/// different moments would hand it to each other for ever.
+const UNLISTED: Micros = 15 * SECOND;
+
+/// One life as it is kept here.
+#[derive(Debug)]
+pub(crate) struct Entry {
+    pub known: Known,
+    /// The highest sequence heard here; above the known one at the keeper, whose beats are not passed on.
+    latest: u64,
+    /// The last beat here, or when this node came to be its keeper.
+    pub heard: Micros,
+    /// Whether it was seen here that enough others know that it leaves.
+    pub confirmed: bool,
+    /// When it was last sent to another hub for balance.
+    pub moved: Option<Micros>,
+    hash: u64,
+    /// Whether it counts in the sums.
+    listed: bool,
+}
+
+/// What came of a change: for other nodes and for the driver.
+#[derive(Debug, Default)]
+pub(crate) struct Learnt {
+    /// Lives of which something new is known, and whether it is that they leave.
+    pub news: Vec<(InstanceId, bool)>,
+    /// Of these, the own knowledge proved newer than what another said: to be told to all.
+    pub again: Vec<InstanceId>,
+    pub shown: Vec<Known>,
+}
+
+/// What a beat did.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Heard {
+    /// Late, or as known.
+    Nothing,
+    Changed,
+    /// No room for another life.
+    Full,
+}
+
+#[derive(Debug, Default)]
+pub(crate) struct List {
+    entries: IndexMap<InstanceId, Entry>,
+    sums: [u64; BUCKETS],
+}
+
+impl List {
+    pub fn get(&self, id: &InstanceId) -> Option<&Entry> {
+        self.entries.get(id)
+    }
+
+    pub fn get_mut(&mut self, id: &InstanceId) -> Option<&mut Entry> {
+        self.entries.get_mut(id)
+    }
+
+    pub fn entries(&self) -> impl Iterator<Item = &Entry> {
+        self.entries.values()
+    }
+
+    pub fn sums(&self) -> &[u64; BUCKETS] {
+        &self.sums
+    }
+
+    /// A beat at this node, which becomes the keeper. One that is not above the last sequence changes nothing,
+    /// except that a drain is believed whenever it comes: an acknowledged one must be kept.
+    pub fn hear(&mut self, now: Micros, own: Place, beat: &Beat, learnt: &mut Learnt) -> Heard {
+        let Some(entry) = self.entries.get_mut(&beat.id) else {
+            if !self.room() {
+                return Heard::Full;
+            }
+            self.set(now, own, first(now, own, beat), learnt);
+            self.supersede(now, own, &beat.id, true, learnt);
+            return Heard::Changed;
+        };
+        let late = beat.sequence <= entry.latest;
+        let drains = beat.draining && !entry.known.state.leaving();
+        if entry.known.state == State::Gone || (late && !drains) {
+            return Heard::Nothing;
+        }
+        if !late {
+            entry.latest = beat.sequence;
+            entry.heard = now;
+            if says(beat, &entry.known, now, own) {
+                return Heard::Nothing;
+            }
+        }
+        let mut next = if late { entry.known.clone() } else { first(now, own, beat) };
+        next.sequence = entry.latest;
+        next.first_seen = entry.known.first_seen;
+        if entry.known.state == State::Draining {
+            next.state = State::Draining;
+        } else if drains {
+            next.state = State::Draining;
+            next.since = now;
+        }
+        if next.state == entry.known.state {
+            next.since = entry.known.since;
+        }
+        let address_changed = next.address != entry.known.address;
+        self.set(now, own, next, learnt);
+        if address_changed {
+            self.supersede(now, own, &beat.id, true, learnt);
+        }
+        Heard::Changed
+    }
+
+    /// The life says that it ends. One not known leaves a memory all the same, so that its late beats find it.
+    /// Returns whether there was room for it.
+    pub fn detach(&mut self, now: Micros, own: Place, id: &InstanceId, learnt: &mut Learnt) -> bool {
+        if self.entries.contains_key(id) {
+            self.end(now, own, id, learnt);
+            return true;
+        }
+        if !self.room() {
+            return false;
+        }
+        let known = Known {
+            id: id.clone(),
+            service: String::new(),
+            address: SocketAddrV4::new(Ipv4Addr::UNSPECIFIED, 0),
+            zone: String::new(),
+            version: String::new(),
+            slots: 0,
+            state: State::Gone,
+            sequence: 0,
+            first_seen: now,
+            slow_until: now,
+            since: now,
+            keeper: own,
+        };
+        self.set(now, own, known, learnt);
+        true
+    }
+
+    /// Nothing came from it for too long: silent, or gone if it was leaving.
+    pub fn quiet(&mut self, now: Micros, own: Place, id: &InstanceId, learnt: &mut Learnt) {
+        let Some(entry) = self.entries.get(id) else { return };
+        match entry.known.state {
+            State::Silent | State::Gone => {}
+            State::Draining => self.end(now, own, id, learnt),
+            State::InService => {
+                let mut next = entry.known.clone();
+                next.state = State::Silent;
+                next.since = now;
+                next.sequence = entry.latest;
+                self.set(now, own, next, learnt);
+            }
+        }
+    }
+
+    fn end(&mut self, now: Micros, own: Place, id: &InstanceId, learnt: &mut Learnt) {
+        let Some(entry) = self.entries.get(id) else { return };
+        if entry.known.state == State::Gone {
+            return;
+        }
+        let mut next = entry.known.clone();
+        next.state = State::Gone;
+        next.since = now;
+        next.sequence = entry.latest;
+        self.set(now, own, next, learnt);
+    }
+
+    /// Another node's view. Returns whether it was taken over; in any case, who leaves there leaves here.
+    pub fn merge(&mut self, now: Micros, own: Place, record: Record, learnt: &mut Learnt) -> bool {
+        if !record.fits() {
+            return false;
+        }
+        let told = record.known(now);
+        let id = told.id.clone();
+        let Some(entry) = self.entries.get_mut(&id) else {
+            if fading(&told, now) || !self.room() {
+                return false;
+            }
+            self.set(now, own, told, learnt);
+            self.supersede(now, own, &id, false, learnt);
+            return true;
+        };
+        let first_seen = entry.known.first_seen.min(told.first_seen);
+        entry.known.first_seen = first_seen;
+        if order(&told) <= order(&entry.known) {
+            return false;
+        }
+        let mut next = told;
+        if next.sequence < entry.latest || (next.service.is_empty() && !entry.known.service.is_empty()) {
+            // Later beats were heard here: they hold, save that a life which leaves leaves.
+            let leaves = (next.state, next.since);
+            next = entry.known.clone();
+            next.sequence = entry.latest;
+            if leaves.0.leaving() {
+                (next.state, next.since) = leaves;
+            } else {
+                learnt.again.push(id.clone());
+            }
+        }
+        next.first_seen = first_seen;
+        let address_changed = next.address != entry.known.address;
+        self.set(now, own, next, learnt);
+        if address_changed {
+            self.supersede(now, own, &id, false, learnt);
+        }
+        true
+    }
+
+    /// Two lives at one address can't both be: the one first seen earlier is gone; a beat is always the later.
+    fn supersede(&mut self, now: Micros, own: Place, id: &InstanceId, by_beat: bool, learnt: &mut Learnt) {
+        let Some(entry) = self.entries.get(id) else { return };
+        if entry.known.state == State::Gone {
+            return;
+        }
+        let (address, mine) = (entry.known.address, (entry.known.first_seen, id.clone()));
+        let rivals: Vec<(Micros, InstanceId)> = (self.entries.values().map(|other| &other.known))
+            .filter(|other| other.address == address && other.state != State::Gone && other.id != *id)
+            .map(|other| (other.first_seen, other.id.clone()))
+            .collect();
+        for rival in rivals {
+            let loser = if by_beat || rival < mine { &rival.1 } else { id };
+            self.end(now, own, loser, learnt);
+        }
+    }
+
+    /// Every change of what is known of a life goes through here: sums, news and what the driver sees.
+    fn set(&mut self, now: Micros, own: Place, next: Known, learnt: &mut Learnt) {
+        let id = next.id.clone();
+        let listed = !fading(&next, now);
+        let urgent;
+        match self.entries.get_mut(&id) {
+            None => {
+                let hash = hash(&id);
+                urgent = next.state.leaving();
+                learnt.shown.push(next.clone());
+                if listed {
+                    add(&mut self.sums, hash, &next);
+                }
+                let latest = next.sequence;
+                let entry =
+                    Entry { known: next, latest, heard: now, confirmed: false, moved: None, hash, listed };
+                self.entries.insert(id.clone(), entry);
+            }
+            Some(entry) => {
+                if entry.listed {
+                    take(&mut self.sums, entry.hash, &entry.known);
+                }
+                if listed {
+                    add(&mut self.sums, entry.hash, &next);
+                }
+                urgent = next.state.leaving() && !entry.known.state.leaving();
+                if entry.known.differs(&next, now) {
+                    learnt.shown.push(next.clone());
+                }
+                if next.keeper == own && entry.known.keeper != own {
+                    entry.heard = now;
+                }
+                entry.latest = entry.latest.max(next.sequence);
+                entry.listed = listed;
+                entry.known = next;
+            }
+        }
+        learnt.news.push((id, urgent));
+    }
+
+    /// Drops what was remembered for long enough. `shown` gets silent ones that are forgotten, as gone.
+    pub fn forget(&mut self, now: Micros, shown: &mut Vec<Known>) {
+        for entry in self.entries.values_mut() {
+            if entry.listed && fading(&entry.known, now) {
+                take(&mut self.sums, entry.hash, &entry.known);
+                entry.listed = false;
+            }
+        }
+        self.entries.retain(|_, entry| {
+            let over = now - entry.known.since >= kept(entry.known.state);
+            if over && entry.known.state != State::Gone {
+                entry.known.state = State::Gone;
+                shown.push(entry.known.clone());
+            }
+            !over
+        });
+    }
+
+    /// Room for one more; the life that is gone for the longest is forgotten early if there is none.
+    fn room(&mut self) -> bool {
+        if self.entries.len() < MOST {
+            return true;
+        }
+        let gone = self.entries.values().enumerate().filter(|(_, entry)| entry.known.state == State::Gone);
+        let Some((index, _)) = gone.min_by_key(|(_, entry)| entry.known.since) else { return false };
+        if let Some((_, entry)) = self.entries.swap_remove_index(index)
+            && entry.listed
+        {
+            take(&mut self.sums, entry.hash, &entry.known);
+        }
+        true
+    }
+
+    /// Everything that is compared, as it travels.
+    pub fn all(&self, now: Micros) -> Vec<Record> {
+        self.entries.values().filter(|entry| entry.listed).map(|entry| entry.known.record(now)).collect()
+    }
+
+    pub fn records(&self, now: Micros, ids: &[InstanceId]) -> Vec<Record> {
+        ids.iter().filter_map(|id| self.entries.get(id)).map(|entry| entry.known.record(now)).collect()
+    }
+
+    /// Keys of each range that differs from `sums`.
+    pub fn keys_where_unlike(&self, sums: &[u64; BUCKETS]) -> Vec<(usize, Vec<Key>)> {
+        let unlike = (0..BUCKETS).filter(|&range| sums[range] != self.sums[range]);
+        let keys_in = |range| self.listed().filter(|entry| bucket(entry.hash) == range).map(key).collect();
+        unlike.map(|range| (range, keys_in(range))).collect()
+    }
+
+    /// What the sender of keys lacks or has older, and the hashes of what is older or not known here.
+    pub fn compare(&self, now: Micros, whole: u16, keys: &[Key]) -> (Vec<Record>, Vec<u64>) {
+        let mut give = Vec::new();
+        let mut want: Vec<u64> = keys.iter().map(|key| key.hash).collect();
+        for entry in self.listed() {
+            let theirs = keys.iter().find(|key| key.hash == entry.hash);
+            let mine = order(&entry.known);
+            let newer = match theirs {
+                Some(theirs) => mine > order_of(theirs.state, theirs.sequence, theirs.keeper),
+                None => whole & (1 << bucket(entry.hash)) != 0,
+            };
+            if newer {
+                give.push(entry.known.record(now));
+            }
+            if theirs.is_some_and(|theirs| mine >= order_of(theirs.state, theirs.sequence, theirs.keeper)) {
+                want.retain(|&hash| hash != entry.hash);
+            }
+        }
+        (give, want)
+    }
+
+    pub fn wanted(&self, now: Micros, hashes: &[u64]) -> Vec<Record> {
+        let asked = self.listed().filter(|entry| hashes.contains(&entry.hash));
+        asked.map(|entry| entry.known.record(now)).collect()
+    }
+
+    fn listed(&self) -> impl Iterator<Item = &Entry> {
+        self.entries.values().filter(|entry| entry.listed)
+    }
+}
+
+fn first(now: Micros, own: Place, beat: &Beat) -> Known {
+    Known {
+        id: beat.id.clone(),
+        service: beat.service.clone(),
+        address: beat.address,
+        zone: beat.zone.clone(),
+        version: beat.version.clone(),
+        slots: beat.slots,
+        state: if beat.draining { State::Draining } else { State::InService },
+        sequence: beat.sequence,
+        first_seen: now,
+        slow_until: now + beat.warmup_left.clamp(0, LONGEST),
+        since: now,
+        keeper: own,
+    }
+}
+
+/// Whether a beat says what is known already.
+fn says(beat: &Beat, known: &Known, now: Micros, own: Place) -> bool {
+    known.keeper == own
+        && (known.state == State::Draining || (known.state == State::InService && !beat.draining))
+        && known.address == beat.address
+        && known.slots == beat.slots
+        && known.service == beat.service
+        && known.version == beat.version
+        && known.zone == beat.zone
+        && !crate::moved(known.slow_until, now + beat.warmup_left.clamp(0, LONGEST), now)
+}
+
+/// Which of two views of one life holds: gone over draining over the rest, then the later call, then silence.
+fn order(known: &Known) -> (u8, u64, bool, Option<Place>) {
+    order_of(known.state, known.sequence, known.keeper)
+}
+
+fn order_of(state: State, sequence: u64, keeper: Place) -> (u8, u64, bool, Option<Place>) {
+    match state {
+        State::Gone => (2, 0, false, None),
+        State::Draining => (1, sequence, false, Some(keeper)),
+        State::Silent => (0, sequence, true, Some(keeper)),
+        State::InService => (0, sequence, false, Some(keeper)),
+    }
+}
+
+fn kept(state: State) -> Micros {
+    match state {
+        State::Gone => GONE_KEPT,
+        State::Silent => SILENT_KEPT,
+        State::InService | State::Draining => Micros::MAX,
+    }
+}
+
+/// Whether a memory is so near its end that it is neither compared nor taken over.
+fn fading(known: &Known, now: Micros) -> bool {
+    now - known.since >= kept(known.state) - UNLISTED
+}
+
+fn key(entry: &Entry) -> Key {
+    let Known { state, sequence, keeper, .. } = entry.known;
+    Key { hash: entry.hash, state, sequence, keeper }
+}
+
+fn bucket(hash: u64) -> usize {
+    (hash >> 60) as usize
+}
+
+fn add(sums: &mut [u64; BUCKETS], hash: u64, known: &Known) {
+    let sum = &mut sums[bucket(hash)];
+    *sum = sum.wrapping_add(mark(hash, known));
+}
+
+fn take(sums: &mut [u64; BUCKETS], hash: u64, known: &Known) {
+    let sum = &mut sums[bucket(hash)];
+    *sum = sum.wrapping_sub(mark(hash, known));
+}
+
+/// One number for a view of a life: equal where `order` is.
+fn mark(hash: u64, known: &Known) -> u64 {
+    let (rank, sequence, silent, keeper) = order(known);
+    let keeper = keeper.map_or(0, |place| u64::from(place.0.to_bits()));
+    let state = u64::from(rank) << 1 | u64::from(silent);
+    mix(mix(mix(hash ^ state) ^ sequence) ^ keeper)
+}
+
+/// Of an id: the same on every node and in every build.
+fn hash(id: &InstanceId) -> u64 {
+    mix(id
+        .0
+        .bytes()
+        .fold(0xcbf2_9ce4_8422_2325, |sum, byte| (sum ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3)))
+}
+
+/// Spreads every bit over all (finalizer of splitmix64, Steele, Lea, Flood 2014).
+fn mix(number: u64) -> u64 {
+    let number = number.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    let number = (number ^ number >> 30).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let number = (number ^ number >> 27).wrapping_mul(0x94d0_49bb_1331_11eb);
+    number ^ number >> 31
+}
