--- a/crates/bill/src/lib.rs
+++ b/crates/bill/src/lib.rs
@@ -1,1 +1,188 @@
-//! bill
+//! Bill (the operators' configuration): reads it, checks it whole, changes it by name, and finds the route of
+//! a request. No I/O. A bill that exists has passed every check, so nothing behind it has to ask again.
+
+mod change;
+mod faults;
+mod json;
+mod read;
+mod routes;
+
+use std::sync::Arc;
+
+pub use faults::{Fault, Faults, MAX_FAULTS};
+use indexmap::IndexMap;
+pub use props::{Micros, Version};
+
+/// The largest configuration or change that is read, in bytes. 310 routes take about 120 KB.
+pub const MAX_BYTES: usize = 8 << 20;
+/// The deepest nesting of objects and lists that is read; our own fields need 6. Guards the stack.
+pub const MAX_DEPTH: usize = 32;
+
+/// What a route's requests allow.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Kind {
+    /// May run more than once.
+    Safe,
+    /// Runs at most once per try.
+    Unsafe,
+    /// Large bodies; otherwise as `Unsafe`.
+    Upload,
+}
+
+impl Kind {
+    /// Whether a request that may have run may be sent again.
+    pub fn may_repeat(self) -> bool {
+        self == Kind::Safe
+    }
+}
+
+/// One service of a route, with its part of the route's requests.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Target {
+    pub service: Arc<str>,
+    /// At least 0; the weights of one route add up to more than 0, and to a finite number.
+    pub weight: f64,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Route {
+    pub name: Arc<str>,
+    /// In lower case and without a port.
+    pub host: String,
+    /// Begins and ends with a slash.
+    pub prefix: String,
+    pub kind: Kind,
+    /// The longest that the operator wants a request held.
+    pub timeout: Micros,
+    /// Inside it an answer earns its full worth.
+    pub aim: Micros,
+    /// 0 is served first.
+    pub rank: u32,
+    /// One or more, in the operator's order.
+    pub targets: Vec<Target>,
+    /// The largest number of instances that one try may be sent to; at least 1.
+    pub attempts: u32,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Service {
+    pub name: Arc<str>,
+    /// Begins with a slash; visible ASCII only, so that it can stand in a request line as it is.
+    pub health_path: String,
+    /// What one instance accepts from all callers together.
+    pub max_connections: u32,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    pub header_bytes: u64,
+    pub body_bytes: u64,
+    /// How long a client may take to send a request's head.
+    pub header_time: Micros,
+    /// How long a client's connection may stay idle.
+    pub idle_time: Micros,
+}
+
+/// A whole configuration that has passed every check.
+#[derive(Clone, Debug)]
+pub struct Bill {
+    pub version: Version,
+    pub routes: IndexMap<String, Route>,
+    pub services: IndexMap<String, Service>,
+    pub limits: Limits,
+    finder: routes::Finder,
+    text: Vec<u8>,
+}
+
+impl Bill {
+    /// Reads a whole configuration; every fault is told, up to `MAX_FAULTS`.
+    pub fn read(text: &[u8]) -> Result<Bill, Faults> {
+        let value = json::parse(text)?;
+        Bill::built(&value, None, || text.to_vec())
+    }
+
+    /// As `read`; a version that is not above `above` is a fault beside the others.
+    pub fn read_above(text: &[u8], above: Version) -> Result<Bill, Faults> {
+        let value = json::parse(text)?;
+        Bill::built(&value, Some(above), || text.to_vec())
+    }
+
+    /// This configuration with the items of a change added, replaced or removed by kind and name, checked as
+    /// a whole. Its version must be above this one's. What is not named stays as it came, unknown fields
+    /// included.
+    pub fn changed(&self, text: &[u8]) -> Result<Bill, Faults> {
+        let whole = change::merged(&self.text, text)?;
+        Bill::built(&whole, Some(self.version), || json::written(&whole))
+    }
+
+    /// What a change makes where there is no configuration yet: the items that it brings must make a whole.
+    pub fn begun(text: &[u8]) -> Result<Bill, Faults> {
+        let whole = change::merged(br#"{"ResourceSet":[]}"#, text)?;
+        Bill::built(&whole, Some(Version(0)), || json::written(&whole))
+    }
+
+    /// The whole as JSON: as it was sent, or as changes made it. Reading it gives the same bill again.
+    pub fn text(&self) -> Vec<u8> {
+        self.text.clone()
+    }
+
+    /// `text` without a copy.
+    pub fn as_text(&self) -> &[u8] {
+        &self.text
+    }
+
+    /// The route of a request: of those of its host (whatever its case, a port is left out) the one with the
+    /// longest prefix that begins the path. `path` is without the query.
+    pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
+        let at = self.finder.find(host, path)?;
+        self.routes.get_index(at).map(|(_, route)| route)
+    }
+
+    fn built(
+        value: &simd_json::OwnedValue, above: Option<Version>, text: impl FnOnce() -> Vec<u8>,
+    ) -> Result<Bill, Faults> {
+        let parts = read::parts(value, above)?;
+        let finder = routes::Finder::new(parts.routes.values());
+        Ok(Bill {
+            version: parts.version,
+            routes: parts.routes,
+            services: parts.services,
+            limits: parts.limits,
+            finder,
+            text: text(),
+        })
+    }
+}
+
+impl PartialEq for Bill {
+    fn eq(&self, other: &Bill) -> bool {
+        self.text == other.text
+    }
+}
+
+/// What the body of `Rollouts.Initiate` asks for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Order {
+    pub service: String,
+    /// The version that is to take the service over.
+    pub target: String,
+    pub period: Micros,
+}
+
+impl Order {
+    pub fn read(text: &[u8]) -> Result<Order, Faults> {
+        read::order(&json::parse(text)?)
+    }
+}
+
+/// A version as bodies write it: exactly eight hexadecimal digits of either case.
+pub fn version(text: &str) -> Option<Version> {
+    if text.len() == 8 { base_version(text) } else { None }
+}
+
+/// A version as the header `Base-Version` may write it: one to eight hexadecimal digits, so that a plain `0`
+/// for the first is understood too.
+pub fn base_version(text: &str) -> Option<Version> {
+    let plain = (1..=8).contains(&text.len()) && text.bytes().all(|b| b.is_ascii_hexdigit());
+    if plain { u32::from_str_radix(text, 16).ok().map(Version) } else { None }
+}
--- a/crates/script/src/lib.rs
+++ b/crates/script/src/lib.rs
@@ -1,1 +1,281 @@
-//! script
+//! Script (the ordered state): what the commands of the log make, the same at every node: the configuration
+//! in force, and each service's roll-out. No I/O. Nothing that differs between nodes decides an outcome:
+//! local time is kept only as the moment since which something is known here.
+
+mod count;
+mod outcome;
+mod rollout;
+mod snapshot;
+mod taken;
+
+use std::sync::Arc;
+
+use bill::{Bill, Faults};
+pub use count::{Count, CountSettings, Tally, Voice, Vote};
+use indexmap::IndexMap;
+pub use outcome::{Broken, Outcome};
+pub use props::{Index, Micros, Place, Version};
+pub use rollout::{Rollout, State};
+use serde::{Deserialize, Serialize};
+use taken::Taken;
+
+/// Services whose versions are kept; beyond them new ones are refused, so that instances that make up names
+/// can't fill the memory of every node.
+pub const MAX_SERVICES: usize = 1024;
+/// The longest name of a service or version in a command, in bytes.
+pub const MAX_NAME: usize = 256;
+/// A command's own fields beside its text, in bytes, generously.
+const MAX_COMMAND: usize = bill::MAX_BYTES + 1024;
+
+/// One change of control, as it stands in the log.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Command {
+    /// A whole configuration on top of `base`.
+    Replace { base: Version, text: Vec<u8> },
+    /// Named items on top of `base`.
+    Modify { base: Version, text: Vec<u8> },
+    /// The operator wants `target` to take over within `period`.
+    Rollout { service: String, target: String, period: Micros },
+    /// The count's end of a trial.
+    Verdict { service: String, number: u32, completed: bool },
+    /// The first instance of a service was of this version.
+    Seen { service: String, version: String },
+}
+
+impl Command {
+    pub fn to_bytes(&self) -> Vec<u8> {
+        // Plain data into memory: postcard has no way to fail here.
+        postcard::to_stdvec(self).expect("a command can be written")
+    }
+
+    /// None where the bytes are no command, or too many.
+    pub fn from_bytes(data: &[u8]) -> Option<Command> {
+        if data.len() > MAX_COMMAND {
+            return None;
+        }
+        let (command, rest) = postcard::take_from_bytes(data).ok()?;
+        if rest.is_empty() { Some(command) } else { None }
+    }
+}
+
+/// The state after some entry of the log.
+#[derive(Clone, Debug)]
+pub struct Script {
+    index: Index,
+    bill: Option<Arc<Bill>>,
+    taken: Taken,
+    /// By service.
+    pub rollouts: IndexMap<String, Rollout>,
+    /// Of the last trial of any service, or 1: the number of what was in service before any.
+    last_number: u32,
+}
+
+impl Default for Script {
+    fn default() -> Script {
+        Script::new()
+    }
+}
+
+/// What a good command will change; made by `judged`, carried out by `change`.
+enum Change {
+    Bill {
+        bill: Arc<Bill>,
+        digest: taken::Digest,
+    },
+    Trial {
+        service: String,
+        target: String,
+        period: Micros,
+    },
+    /// The version ordered is the one in service: nothing to try.
+    Already {
+        service: String,
+    },
+    End {
+        service: String,
+        completed: bool,
+    },
+    Base {
+        service: String,
+        version: String,
+    },
+}
+
+impl Script {
+    pub fn new() -> Script {
+        Script {
+            index: Index(0),
+            bill: None,
+            taken: Taken::default(),
+            rollouts: IndexMap::new(),
+            last_number: 1,
+        }
+    }
+
+    /// The last entry applied; nothing at or before it is applied again.
+    pub fn index(&self) -> Index {
+        self.index
+    }
+
+    pub fn bill(&self) -> Option<&Arc<Bill>> {
+        self.bill.as_ref()
+    }
+
+    /// The version in force, 0 before the first configuration.
+    pub fn version(&self) -> Version {
+        self.bill.as_ref().map_or(Version(0), |bill| bill.version)
+    }
+
+    /// As `Rollout::build_of`; None for a service that nobody has seen.
+    pub fn build_of(&self, service: &str, version: &str) -> Option<u32> {
+        self.rollouts.get(service)?.build_of(version)
+    }
+
+    /// Carries out the entry at `index`. Entries come in the log's order; one that was applied before, told
+    /// twice by two sources, changes nothing and is `Old`. The outcome is the same at every node.
+    pub fn apply(&mut self, now: Micros, index: Index, data: &[u8]) -> Outcome {
+        if index <= self.index {
+            return Outcome::Old;
+        }
+        self.index = index;
+        let Some(command) = Command::from_bytes(data) else { return Outcome::Unreadable };
+        match self.judged(&command) {
+            Ok(change) => {
+                self.change(now, change);
+                Outcome::Taken
+            }
+            Err(outcome) => outcome,
+        }
+    }
+
+    /// What `apply` would say now, so that a command that would change nothing is never ordered.
+    pub fn check(&self, command: &Command) -> Result<(), Outcome> {
+        self.judged(command).map(|_| ())
+    }
+
+    /// As `check`, for the leader; and an order that repeats one whose trial was reverted here only a moment
+    /// ago is `Again`. An operator whose answer was lost sends the order again for a while: if the version
+    /// was sent back meanwhile, that late repeat must not put a bad version on trial a second time.
+    pub fn check_at(&self, now: Micros, command: &Command) -> Result<(), Outcome> {
+        if let Command::Rollout { service, target, .. } = command
+            && let Some(rollout) = self.rollouts.get(service)
+            && rollout.just_reverted(now, target)
+        {
+            return Err(Outcome::Again);
+        }
+        self.check(command)
+    }
+
+    fn judged(&self, command: &Command) -> Result<Change, Outcome> {
+        match command {
+            Command::Replace { base, text } => self.judged_text(taken::Form::Replace, *base, text),
+            Command::Modify { base, text } => self.judged_text(taken::Form::Modify, *base, text),
+            Command::Rollout { service, target, period } => self.judged_order(service, target, *period),
+            Command::Verdict { service, number, completed } => {
+                let rollout = self.rollouts.get(service).ok_or_else(|| unknown(service))?;
+                rollout.judged_end(*number, *completed)?;
+                Ok(Change::End { service: service.clone(), completed: *completed })
+            }
+            Command::Seen { service, version } => self.judged_seen(service, version),
+        }
+    }
+
+    fn judged_text(&self, form: taken::Form, base: Version, text: &[u8]) -> Result<Change, Outcome> {
+        let digest = taken::Digest::of(form, base, text);
+        if self.taken.contains(&digest) {
+            return Err(Outcome::Again);
+        }
+        let current = self.version();
+        if base != current {
+            return Err(Outcome::Raced { current });
+        }
+        let bill = match (form, &self.bill) {
+            (taken::Form::Replace, _) => Bill::read_above(text, current),
+            (taken::Form::Modify, Some(bill)) => bill.changed(text),
+            (taken::Form::Modify, None) => Bill::begun(text),
+        };
+        let bill = Arc::new(bill.map_err(Outcome::Invalid)?);
+        Ok(Change::Bill { bill, digest })
+    }
+
+    fn judged_order(&self, service: &str, target: &str, period: Micros) -> Result<Change, Outcome> {
+        named("TargetService", service)?;
+        named("TargetVersion", target)?;
+        if period <= 0 {
+            return Err(Outcome::Invalid(Faults::one("RolloutPeriodS", "seconds above 0")));
+        }
+        let listed = self.bill.as_ref().is_none_or(|bill| bill.services.contains_key(service));
+        let Some(rollout) = self.rollouts.get(service) else {
+            if !listed {
+                return Err(unknown(service));
+            }
+            self.room()?;
+            return Ok(Change::Trial { service: service.into(), target: target.into(), period });
+        };
+        match rollout.state {
+            Some(State::InProgress) if rollout.target == target => Err(Outcome::Again),
+            Some(State::InProgress) => {
+                Err(Outcome::Conflict(format!("a roll-out of {service} to {} is under way", rollout.target)))
+            }
+            Some(State::Completed) if rollout.target == target => Err(Outcome::Again),
+            _ if rollout.current.as_deref() == Some(target) => {
+                Ok(Change::Already { service: service.into() })
+            }
+            _ => Ok(Change::Trial { service: service.into(), target: target.into(), period }),
+        }
+    }
+
+    fn judged_seen(&self, service: &str, version: &str) -> Result<Change, Outcome> {
+        named("TargetService", service)?;
+        named("ConfigVersion", version)?;
+        match self.rollouts.get(service) {
+            None => self.room()?,
+            // A version on trial, or one that was sent back, is not what was there before.
+            Some(rollout) if rollout.current.is_some() || rollout.target == version => {
+                return Err(Outcome::Again);
+            }
+            Some(_) => {}
+        }
+        Ok(Change::Base { service: service.into(), version: version.into() })
+    }
+
+    fn room(&self) -> Result<(), Outcome> {
+        if self.rollouts.len() < MAX_SERVICES {
+            return Ok(());
+        }
+        Err(Outcome::Conflict(format!("{MAX_SERVICES} services are known already")))
+    }
+
+    /// The one place where a command changes the state.
+    fn change(&mut self, now: Micros, change: Change) {
+        match change {
+            Change::Bill { bill, digest } => {
+                self.bill = Some(bill);
+                self.taken.note(digest);
+            }
+            Change::Trial { service, target, period } => {
+                self.last_number = self.last_number.saturating_add(1);
+                let number = self.last_number;
+                self.rollout(service, now).begin(now, target, number, period);
+            }
+            Change::Already { service } => self.rollout(service, now).stay(now),
+            Change::End { service, completed } => self.rollout(service, now).end(now, completed),
+            Change::Base { service, version } => self.rollout(service, now).found(version),
+        }
+    }
+
+    fn rollout(&mut self, service: String, now: Micros) -> &mut Rollout {
+        self.rollouts.entry(service).or_insert_with_key(|service| Rollout::new(now, service))
+    }
+}
+
+fn unknown(service: &str) -> Outcome {
+    Outcome::Unknown(format!("no service {service}"))
+}
+
+fn named(field: &str, name: &str) -> Result<(), Outcome> {
+    if (1..=MAX_NAME).contains(&name.len()) {
+        return Ok(());
+    }
+    Err(Outcome::Invalid(Faults::one(field, format!("a text of 1 to {MAX_NAME} bytes"))))
+}
--- /dev/null
+++ b/crates/script/src/snapshot.rs
@@ -0,0 +1,96 @@
+//! Snapshot (the state as it is kept and sent): the same bytes at every node after the same entries.
+
+use std::sync::Arc;
+
+use bill::Bill;
+use indexmap::IndexMap;
+use props::{Index, Micros};
+use serde::{Deserialize, Serialize};
+
+use crate::taken::Taken;
+use crate::{Broken, MAX_SERVICES, Rollout, Script, State};
+
+/// Stands first, so that a later form can be told from this one.
+const FORM: u8 = 1;
+
+#[derive(Serialize, Deserialize)]
+struct Kept {
+    text: Option<Vec<u8>>,
+    taken: Taken,
+    rollouts: Vec<KeptRollout>,
+    last_number: u32,
+}
+
+#[derive(Serialize, Deserialize)]
+struct KeptRollout {
+    service: String,
+    current: Option<String>,
+    state: Option<State>,
+    target: String,
+    number: u32,
+    base_number: u32,
+    period: Micros,
+}
+
+impl Script {
+    /// The state without its index and without local times, which differ between nodes.
+    pub fn snapshot(&self) -> Vec<u8> {
+        let rollouts = self.rollouts.values().map(|rollout| KeptRollout {
+            service: rollout.service.clone(),
+            current: rollout.current.clone(),
+            state: rollout.state,
+            target: rollout.target.clone(),
+            number: rollout.number,
+            base_number: rollout.base_number,
+            period: rollout.period,
+        });
+        let kept = Kept {
+            text: self.bill().map(|bill| bill.text()),
+            taken: self.taken.clone(),
+            rollouts: rollouts.collect(),
+            last_number: self.last_number,
+        };
+        // Plain data into memory: postcard has no way to fail here.
+        postcard::to_extend(&kept, vec![FORM]).expect("a state can be written")
+    }
+
+    /// Takes over the state that another node, or this one's disk, had after the entry at `index`. On an
+    /// error nothing has changed. Going back to an older entry is refused.
+    pub fn restore(&mut self, now: Micros, index: Index, data: &[u8]) -> Result<(), Broken> {
+        if index < self.index {
+            return Err(Broken::Older { kept: index.0, here: self.index.0 });
+        }
+        let (form, data) = data.split_first().ok_or(Broken::Unreadable)?;
+        if *form != FORM {
+            return Err(Broken::Form(*form));
+        }
+        let (kept, rest): (Kept, _) = postcard::take_from_bytes(data).map_err(|_| Broken::Unreadable)?;
+        if !rest.is_empty() || kept.rollouts.len() > MAX_SERVICES {
+            return Err(Broken::Unreadable);
+        }
+        let bill = match kept.text {
+            // The one that stands here already need not be read again.
+            Some(text) if self.bill().is_some_and(|bill| bill.as_text() == text) => self.bill.clone(),
+            Some(text) => Some(Arc::new(Bill::read(&text).map_err(Broken::Bill)?)),
+            None => None,
+        };
+        let mut rollouts = IndexMap::with_capacity(kept.rollouts.len());
+        for kept in kept.rollouts {
+            let known = self.rollouts.get(&kept.service);
+            let known = known.filter(|known| known.number == kept.number && known.state == kept.state);
+            let rollout = Rollout {
+                since: known.map_or(now, |known| known.since),
+                current: kept.current,
+                state: kept.state,
+                target: kept.target,
+                number: kept.number,
+                base_number: kept.base_number,
+                period: kept.period,
+                service: kept.service,
+            };
+            rollouts.insert(rollout.service.clone(), rollout);
+        }
+        *self = Script { index, bill, taken: kept.taken, rollouts, last_number: kept.last_number };
+        Ok(())
+    }
+}
