--- a/crates/company/src/lib.rs
+++ b/crates/company/src/lib.rs
@@ -1,8 +1,26 @@
 //! Company (membership): nodes know each other by probes in turn, second opinions, suspicion before removal,
 //! refutation and lives. No I/O: time and events in, effects out.
+//!
+//! `docs/company.md` tells the ways that were weighed and the rules that were settled.
 
+mod news;
+mod node;
+mod roster;
+mod timing;
+
+pub use node::Company;
 use props::{Life, Place};
 use serde::{Deserialize, Serialize};
+pub use timing::Timing;
+
+/// Members known at once; the dead and gone make room first, then newcomers are not taken in.
+pub const MEMBERS_MAX: usize = 512;
+/// Bytes of a zone or a name; longer ones are cut at the start and refused from others.
+pub const NAME_BYTES_MAX: usize = 100;
+/// No message is longer on the wire (postcard), so each fits into one datagram.
+pub const MESSAGE_BYTES_MAX: usize = 1_100;
+/// Seeds kept of those the driver tells.
+pub const SEEDS_MAX: usize = 16;
 
 /// What a node does.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -21,6 +39,7 @@
     pub name: String,
 }
 
+/// What is held of a member. `Dead` is withdrawn when the member refutes it; `Left` is final for a life.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum Standing {
     Alive,
@@ -29,10 +48,65 @@
     Left,
 }
 
+impl Standing {
+    /// Is it still probed, asked and told of news?
+    pub fn up(self) -> bool {
+        matches!(self, Standing::Alive | Standing::Suspect)
+    }
+}
+
+/// Orders what is said of one place: the higher one holds. Only raised, by the member or for a newer life of it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Incarnation(pub u32);
+
+impl Incarnation {
+    pub(crate) fn above(self) -> Incarnation {
+        Incarnation(self.0.saturating_add(1))
+    }
+}
+
+/// Ties an answer to its probe within one process; 0 asks for nothing but a sign of life.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Number(pub u32);
+
+/// What one node says of another, or of itself.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Rumor {
+    pub member: Member,
+    pub incarnation: Incarnation,
+    pub standing: Standing,
+}
+
+/// A message: who speaks, what for, and news that ride along.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Message {
+    pub life: Life,
+    pub incarnation: Incarnation,
+    pub talk: Talk,
+    pub news: Vec<Rumor>,
+}
+
+/// What a message is for.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Message {
-    /// To be replaced by the real set.
-    Nothing,
+pub enum Talk {
+    /// A newcomer, named in the news, asks for the members.
+    Join,
+    /// Nothing but the news.
+    News,
+    /// Are you there? `life` is whom the sender expects.
+    Probe { life: Life, number: Number },
+    /// Yes. `sum` is the digest of all living members known there.
+    Answer { number: Number, sum: u32 },
+    /// Second opinion: probe that one for me.
+    AskFor { place: Place, number: Number },
+    /// It answered me.
+    Vouch { place: Place, number: Number },
+    /// It did not answer me either (so the silence is not the asker's own).
+    Doubt { place: Place, number: Number },
+    /// I don't know your life: tell your name.
+    Who,
+    /// Digests of the living members by ranges of places; where they differ, the members are told.
+    Compare { sums: [u32; 8], back: bool },
 }
 
 #[derive(Clone, Debug)]
@@ -46,7 +120,7 @@
     Seeds {
         places: Vec<Place>,
     },
-    /// This node ends in order.
+    /// This node ends in order. Nothing is answered or sent afterwards.
     Leave,
 }
 
--- /dev/null
+++ b/crates/company/src/roster.rs
@@ -0,0 +1,171 @@
+//! Roster (member list): who is known, and which word about a member holds against what is known of it.
+
+use std::collections::BTreeMap;
+
+use props::{Life, MS, Micros, Place};
+
+use crate::{Incarnation, MEMBERS_MAX, Member, Rumor, Standing};
+
+/// Late datagrams of a life that was replaced are dropped for this long; later its word counts again, so that
+/// a mistake about which of two lives is the newer one mends itself.
+const FORMER_MUTE: Micros = 1_000 * MS;
+
+/// What is held of one place.
+#[derive(Clone, Debug)]
+pub(crate) struct Peer {
+    pub member: Member,
+    pub incarnation: Incarnation,
+    pub standing: Standing,
+    /// Since when it has this standing.
+    pub since: Micros,
+    /// A suspect is held dead from then on.
+    pub until: Micros,
+    /// Last message from this life itself.
+    pub heard: Micros,
+    /// Last time it was told what is said of it, outside the common messages.
+    pub told: Micros,
+    /// The life it replaced, and when.
+    pub former: Option<(Life, Micros)>,
+}
+
+impl Peer {
+    pub fn rumor(&self) -> Rumor {
+        Rumor { member: self.member.clone(), incarnation: self.incarnation, standing: self.standing }
+    }
+
+    /// Is this a late word of the life that was replaced?
+    pub fn mutes(&self, life: Life, now: Micros) -> bool {
+        self.former.is_some_and(|(former, at)| former == life && now - at < FORMER_MUTE)
+    }
+}
+
+/// What a rumor is worth against what is known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Worth {
+    /// Known or older: nothing changes.
+    Nothing,
+    /// Unknown until now, and up.
+    Newcomer,
+    /// Another life at a known place.
+    NewLife,
+    /// The same life says that it lives.
+    Refuted,
+    /// It is held alive here and dead or suspect elsewhere: it gets the time to refute.
+    Accused,
+    /// Held dead here and elsewhere, there at a later incarnation.
+    DeadAgain,
+    /// It ended in order.
+    Gone,
+    /// A life that was replaced is told of at an incarnation that would win: the newer life goes above it.
+    Outdated,
+    /// Another life, told of at an incarnation that loses: whoever is there should hear what is held of it.
+    Contradicted,
+}
+
+/// Weighs a rumor. `direct` says that the member itself told it: a life unknown so far then replaces the old one
+/// at once, whatever its incarnation, as a process that starts can't know how far its last life had got.
+pub(crate) fn weigh(known: Option<&Peer>, rumor: &Rumor, direct: bool, now: Micros) -> Worth {
+    let Some(peer) = known else {
+        return if rumor.standing.up() { Worth::Newcomer } else { Worth::Nothing };
+    };
+    if peer.member.life != rumor.member.life {
+        return weigh_lives(peer, rumor, direct, now);
+    }
+    match rumor.standing {
+        _ if peer.standing == Standing::Left => Worth::Nothing,
+        Standing::Left => Worth::Gone,
+        Standing::Alive if rumor.incarnation > peer.incarnation => Worth::Refuted,
+        Standing::Dead if peer.standing == Standing::Dead && rumor.incarnation > peer.incarnation => {
+            Worth::DeadAgain
+        }
+        Standing::Suspect | Standing::Dead
+            if rumor.incarnation > peer.incarnation
+                || (rumor.incarnation == peer.incarnation && peer.standing == Standing::Alive) =>
+        {
+            Worth::Accused
+        }
+        _ => Worth::Nothing,
+    }
+}
+
+fn weigh_lives(peer: &Peer, rumor: &Rumor, direct: bool, now: Micros) -> Worth {
+    let ahead = (rumor.incarnation, rumor.member.life) > (peer.incarnation, peer.member.life);
+    if direct {
+        let void = peer.mutes(rumor.member.life, now) || !rumor.standing.up();
+        return if void { Worth::Nothing } else { Worth::NewLife };
+    }
+    if peer.former.is_some_and(|(former, _)| former == rumor.member.life) {
+        return if ahead { Worth::Outdated } else { Worth::Nothing };
+    }
+    match (ahead, rumor.standing.up()) {
+        (true, true) => Worth::NewLife,
+        (false, true) => Worth::Contradicted,
+        (_, false) => Worth::Nothing,
+    }
+}
+
+/// All that is known of others, bounded.
+#[derive(Debug, Default)]
+pub(crate) struct Roster {
+    peers: BTreeMap<Place, Peer>,
+}
+
+impl Roster {
+    pub fn get(&self, place: Place) -> Option<&Peer> {
+        self.peers.get(&place)
+    }
+
+    pub fn get_mut(&mut self, place: Place) -> Option<&mut Peer> {
+        self.peers.get_mut(&place)
+    }
+
+    pub fn iter(&self) -> impl Iterator<Item = &Peer> {
+        self.peers.values()
+    }
+
+    pub fn iter_mut(&mut self) -> impl Iterator<Item = &mut Peer> {
+        self.peers.values_mut()
+    }
+
+    pub fn up(&self) -> impl Iterator<Item = &Peer> {
+        self.peers.values().filter(|peer| peer.standing.up())
+    }
+
+    pub fn is_up(&self, place: Place) -> bool {
+        self.get(place).is_some_and(|peer| peer.standing.up())
+    }
+
+    /// Puts a peer in; false where the roster is full of those that are up.
+    pub fn put(&mut self, peer: Peer) -> bool {
+        if self.peers.len() >= MEMBERS_MAX && !self.peers.contains_key(&peer.member.place) {
+            let down = self.peers.values().filter(|peer| !peer.standing.up());
+            let Some(oldest) = down.min_by_key(|peer| peer.since).map(|peer| peer.member.place) else {
+                return false;
+            };
+            self.peers.remove(&oldest);
+        }
+        self.peers.insert(peer.member.place, peer);
+        true
+    }
+
+    /// Drops those that have been dead or gone since before `before`.
+    pub fn forget(&mut self, before: Micros) {
+        self.peers.retain(|_, peer| peer.standing.up() || peer.since > before);
+    }
+}
+
+/// The range of places that a place belongs to, of eight.
+pub(crate) fn range_of(place: Place) -> usize {
+    (mix(u64::from(u32::from(place.0))) % 8) as usize
+}
+
+/// Digest of one living member; digests of ranges and of all are these, by exclusive or.
+pub(crate) fn digest_of(place: Place, life: Life, incarnation: Incarnation) -> u32 {
+    mix(mix(u64::from(u32::from(place.0)) ^ life.0) ^ u64::from(incarnation.0)) as u32
+}
+
+fn mix(value: u64) -> u64 {
+    let value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    value ^ (value >> 31)
+}
