--- a/crates/callboard/src/lib.rs
+++ b/crates/callboard/src/lib.rs
@@ -1,14 +1,59 @@
 //! Callboard (news): the committed commands reach every node in order: passed on to a few, gaps mended by
 //! digests, whole states where pieces are missing, never back within a life. No I/O: time and events in,
 //! effects out.
+//!
+//! Commands form a chain of pieces, each naming the index of the command before it, since indices of the log
+//! have gaps where entries are no commands. A piece fits where its `prev` is not above what is held and its
+//! `index` is. `docs/callboard.md` tells the ways that were weighed.
 
+mod bytes;
+mod node;
+mod ring;
+
+pub use node::Callboard;
 use props::{Index, Place};
 use serde::{Deserialize, Serialize};
 
+/// Pieces up to this many bytes are sent unasked; of bigger ones the index is told, and they are asked for.
+pub const SMALL_BYTES: usize = 1_000;
+/// Bytes of commands kept in memory to mend gaps of others.
+pub const RING_BYTES_MAX: usize = 512 * 1024;
+/// Peers of each kind taken note of.
+pub const PEERS_MAX: usize = 512;
+
+/// Where this node's commands come from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mode {
+    /// Its own log: told by `Committed`, never by others; nothing is applied through here.
+    Source,
+    /// Others: it gets `Apply` and `Restore`.
+    Follower,
+}
+
+/// A command, and the index of the command before it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Piece {
+    pub prev: Index,
+    pub index: Index,
+    #[serde(with = "bytes")]
+    pub data: Vec<u8>,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Message {
-    /// To be replaced by the real set.
-    Nothing,
+    /// Commands. `fresh` ones were committed just now and are passed on by whom they are new to. With `more`, the
+    /// answer to an ask goes on in another message.
+    Pieces { fresh: bool, more: bool, pieces: Vec<Piece> },
+    /// Digest: all up to `index` is here; the latest command has `weight` bytes. `fresh` as above.
+    Have { index: Index, weight: u32, fresh: bool },
+    /// Asks for what follows `have`.
+    Want { have: Index },
+    /// A state that stands in for all commands up to `index`.
+    Whole {
+        index: Index,
+        #[serde(with = "bytes")]
+        data: Vec<u8>,
+    },
 }
 
 #[derive(Clone, Debug)]
@@ -18,13 +63,12 @@
         from: Place,
         message: Message,
     },
-    /// From this node's own log; the driver has applied it already, and it comes without gaps.
+    /// From this node's own log; the driver has applied it already, and it comes in order, each command once.
     Committed {
         index: Index,
         data: Vec<u8>,
     },
-    /// The driver's state after the entry at `index`, handed on to those that miss pieces; at prompters, from
-    /// their log, or at any node, on `NeedWhole`.
+    /// The driver's state after the entry at `index`, told at once on `NeedWhole`.
     Kept {
         index: Index,
         data: Vec<u8>,
--- /dev/null
+++ b/crates/callboard/src/node.rs
@@ -0,0 +1,504 @@
+//! One node's board: explicit states, and one function for each change of state.
+
+use oorandom::Rand64;
+use props::{Index, MS, Micros, Place, SECOND};
+
+use crate::ring::{Early, Ring};
+use crate::{Effect, Event, Message, Mode, PEERS_MAX, Piece, SMALL_BYTES};
+
+/// Where there are at most so many others, every command is pushed to each by two hubs; beyond, by one hub, and
+/// more is left to passing on.
+const FEW: usize = 16;
+/// Whom a hub tells at once of a big command; the rest of its share hear of it a little later, when most have it.
+const BIG_FANOUT: usize = 3;
+const TELL_LATER: Micros = 400 * MS;
+/// To how many others a node passes fresh commands on, and tells of big ones.
+const PASS_ON: usize = 2;
+const PASS_ON_BIG: usize = 3;
+/// Digests: after news, and when calm.
+const DIGEST_SOON: Micros = 500 * MS;
+const DIGEST_CALM: Micros = SECOND;
+const CALM_AFTER: Micros = 5 * SECOND;
+/// Until another is asked: this, plus what the bytes take at 200 KB a second; longer with each try.
+const ASK_BASE: Micros = 250 * MS;
+const ASK_BYTE: Micros = 5;
+const ASK_TRIES_MAX: u32 = 4;
+const TELLERS_MAX: usize = 8;
+/// The most bytes of pieces in answer to one ask; what is left is asked for again.
+const ANSWER_BYTES_MAX: usize = 128 * 1024;
+/// Below this, pieces are sent even where a whole state may be smaller.
+const WHOLE_ABOVE: usize = 64 * 1024;
+/// A whole state is kept for others that ask for the same one within this time.
+const WHOLE_KEPT: Micros = 2 * SECOND;
+const WANTING_MAX: usize = 128;
+/// Commands pushed within a second; a log that is read again at the start must not flood the fleet.
+const PUSHES_MAX: u32 = 32;
+
+/// An ask that is out.
+#[derive(Debug)]
+struct Asked {
+    from: Place,
+    /// Another is asked from then on.
+    until: Micros,
+    tries: u32,
+    /// What is asked for was committed just now.
+    fresh: bool,
+}
+
+/// A whole state as the driver told it.
+#[derive(Debug)]
+struct Kept {
+    index: Index,
+    data: Vec<u8>,
+    at: Micros,
+}
+
+/// What this node holds of the ordered news, and whom it asks and tells.
+pub struct Callboard {
+    own: Place,
+    mode: Mode,
+    index: Index,
+    /// The highest index heard of anywhere.
+    known: Index,
+    /// Bytes of the command at `known`.
+    known_weight: u32,
+    rand: Rand64,
+    hubs: Vec<Place>,
+    others: Vec<Place>,
+    ring: Ring,
+    early: Early,
+    /// Who told of more than is held here, latest last.
+    tellers: Vec<(Place, Index)>,
+    asked: Option<Asked>,
+    /// Whom to tell of a big command later, and when.
+    tell_later: (Micros, Vec<Place>),
+    kept: Option<Kept>,
+    whole_bytes: usize,
+    /// Who waits for `Kept`.
+    wanting: Vec<Place>,
+    pushes: (Micros, u32),
+    changed: Micros,
+    next_digest: Micros,
+    digest_hub: bool,
+    now: Micros,
+}
+
+impl Callboard {
+    /// A board that holds all up to `start` and neither sends nor applies anything below it. Times are of a
+    /// steady clock in microseconds, `seed` is for chance.
+    pub fn start(own: Place, mode: Mode, start: Index, seed: u64, now: Micros) -> Callboard {
+        let mut rand = Rand64::new(u128::from(seed));
+        let next_digest = now + rand.rand_range(0..DIGEST_SOON as u64) as Micros;
+        Callboard {
+            own,
+            mode,
+            index: start,
+            known: start,
+            known_weight: 0,
+            rand,
+            hubs: Vec::new(),
+            others: Vec::new(),
+            ring: Ring::default(),
+            early: Early::default(),
+            tellers: Vec::new(),
+            asked: None,
+            tell_later: (Micros::MAX, Vec::new()),
+            kept: None,
+            whole_bytes: 0,
+            wanting: Vec::new(),
+            pushes: (now, 0),
+            changed: now,
+            next_digest,
+            digest_hub: true,
+            now,
+        }
+    }
+
+    /// Takes one event; an earlier `now` than the last is read as the last one.
+    pub fn step(&mut self, now: Micros, event: Event) -> Vec<Effect> {
+        self.now = self.now.max(now);
+        let mut out = Vec::new();
+        match event {
+            Event::Tick => {}
+            Event::Received { from, message } => self.received(from, message, &mut out),
+            Event::Committed { index, data } => self.committed(index, data, &mut out),
+            Event::Kept { index, data } => self.whole_told(index, data, &mut out),
+            Event::Peers { hubs, others } => self.peers(hubs, others, &mut out),
+        }
+        self.timers(&mut out);
+        out
+    }
+
+    /// When `step` wants a `Tick` at the latest.
+    pub fn due(&self) -> Micros {
+        let asked = self.asked.as_ref().map_or(Micros::MAX, |asked| asked.until);
+        self.next_digest.min(asked).min(self.tell_later.0)
+    }
+
+    /// All commands up to here are applied (or, at a source, committed).
+    pub fn index(&self) -> Index {
+        self.index
+    }
+
+    // ---- time ----
+
+    fn timers(&mut self, out: &mut Vec<Effect>) {
+        if self.kept.as_ref().is_some_and(|kept| self.now - kept.at > WHOLE_KEPT) {
+            self.kept = None;
+        }
+        if self.asked.as_ref().is_some_and(|asked| self.now >= asked.until) {
+            self.ask_another(out);
+        }
+        if self.now >= self.tell_later.0 {
+            let (_, later) = std::mem::replace(&mut self.tell_later, (Micros::MAX, Vec::new()));
+            for to in later {
+                self.tell(to, true, out);
+            }
+        }
+        if self.now >= self.next_digest {
+            self.digest(out);
+        }
+    }
+
+    /// Tells what is held to one at random: followers turn to a hub and to another follower in turn.
+    fn digest(&mut self, out: &mut Vec<Effect>) {
+        let calm = self.now - self.changed > CALM_AFTER && self.index >= self.known;
+        self.next_digest = self.now + if calm { DIGEST_CALM } else { DIGEST_SOON };
+        self.digest_hub = !self.digest_hub;
+        let hub = self.mode == Mode::Follower && (self.digest_hub || self.others.is_empty());
+        let from = if hub && !self.hubs.is_empty() { &self.hubs } else { &self.others };
+        if let Some(to) = pick(&mut self.rand, from) {
+            self.tell(to, false, out);
+        }
+    }
+
+    // ---- peers ----
+
+    fn peers(&mut self, hubs: Vec<Place>, others: Vec<Place>, out: &mut Vec<Effect>) {
+        let own = self.own;
+        let sorted = |places: Vec<Place>| {
+            let mut places: Vec<Place> = places.into_iter().filter(|place| *place != own).collect();
+            places.sort_unstable();
+            places.dedup();
+            places.truncate(PEERS_MAX);
+            places
+        };
+        let (hubs, others) = (sorted(hubs), sorted(others));
+        let new: Vec<Place> = hubs.iter().copied().filter(|hub| !self.hubs.contains(hub)).collect();
+        (self.hubs, self.others) = (hubs, others);
+        self.tellers.retain(|(place, _)| self.hubs.contains(place) || self.others.contains(place));
+        // A hub that was out of reach, or is new, may know more: it is asked at once.
+        if self.mode == Mode::Follower
+            && self.asked.is_none()
+            && let Some(hub) = pick(&mut self.rand, &new)
+        {
+            self.ask(hub, 0, false, out);
+        }
+    }
+
+    /// The others that this hub pushes to: each belongs to one hub, and to the next one as well where others are
+    /// few. All hubs that know the same nodes come to the same shares.
+    fn share(&self) -> Vec<Place> {
+        let mut hubs = self.hubs.clone();
+        hubs.push(self.own);
+        hubs.sort_unstable();
+        let own = hubs.iter().position(|hub| *hub == self.own).unwrap_or(0);
+        let copies = if self.others.len() <= FEW { 2 } else { 1 };
+        let mine = |at: usize| (0..copies).any(|copy| (at + copy) % hubs.len() == own);
+        self.others.iter().enumerate().filter(|(at, _)| mine(*at)).map(|(_, place)| *place).collect()
+    }
+
+    // ---- sources ----
+
+    fn committed(&mut self, index: Index, data: Vec<u8>, out: &mut Vec<Effect>) {
+        if self.mode == Mode::Follower || index <= self.index {
+            return;
+        }
+        let piece = Piece { prev: self.index, index, data };
+        let push = index >= self.known && self.may_push();
+        self.advance(index, piece.data.len() as u32);
+        self.ring.push(piece.clone());
+        if !push {
+            return;
+        }
+        let mut share = self.share();
+        if piece.data.len() <= SMALL_BYTES {
+            for to in share {
+                let message = Message::Pieces { fresh: true, more: false, pieces: vec![piece.clone()] };
+                out.push(Effect::Send { to, message });
+            }
+            return;
+        }
+        shuffle(&mut self.rand, &mut share);
+        let later = share.split_off(share.len().min(BIG_FANOUT));
+        for to in share {
+            self.tell(to, true, out);
+        }
+        if !later.is_empty() {
+            self.tell_later = (self.now + TELL_LATER, later);
+        }
+    }
+
+    /// At most so many pushes a second; the rest is left to digests.
+    fn may_push(&mut self) -> bool {
+        if self.now - self.pushes.0 >= SECOND {
+            self.pushes = (self.now, 0);
+        }
+        self.pushes.1 += 1;
+        self.pushes.1 <= PUSHES_MAX
+    }
+
+    // ---- what is heard ----
+
+    fn received(&mut self, from: Place, message: Message, out: &mut Vec<Effect>) {
+        if from == self.own {
+            return;
+        }
+        match message {
+            Message::Pieces { fresh, more, pieces } => self.pieces(from, fresh, more, pieces, out),
+            Message::Have { index, weight, fresh } => self.have(from, index, weight, fresh, out),
+            Message::Want { have } => self.want(from, have, out),
+            Message::Whole { index, data } => self.whole(from, index, data, out),
+        }
+    }
+
+    fn pieces(&mut self, from: Place, fresh: bool, more: bool, pieces: Vec<Piece>, out: &mut Vec<Effect>) {
+        if self.mode == Mode::Source {
+            return;
+        }
+        let before = self.index;
+        let answer = self.asked.as_ref().is_some_and(|asked| asked.from == from);
+        let fresh = fresh || (answer && self.asked.as_ref().is_some_and(|asked| asked.fresh));
+        for piece in pieces {
+            if piece.index <= self.index || piece.prev >= piece.index || self.early.has(piece.index) {
+                continue;
+            }
+            self.heard_of(from, piece.index, piece.data.len() as u32);
+            if fresh && piece.index >= self.known {
+                self.pass_on(from, &piece, out);
+            }
+            if piece.prev <= self.index {
+                self.apply(piece, out);
+            } else {
+                self.early.keep(piece);
+            }
+        }
+        self.apply_early(out);
+        self.go_on(from, more, self.index > before, out);
+    }
+
+    fn apply(&mut self, piece: Piece, out: &mut Vec<Effect>) {
+        self.advance(piece.index, piece.data.len() as u32);
+        out.push(Effect::Apply { index: piece.index, data: piece.data.clone() });
+        self.ring.push(piece);
+    }
+
+    fn apply_early(&mut self, out: &mut Vec<Effect>) {
+        while let Some(piece) = self.early.next(self.index) {
+            self.apply(piece, out);
+        }
+    }
+
+    /// The only place where `index` moves, and it only rises.
+    fn advance(&mut self, index: Index, weight: u32) {
+        debug_assert!(index > self.index);
+        self.index = index;
+        if index > self.known {
+            (self.known, self.known_weight) = (index, weight);
+        }
+        self.changed = self.now;
+        self.next_digest = self.next_digest.min(self.now + DIGEST_SOON);
+        self.kept = None;
+    }
+
+    fn heard_of(&mut self, from: Place, index: Index, weight: u32) {
+        if index > self.known {
+            (self.known, self.known_weight) = (index, weight);
+        }
+        if index > self.index {
+            self.tellers.retain(|(place, _)| *place != from);
+            if self.tellers.len() >= TELLERS_MAX {
+                self.tellers.remove(0);
+            }
+            self.tellers.push((from, index));
+        }
+    }
+
+    fn have(&mut self, from: Place, index: Index, weight: u32, fresh: bool, out: &mut Vec<Effect>) {
+        self.heard_of(from, index, weight);
+        if index > self.index {
+            if self.mode == Mode::Follower && self.asked.is_none() {
+                self.ask(from, 0, fresh, out);
+            }
+        } else if index < self.index && !self.hubs.contains(&from) {
+            self.mend(from, index, out);
+        }
+    }
+
+    /// Somebody holds less: little is sent at once, of much it is told that it is here.
+    fn mend(&mut self, to: Place, have: Index, out: &mut Vec<Effect>) {
+        match self.ring.missing(have) {
+            (1.., bytes) if bytes <= SMALL_BYTES => self.send_pieces(to, have, out),
+            _ => self.tell(to, false, out),
+        }
+    }
+
+    fn want(&mut self, from: Place, have: Index, out: &mut Vec<Effect>) {
+        if have >= self.index {
+            self.heard_of(from, have, 0);
+            self.tell(from, false, out);
+            return;
+        }
+        let whole_is_less = |bytes: usize| bytes > WHOLE_ABOVE && bytes > self.whole_bytes;
+        match self.ring.missing(have) {
+            (0, _) => self.need_whole(from, out),
+            (2.., bytes) if whole_is_less(bytes) => self.need_whole(from, out),
+            _ => self.send_pieces(from, have, out),
+        }
+    }
+
+    fn need_whole(&mut self, from: Place, out: &mut Vec<Effect>) {
+        if let Some(kept) = &self.kept {
+            let message = Message::Whole { index: kept.index, data: kept.data.clone() };
+            out.push(Effect::Send { to: from, message });
+            return;
+        }
+        if self.wanting.is_empty() {
+            out.push(Effect::NeedWhole);
+        }
+        if self.wanting.len() < WANTING_MAX && !self.wanting.contains(&from) {
+            self.wanting.push(from);
+        }
+    }
+
+    fn whole_told(&mut self, index: Index, data: Vec<u8>, out: &mut Vec<Effect>) {
+        // No command lies between the last one told and a later entry of the log.
+        let index = index.min(self.index);
+        self.whole_bytes = data.len();
+        for to in std::mem::take(&mut self.wanting) {
+            out.push(Effect::Send { to, message: Message::Whole { index, data: data.clone() } });
+        }
+        self.kept = Some(Kept { index, data, at: self.now });
+    }
+
+    fn whole(&mut self, from: Place, index: Index, data: Vec<u8>, out: &mut Vec<Effect>) {
+        if self.mode == Mode::Source || index <= self.index {
+            return;
+        }
+        self.whole_bytes = data.len();
+        self.ring.clear();
+        self.advance(index, 0);
+        out.push(Effect::Restore { index, data });
+        self.apply_early(out);
+        self.go_on(from, false, true, out);
+    }
+
+    // ---- asking ----
+
+    /// After something came: done, or the rest is asked of whom it came from, at the end of its answer.
+    fn go_on(&mut self, from: Place, more: bool, progress: bool, out: &mut Vec<Effect>) {
+        if self.index >= self.known {
+            self.asked = None;
+            self.tellers.clear();
+            return;
+        }
+        let (now, wait) = (self.now, self.wait(0));
+        match &mut self.asked {
+            None => self.ask(from, 0, false, out),
+            Some(asked) if asked.from != from || !progress => {}
+            Some(asked) if more => (asked.until, asked.tries) = (now + wait, 0),
+            Some(asked) => {
+                let fresh = asked.fresh;
+                self.ask(from, 0, fresh, out);
+            }
+        }
+    }
+
+    fn wait(&self, tries: u32) -> Micros {
+        let base = if self.ring.is_empty() { 2 * ASK_BASE } else { ASK_BASE };
+        base * Micros::from(1 + tries) + Micros::from(self.known_weight) * ASK_BYTE
+    }
+
+    fn ask(&mut self, from: Place, tries: u32, fresh: bool, out: &mut Vec<Effect>) {
+        self.asked = Some(Asked { from, until: self.now + self.wait(tries), tries, fresh });
+        out.push(Effect::Send { to: from, message: Message::Want { have: self.index } });
+    }
+
+    /// Nothing came: another teller is asked, or a hub by chance. Where nothing is known to be missing and a
+    /// hub is silent, the digests go on asking.
+    fn ask_another(&mut self, out: &mut Vec<Effect>) {
+        let Some(asked) = self.asked.take() else { return };
+        if self.index >= self.known && asked.tries >= ASK_TRIES_MAX {
+            return;
+        }
+        self.tellers.retain(|(place, index)| *place != asked.from && *index > self.index);
+        let other = self.tellers.pop().map(|(place, _)| place);
+        let other = other.or_else(|| pick(&mut self.rand, &self.hubs));
+        if let Some(other) = other.or_else(|| pick(&mut self.rand, &self.others)) {
+            self.ask(other, (asked.tries + 1).min(ASK_TRIES_MAX), asked.fresh, out);
+        }
+    }
+
+    // ---- telling ----
+
+    fn tell(&mut self, to: Place, fresh: bool, out: &mut Vec<Effect>) {
+        let message = Message::Have { index: self.index, weight: self.ring.weight(), fresh };
+        out.push(Effect::Send { to, message });
+    }
+
+    /// A piece that was new here goes on to a few others, or they hear of it. Each node passes a piece on once.
+    fn pass_on(&mut self, from: Place, piece: &Piece, out: &mut Vec<Effect>) {
+        let big = piece.data.len() > SMALL_BYTES;
+        if big && piece.prev > self.index {
+            return;
+        }
+        let fanout = if big { PASS_ON_BIG } else { PASS_ON };
+        let mut to = self.others.clone();
+        to.retain(|place| *place != from);
+        shuffle(&mut self.rand, &mut to);
+        for to in to.into_iter().take(fanout) {
+            let message = if big {
+                Message::Have { index: piece.index, weight: piece.data.len() as u32, fresh: true }
+            } else {
+                Message::Pieces { fresh: true, more: false, pieces: vec![piece.clone()] }
+            };
+            out.push(Effect::Send { to, message });
+        }
+    }
+
+    /// What follows `have`: small ones together, each message small enough for a datagram unless one piece isn't.
+    fn send_pieces(&mut self, to: Place, have: Index, out: &mut Vec<Effect>) {
+        let mut pieces = Vec::new();
+        let (mut bytes, mut all) = (0, 0);
+        for piece in self.ring.after(have) {
+            let more = piece.data.len() + PIECE_HEAD;
+            if all > 0 && all + more > ANSWER_BYTES_MAX {
+                break;
+            }
+            if !pieces.is_empty() && bytes + more > SMALL_BYTES + PIECE_HEAD {
+                let pieces = std::mem::take(&mut pieces);
+                out.push(Effect::Send { to, message: Message::Pieces { fresh: false, more: true, pieces } });
+                bytes = 0;
+            }
+            bytes += more;
+            all += more;
+            pieces.push(piece.clone());
+        }
+        if !pieces.is_empty() {
+            out.push(Effect::Send { to, message: Message::Pieces { fresh: false, more: false, pieces } });
+        }
+    }
+}
+
+/// The most that a piece takes on the wire beside its data.
+const PIECE_HEAD: usize = 24;
+
+fn pick(rand: &mut Rand64, places: &[Place]) -> Option<Place> {
+    (!places.is_empty()).then(|| places[rand.rand_range(0..places.len() as u64) as usize])
+}
+
+fn shuffle(rand: &mut Rand64, places: &mut [Place]) {
+    for last in (1..places.len()).rev() {
+        places.swap(last, rand.rand_range(0..last as u64 + 1) as usize);
+    }
+}
--- /dev/null
+++ b/crates/callboard/src/ring.rs
@@ -0,0 +1,95 @@
+//! Ring (recent commands): what others may still miss, and what came too early here; bounded by count and bytes.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use props::Index;
+
+use crate::{Piece, RING_BYTES_MAX};
+
+const RING_PIECES_MAX: usize = 4_096;
+const EARLY_PIECES_MAX: usize = 256;
+const EARLY_BYTES_MAX: usize = 256 * 1024;
+
+/// The latest commands held here, in order, without gaps.
+#[derive(Debug, Default)]
+pub(crate) struct Ring {
+    pieces: VecDeque<Piece>,
+    bytes: usize,
+}
+
+impl Ring {
+    pub fn push(&mut self, piece: Piece) {
+        self.bytes += piece.data.len();
+        self.pieces.push_back(piece);
+        while self.pieces.len() > RING_PIECES_MAX || self.bytes > RING_BYTES_MAX {
+            let Some(oldest) = self.pieces.pop_front() else { return };
+            self.bytes -= oldest.data.len();
+        }
+    }
+
+    pub fn clear(&mut self) {
+        *self = Ring::default();
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.pieces.is_empty()
+    }
+
+    /// Bytes of the latest command.
+    pub fn weight(&self) -> u32 {
+        self.pieces.back().map_or(0, |piece| piece.data.len() as u32)
+    }
+
+    /// What follows `have`; nothing where the chain from there is not held any more.
+    pub fn after(&self, have: Index) -> impl Iterator<Item = &Piece> {
+        let first = self.pieces.partition_point(|piece| piece.index <= have);
+        let whole = self.pieces.get(first).is_some_and(|piece| piece.prev <= have);
+        self.pieces.range(if whole { first } else { self.pieces.len() }..)
+    }
+
+    /// Count and bytes of what follows `have`.
+    pub fn missing(&self, have: Index) -> (usize, usize) {
+        self.after(have).fold((0, 0), |(count, bytes), piece| (count + 1, bytes + piece.data.len()))
+    }
+}
+
+/// Pieces that came before those they build on.
+#[derive(Debug, Default)]
+pub(crate) struct Early {
+    pieces: BTreeMap<Index, Piece>,
+    bytes: usize,
+}
+
+impl Early {
+    pub fn has(&self, index: Index) -> bool {
+        self.pieces.contains_key(&index)
+    }
+
+    /// Keeps a piece for later; the farthest ahead makes room.
+    pub fn keep(&mut self, piece: Piece) {
+        if self.has(piece.index) {
+            return;
+        }
+        self.bytes += piece.data.len();
+        self.pieces.insert(piece.index, piece);
+        while self.pieces.len() > EARLY_PIECES_MAX || self.bytes > EARLY_BYTES_MAX {
+            let Some((_, farthest)) = self.pieces.pop_last() else { return };
+            self.bytes -= farthest.data.len();
+        }
+    }
+
+    /// The piece that fits after `have`, if it is here; older ones are dropped.
+    pub fn next(&mut self, have: Index) -> Option<Piece> {
+        loop {
+            let first = self.pieces.first_entry()?;
+            if first.get().index > have && first.get().prev > have {
+                return None;
+            }
+            let piece = first.remove();
+            self.bytes -= piece.data.len();
+            if piece.index > have {
+                return Some(piece);
+            }
+        }
+    }
+}
