--- /dev/null
+++ b/crates/promptbook/src/book.rs
@@ -0,0 +1,383 @@
+//! The member as a whole: its state, the way in and out, and what all its roles share.
+
+use std::mem;
+
+use props::{Index, Micros, Place, SECOND, Seat, Term};
+
+use crate::disk::Disk;
+use crate::follow::Coming;
+use crate::lead::Leading;
+use crate::log::Log;
+use crate::stand::Votes;
+use crate::{Effect, Entry, Event, Members, Message, Saved, Timing, What, Word};
+
+/// How often a seat that is not let in knocks.
+const KNOCK_EVERY: Micros = SECOND;
+/// Most places that are remembered to knock at.
+const MOST_PEERS: usize = 64;
+/// A write that hangs for so many election spans costs leadership.
+const HUNG_ELECTIONS: Micros = 4;
+
+pub(crate) enum Role {
+    /// Follows a leader, or waits for one; also a seat that is no member.
+    Following,
+    /// Asks whether it may stand.
+    Asking(Votes),
+    /// Stands for election in the term it is in.
+    Standing(Votes),
+    Leading(Box<Leading>),
+}
+
+/// One seat's part in the ordered log (a Raft server).
+pub struct Promptbook {
+    pub(crate) own: Seat,
+    pub(crate) timing: Timing,
+    pub(crate) chance: oorandom::Rand64,
+    pub(crate) now: Micros,
+    pub(crate) term: Term,
+    pub(crate) voted: Option<Seat>,
+    pub(crate) log: Log,
+    pub(crate) disk: Disk,
+    pub(crate) commit: Index,
+    applied: Index,
+    pub(crate) role: Role,
+    pub(crate) leader: Option<Seat>,
+    pub(crate) heard_leader: Option<Micros>,
+    /// When a follower looks for another leader.
+    pub(crate) deadline: Micros,
+    /// Entries up to this one are as in the log of this term's leader.
+    pub(crate) verified: Index,
+    /// A grant of this term that waits for the disk.
+    pub(crate) owes_vote: bool,
+    /// An answer to the leader that waits for the disk, with its round.
+    pub(crate) owes_round: Option<u64>,
+    pub(crate) coming: Option<Coming>,
+    places: Vec<Place>,
+    next_knock: Micros,
+    /// What the last `Effect::Leader` said.
+    told: (Option<Seat>, Term),
+    pub(crate) out: Vec<Effect>,
+}
+
+impl Promptbook {
+    /// Begins a life. `first`: only on the very first start of the whole system and on an empty disk, the same
+    /// for everybody, with `own` among them. With an empty `saved` and no `first` it is no member, and knocks.
+    pub fn start(
+        own: Seat, first: Option<Members>, saved: Saved, timing: Timing, seed: u64, now: Micros,
+    ) -> (Promptbook, Vec<Effect>) {
+        let empty = saved.term == Term(0) && saved.snapshot.is_none() && saved.entries.is_empty();
+        let holds = saved.entries.iter().map(|entry| entry.index).max().unwrap_or_default();
+        let log = Log::open(saved.snapshot, saved.entries);
+        let disk = Disk::open(saved.term, saved.voted, &log, holds);
+        let restored = log.snapshot_index();
+        let mut book = Promptbook {
+            own,
+            timing,
+            chance: oorandom::Rand64::new(u128::from(seed)),
+            now,
+            term: saved.term.max(log.last_term()),
+            voted: saved.voted.filter(|_| saved.term >= log.last_term()),
+            log,
+            disk,
+            commit: restored,
+            applied: restored,
+            role: Role::Following,
+            leader: None,
+            heard_leader: None,
+            deadline: 0,
+            verified: restored,
+            owes_vote: false,
+            owes_round: None,
+            coming: None,
+            places: Vec::new(),
+            next_knock: now,
+            told: (None, Term(0)),
+            out: Vec::new(),
+        };
+        if let (true, Some(members)) = (empty, first) {
+            // The same first entry everywhere, in a term that nobody is elected in.
+            book.term = Term(1);
+            book.log.append(Entry { index: Index(1), term: Term(1), what: What::Members(members) });
+        }
+        book.told.1 = book.term;
+        if book.is_member() {
+            book.next_knock = now + KNOCK_EVERY;
+        }
+        book.arm();
+        if let Some(snapshot) = book.log.snapshot().filter(|snapshot| snapshot.index > Index(0)) {
+            book.out.push(Effect::Restore { index: snapshot.index, data: snapshot.data.clone() });
+        }
+        let effects = book.finish();
+        (book, effects)
+    }
+
+    /// Takes one event at `now` (steady clock, microseconds) and tells what is to be done, in order.
+    pub fn step(&mut self, now: Micros, event: Event) -> Vec<Effect> {
+        self.now = self.now.max(now);
+        // Before anything else: it may have been frozen since the last event.
+        self.check_lead();
+        match event {
+            Event::Tick => self.tick(),
+            Event::Received { from, message } => self.received(from, message),
+            Event::Propose { ask, data } => self.propose(ask, data),
+            Event::Read { ask } => self.read(ask),
+            Event::Synced { write } => {
+                if self.disk.synced(write, self.log.last()) {
+                    self.after_sync();
+                }
+            }
+            Event::WriteFailed { write } => {
+                if self.disk.failed(write, self.now + self.timing.election) {
+                    self.give_up();
+                }
+            }
+            Event::Peers { mut places } => {
+                places.truncate(MOST_PEERS);
+                if self.places.is_empty() && !self.is_member() {
+                    self.next_knock = self.now;
+                }
+                self.places = places;
+            }
+            Event::Kept { index, data } => self.kept(index, data),
+        }
+        self.finish()
+    }
+
+    /// When the next `Event::Tick` is wanted, at the latest; it may lie in the past.
+    pub fn due(&self) -> Micros {
+        let mut due = match &self.role {
+            Role::Leading(lead) => lead.next_beat,
+            Role::Asking(votes) | Role::Standing(votes) => self.deadline.min(votes.next_ask),
+            Role::Following if self.is_member() => self.deadline,
+            Role::Following => Micros::MAX,
+        };
+        if self.leaderless() {
+            due = due.min(self.next_knock);
+        } else if !self.is_member() {
+            due = due.min(self.deadline);
+        }
+        self.disk.retry().map_or(due, |retry| due.min(retry))
+    }
+
+    pub fn leads(&self) -> bool {
+        matches!(self.role, Role::Leading(_))
+    }
+
+    /// The leader of the own term, where it is known.
+    pub fn leader(&self) -> Option<Seat> {
+        self.leader
+    }
+
+    /// The newest members in the log here, committed or not.
+    pub fn members(&self) -> &Members {
+        self.log.members()
+    }
+
+    /// All entries up to here are known to be committed, and their commands were handed out.
+    pub fn committed(&self) -> Index {
+        self.commit
+    }
+
+    pub fn term(&self) -> Term {
+        self.term
+    }
+
+    /// True if the newest members here have the own seat.
+    pub fn is_member(&self) -> bool {
+        self.votes_in(self.own)
+    }
+
+    pub(crate) fn votes_in(&self, seat: Seat) -> bool {
+        self.log.members().0.contains(&seat)
+    }
+
+    pub(crate) fn majority(&self) -> usize {
+        self.log.members().0.len() / 2 + 1
+    }
+
+    pub(crate) fn disk_well(&self) -> bool {
+        self.disk.well(self.now, HUNG_ELECTIONS * self.timing.election)
+    }
+
+    pub(crate) fn say(&mut self, to: Seat, word: Word) {
+        self.say_in(self.term, to, word);
+    }
+
+    pub(crate) fn say_in(&mut self, term: Term, to: Seat, word: Word) {
+        self.out.push(Effect::Send { to: to.place, message: Message::Said { to, term, word } });
+    }
+
+    /// Sets the time after which a follower looks for another leader.
+    pub(crate) fn arm(&mut self) {
+        let span = self.timing.election.max(1);
+        self.deadline = self.now + span + self.chance.rand_range(0..span as u64) as Micros;
+    }
+
+    /// The one way to follow: in a newer term, or in the own one. What a leader had open is answered.
+    pub(crate) fn follow(&mut self, term: Term, leader: Option<Seat>) {
+        if term > self.term {
+            self.term = term;
+            self.voted = None;
+            self.owes_vote = false;
+            self.coming = None;
+            self.owes_round = None;
+            // All that is committed is in the log of every later leader.
+            self.verified = self.commit;
+        }
+        if self.leader.is_some() && leader.is_none() {
+            self.next_knock = self.now + KNOCK_EVERY;
+        }
+        self.leader = leader;
+        if let Role::Leading(lead) = mem::replace(&mut self.role, Role::Following) {
+            self.verified = self.commit;
+            lead.close(leader.map(|seat| seat.place), &mut self.out);
+            self.arm();
+        }
+    }
+
+    /// A leader whose disk or majority is gone.
+    pub(crate) fn give_up(&mut self) {
+        if !matches!(self.role, Role::Following) {
+            self.follow(self.term, None);
+            self.arm();
+        }
+    }
+
+    fn leaderless(&self) -> bool {
+        self.leader.is_none()
+    }
+
+    fn tick(&mut self) {
+        if self.leads() {
+            return self.beat();
+        }
+        if self.now >= self.deadline {
+            self.arm();
+            if self.is_member() && self.disk_well() {
+                self.ask_to_stand();
+            } else if !matches!(self.role, Role::Following) || self.leader.is_some() {
+                self.follow(self.term, None);
+                self.next_knock = self.now;
+            }
+        }
+        self.ask_again();
+        if self.leaderless() && self.now >= self.next_knock {
+            self.knock();
+        }
+    }
+
+    fn knock(&mut self) {
+        self.next_knock = self.now + KNOCK_EVERY;
+        let mut places = self.places.clone();
+        places.extend(self.log.members().0.iter().map(|seat| seat.place));
+        places.sort_unstable();
+        places.dedup();
+        for to in places.into_iter().filter(|place| *place != self.own.place) {
+            self.out.push(Effect::Send { to, message: Message::Knock });
+        }
+    }
+
+    fn received(&mut self, from: Seat, message: Message) {
+        if from == self.own {
+            return;
+        }
+        match message {
+            Message::Knock if self.leads() => self.knocked(from),
+            Message::Knock => {
+                let place = self.leader.map(|seat| seat.place).filter(|place| *place != from.place);
+                if let Some(place) = place {
+                    self.out.push(Effect::Send { to: from.place, message: Message::Leader { place } });
+                }
+            }
+            Message::Leader { place } => {
+                // Where the peers told are all that serve control, it was knocked at already.
+                let known = self.places.contains(&place) || place == self.own.place;
+                if self.leaderless() && !known && !self.log.members().0.iter().any(|seat| seat.place == place)
+                {
+                    self.out.push(Effect::Send { to: place, message: Message::Knock });
+                }
+            }
+            Message::Said { to, term, word } if to == self.own => self.heard(from, term, word),
+            Message::Said { .. } => {}
+        }
+    }
+
+    fn heard(&mut self, from: Seat, term: Term, word: Word) {
+        match word {
+            Word::MayStand { last, last_term } => self.may_stand(from, term, last, last_term),
+            Word::MayStood { granted: true } => self.may_stood(from, term),
+            Word::Stand { last, last_term } => self.stand_asked(from, term, last, last_term),
+            Word::Append { .. } | Word::Beat { .. } | Word::Piece { .. } => {
+                if term < self.term {
+                    self.say(from, Word::Late);
+                } else if self.accept(from, term) {
+                    self.by_leader(from, word);
+                }
+            }
+            _ if term > self.term => {
+                if self.votes_in(from) || self.knows_peer(from) {
+                    self.follow(term, None);
+                }
+            }
+            _ if term < self.term => {}
+            Word::Stood { granted: true } => self.stood(from),
+            Word::Stood { granted: false } | Word::MayStood { granted: false } | Word::Late => {}
+            Word::Appended { matched, got, round } => self.appended(from, matched, got, round),
+            Word::Gap { prev, hint, round } => self.gap(from, prev, hint, round),
+            Word::Taken { index, upto, round } => self.taken(from, index, upto, round),
+        }
+    }
+
+    fn kept(&mut self, index: Index, data: Vec<u8>) {
+        if index > self.log.snapshot_index() && index <= self.applied {
+            let term = self.log.term_at(index).expect("what comes after the snapshot is in memory");
+            let members = self.log.members_at(index).clone();
+            self.log.replace(crate::Snapshot { index, term, members, data });
+        }
+    }
+
+    /// A leader's snapshot stands in for what was to be handed out up to its index.
+    pub(crate) fn restored(&mut self, index: Index, data: Vec<u8>) {
+        self.commit = index;
+        self.applied = index;
+        self.out.push(Effect::Restore { index, data });
+    }
+
+    /// What an event leads to besides its own effects: commits, sends, answers, and the next write.
+    fn finish(&mut self) -> Vec<Effect> {
+        if self.leads() {
+            self.commit_more();
+            self.tend_members();
+            self.commit_more();
+        }
+        self.apply();
+        if self.leads() {
+            self.answer_reads();
+            self.pump();
+        }
+        if let Some(write) = self.disk.issue(self.now, self.term, self.voted, &self.log) {
+            self.out.push(Effect::Write(write));
+        }
+        if self.told != (self.leader, self.term) && (self.told.0 != self.leader || self.leader.is_some()) {
+            self.told = (self.leader, self.term);
+            self.out.push(Effect::Leader { leader: self.leader, term: self.term });
+        }
+        mem::take(&mut self.out)
+    }
+
+    fn apply(&mut self) {
+        while self.applied < self.commit {
+            let index = Index(self.applied.0 + 1);
+            let entry = self.log.get(index).expect("what is committed and not handed out is in memory");
+            if let What::Command(data) = &entry.what {
+                let data = data.clone();
+                let ask = match &mut self.role {
+                    Role::Leading(lead) => lead.ask_at(index),
+                    _ => None,
+                };
+                self.out.push(Effect::Apply { index, data, ask });
+            }
+            self.applied = index;
+        }
+    }
+}
--- /dev/null
+++ b/crates/promptbook/src/disk.rs
@@ -0,0 +1,113 @@
+//! What is known to be on disk, and the one write that may be under way.
+
+use props::{Index, Micros, Seat, Term};
+
+use crate::log::Log;
+use crate::{Write, WriteNo};
+
+struct UnderWay {
+    no: WriteNo,
+    since: Micros,
+    term: Term,
+    voted: Option<Seat>,
+    /// Entries up to this one are as in memory once it is synced.
+    upto: Index,
+    /// The last entry on disk once it is synced, whether still good or not.
+    last: Index,
+    snapshot: Index,
+}
+
+pub(crate) struct Disk {
+    next: u64,
+    under_way: Option<UnderWay>,
+    term: Term,
+    voted: Option<Seat>,
+    /// Entries up to this one are on disk as in memory.
+    stable: Index,
+    /// No entry after this one can be on disk, whatever came of the writes.
+    holds: Index,
+    snapshot: Index,
+    /// The last write failed; when to try again.
+    retry: Option<Micros>,
+}
+
+impl Disk {
+    /// `log` as it was read, `holds` the last index found.
+    pub(crate) fn open(term: Term, voted: Option<Seat>, log: &Log, holds: Index) -> Disk {
+        let (stable, snapshot) = (log.last(), log.snapshot_index());
+        Disk { next: 1, under_way: None, term, voted, stable, holds, snapshot, retry: None }
+    }
+
+    pub(crate) fn stable(&self) -> Index {
+        self.stable
+    }
+
+    /// True if this term and vote are on disk.
+    pub(crate) fn knows(&self, term: Term, voted: Option<Seat>) -> bool {
+        self.term == term && self.voted == voted
+    }
+
+    /// False after a failed write until one succeeds, and while one has hung for over `hung` microseconds.
+    pub(crate) fn well(&self, now: Micros, hung: Micros) -> bool {
+        self.retry.is_none() && self.under_way.as_ref().is_none_or(|write| now - write.since < hung)
+    }
+
+    pub(crate) fn retry(&self) -> Option<Micros> {
+        self.retry.filter(|_| self.under_way.is_none())
+    }
+
+    /// Memory has other entries from `from` on than it had.
+    pub(crate) fn cut(&mut self, from: Index) {
+        let before = Index(from.0.saturating_sub(1));
+        self.stable = self.stable.min(before);
+        if let Some(write) = &mut self.under_way {
+            write.upto = write.upto.min(before);
+        }
+    }
+
+    /// The next write, where there is something to write and none is under way.
+    pub(crate) fn issue(&mut self, now: Micros, term: Term, voted: Option<Seat>, log: &Log) -> Option<Write> {
+        if self.under_way.is_some() || self.retry.is_some_and(|at| now < at) {
+            return None;
+        }
+        let snapshot = log.snapshot().filter(|snapshot| snapshot.index > self.snapshot);
+        let good = self.stable.max(snapshot.map_or(Index(0), |snapshot| snapshot.index));
+        let last = log.last();
+        if self.knows(term, voted) && snapshot.is_none() && good == last && self.holds <= good {
+            return None;
+        }
+        let no = WriteNo(self.next);
+        self.next += 1;
+        let write = Write {
+            no,
+            term,
+            voted,
+            cut_from: (self.holds > good).then_some(Index(good.0 + 1)),
+            entries: log.slice(Index(good.0 + 1), usize::MAX),
+            snapshot: snapshot.map(|snapshot| (**snapshot).clone()),
+        };
+        self.holds = self.holds.max(last);
+        let snapshot = snapshot.map_or(self.snapshot, |snapshot| snapshot.index);
+        self.under_way = Some(UnderWay { no, since: now, term, voted, upto: last, last, snapshot });
+        Some(write)
+    }
+
+    /// True if this was the one under way.
+    pub(crate) fn synced(&mut self, no: WriteNo, last: Index) -> bool {
+        let Some(write) = self.under_way.take_if(|write| write.no == no) else { return false };
+        self.term = write.term;
+        self.voted = write.voted;
+        self.stable = write.upto.max(write.snapshot).max(self.stable).min(last);
+        self.holds = write.last;
+        self.snapshot = write.snapshot;
+        self.retry = None;
+        true
+    }
+
+    /// True if this was the one under way. All that it held is written again with the next.
+    pub(crate) fn failed(&mut self, no: WriteNo, retry: Micros) -> bool {
+        let Some(_) = self.under_way.take_if(|write| write.no == no) else { return false };
+        self.retry = Some(retry);
+        true
+    }
+}
--- /dev/null
+++ b/crates/promptbook/src/follow.rs
@@ -0,0 +1,136 @@
+//! Following: entries, beats and snapshots from a leader, and the answers to them.
+
+use props::{Index, Seat, Term};
+
+use crate::book::{Promptbook, Role};
+use crate::{Entry, Members, Snapshot, Word};
+
+/// Most bytes of a snapshot that is taken from a leader.
+const MOST_SNAPSHOT: u64 = 64 * 1024 * 1024;
+
+/// A snapshot of this term's leader that is not yet whole.
+pub(crate) struct Coming {
+    index: Index,
+    data: Vec<u8>,
+}
+
+impl Promptbook {
+    /// Takes `from` for the leader of `term`, which is the own one or newer. False if it can't be.
+    pub(crate) fn accept(&mut self, from: Seat, term: Term) -> bool {
+        if term == self.term && (self.leads() || self.leader.is_some_and(|leader| leader != from)) {
+            return false;
+        }
+        if self.leader != Some(from) || term > self.term || !matches!(self.role, Role::Following) {
+            self.follow(term, Some(from));
+        }
+        self.heard_leader = Some(self.now);
+        self.arm();
+        true
+    }
+
+    pub(crate) fn by_leader(&mut self, from: Seat, word: Word) {
+        match word {
+            Word::Append { prev, prev_term, entries, commit, round } => {
+                self.take_entries(prev, prev_term, entries, commit, round);
+            }
+            Word::Beat { commit, round } => {
+                self.take_commit(commit);
+                if let Some(round) = round {
+                    self.answer(round);
+                }
+            }
+            Word::Piece { index, index_term, members, total, at, data, round } => {
+                self.take_piece(from, Snapshot { index, term: index_term, members, data }, total, at, round);
+            }
+            _ => {}
+        }
+    }
+
+    fn take_entries(&mut self, prev: Index, prev_term: Term, entries: Vec<Entry>, commit: Index, round: u64) {
+        let Some(leader) = self.leader else { return };
+        let mut next = prev.0;
+        let in_order = entries.iter().all(|entry| {
+            next = next.saturating_add(1);
+            entry.index.0 == next && entry.term <= self.term
+        });
+        if !in_order {
+            return;
+        }
+        // What is committed here is the same there.
+        if prev > self.commit && self.log.term_at(prev) != Some(prev_term) {
+            let hint = match self.log.last() {
+                last if last < prev => last,
+                _ => Index(self.log.run_start(prev).0.saturating_sub(1)),
+            };
+            return self.say(leader, Word::Gap { prev, hint: hint.max(self.commit), round });
+        }
+        let upto = Index(prev.0 + entries.len() as u64);
+        for entry in entries {
+            if entry.index <= self.commit || self.log.term_at(entry.index) == Some(entry.term) {
+                continue;
+            }
+            if entry.index <= self.log.last() {
+                self.log.cut(entry.index);
+                self.disk.cut(entry.index);
+            }
+            self.log.append(entry);
+        }
+        self.verified = self.verified.max(upto);
+        self.take_commit(commit);
+        if upto <= self.disk.stable() {
+            self.answer(round);
+        } else {
+            self.owes_round = self.owes_round.max(Some(round));
+        }
+    }
+
+    fn take_commit(&mut self, commit: Index) {
+        self.commit = self.commit.max(commit.min(self.verified));
+    }
+
+    fn answer(&mut self, round: u64) {
+        let Some(leader) = self.leader else { return };
+        let got = self.verified;
+        self.say(leader, Word::Appended { matched: got.min(self.disk.stable()), got, round });
+    }
+
+    /// The answer that waited for the disk.
+    pub(crate) fn pay_round(&mut self) {
+        if let Some(round) = self.owes_round {
+            if self.verified <= self.disk.stable() {
+                self.owes_round = None;
+            }
+            self.answer(round);
+        }
+    }
+
+    fn take_piece(&mut self, leader: Seat, piece: Snapshot, total: u64, at: u64, round: u64) {
+        let Snapshot { index, term, members, data } = piece;
+        if index <= self.commit {
+            return self.answer(round);
+        }
+        if self.coming.as_ref().is_none_or(|coming| coming.index != index) {
+            self.coming = Some(Coming { index, data: Vec::new() });
+        }
+        let Some(coming) = &mut self.coming else { return };
+        let have = coming.data.len() as u64;
+        if at == have && have + data.len() as u64 <= total && total <= MOST_SNAPSHOT {
+            coming.data.extend_from_slice(&data);
+        }
+        let upto = coming.data.len() as u64;
+        if upto < total {
+            return self.say(leader, Word::Taken { index, upto, round });
+        }
+        let data = self.coming.take().map(|coming| coming.data).unwrap_or_default();
+        self.install(index, term, members, data);
+        self.owes_round = self.owes_round.max(Some(round));
+    }
+
+    fn install(&mut self, index: Index, term: Term, members: Members, data: Vec<u8>) {
+        if !self.log.replace(Snapshot { index, term, members, data: data.clone() }) {
+            self.disk.cut(Index(1));
+        }
+        self.verified = self.verified.max(index);
+        self.restored(index, data);
+    }
+}
--- /dev/null
+++ b/crates/promptbook/src/lead.rs
@@ -0,0 +1,424 @@
+//! Leading: entries to followers, commits, and reads that prove leadership first.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use props::{Ask, Index, Micros, Place, Seat};
+
+use crate::book::{Promptbook, Role};
+use crate::log::{Log, weight};
+use crate::{Effect, Entry, Message, Snapshot, What, Word};
+
+/// Most bytes of entries that are not committed; proposals beyond are refused.
+const MOST_OPEN: usize = 4 * 1024 * 1024;
+/// Most appends with entries that one follower has not answered yet.
+const WINDOW: usize = 2;
+/// Most reads that wait for a proof of leadership; more are refused.
+const MOST_READS: usize = 4096;
+
+/// How a leader sends to one seat.
+enum Mode {
+    /// Where its log leaves the leader's is not known: one append at a time, from `next` on. `bare`: without
+    /// entries, as the last one was not answered.
+    Probe { bare: bool, sent: bool },
+    /// Entries follow each other before they are answered; `flight` has the last index of each append and when
+    /// it was sent.
+    Flow { flight: VecDeque<(Index, Micros)> },
+    /// It needs what is no longer in memory. `sent`: when the piece at `at` was, unless it is to be sent;
+    /// `mute`: it did not answer, and a word from it comes first.
+    Pieces { snapshot: Arc<Snapshot>, at: usize, sent: Option<Micros>, mute: bool },
+}
+
+/// What a leader knows of one other seat, member or learner.
+pub(crate) struct Peer {
+    pub(crate) seat: Seat,
+    /// Since when it is served in this term.
+    pub(crate) since: Micros,
+    /// Its last word of this term.
+    pub(crate) heard: Option<Micros>,
+    /// On its disk as in the log here.
+    pub(crate) matched: Index,
+    next: Index,
+    mode: Mode,
+    /// When something was sent that wants an answer, with the round it had.
+    asked: Micros,
+    asked_round: u64,
+    /// The highest round that came back.
+    round: u64,
+    told: Index,
+}
+
+impl Peer {
+    pub(crate) fn new(seat: Seat, next: Index, now: Micros) -> Peer {
+        let mode = Mode::Probe { bare: false, sent: false };
+        let (asked_round, round, told) = (0, 0, Index(0));
+        Peer {
+            seat,
+            since: now,
+            heard: None,
+            matched: Index(0),
+            next,
+            mode,
+            asked: now,
+            asked_round,
+            round,
+            told,
+        }
+    }
+
+    /// How long it has said nothing, in microseconds.
+    pub(crate) fn silent(&self, now: Micros) -> Micros {
+        now - self.heard.unwrap_or(self.since)
+    }
+
+    fn probe(&mut self, next: Index, bare: bool) {
+        self.next = next;
+        self.mode = Mode::Probe { bare, sent: false };
+    }
+}
+
+/// What is the same for all sends of one step.
+struct Desk<'a> {
+    now: Micros,
+    term: props::Term,
+    log: &'a Log,
+    commit: Index,
+    round: u64,
+    piece: usize,
+    out: &'a mut Vec<Effect>,
+}
+
+impl Desk<'_> {
+    fn say(&mut self, peer: &mut Peer, word: Word) {
+        let asks = !matches!(word, Word::Beat { round: None, .. });
+        if asks {
+            peer.asked = self.now;
+            peer.asked_round = self.round;
+        }
+        if !matches!(word, Word::Piece { .. }) {
+            peer.told = self.commit;
+        }
+        let message = Message::Said { to: peer.seat, term: self.term, word };
+        self.out.push(Effect::Send { to: peer.seat.place, message });
+    }
+
+    fn append(&mut self, peer: &mut Peer, entries: Vec<Entry>) {
+        let prev = Index(peer.next.0 - 1);
+        let prev_term = self.log.term_at(prev).expect("a seat that needs what is gone gets pieces");
+        self.say(peer, Word::Append { prev, prev_term, entries, commit: self.commit, round: self.round });
+    }
+
+    /// Sends what can be sent now.
+    fn serve(&mut self, peer: &mut Peer) {
+        if peer.next <= self.log.base()
+            && !matches!(peer.mode, Mode::Pieces { .. })
+            && let Some(snapshot) = self.log.snapshot()
+        {
+            peer.mode =
+                Mode::Pieces { snapshot: snapshot.clone(), at: 0, sent: None, mute: peer.heard.is_none() };
+        }
+        match &mut peer.mode {
+            Mode::Probe { sent: true, .. } => {}
+            Mode::Probe { bare, sent } => {
+                *sent = true;
+                let bytes = if *bare { None } else { Some(self.piece) };
+                let entries = bytes.map_or(Vec::new(), |bytes| self.log.slice(peer.next, bytes));
+                self.append(peer, entries);
+            }
+            Mode::Flow { .. } => {
+                while peer.next <= self.log.last()
+                    && matches!(&peer.mode, Mode::Flow { flight } if flight.len() < WINDOW)
+                {
+                    let entries = self.log.slice(peer.next, self.piece);
+                    let upto = Index(peer.next.0 + entries.len() as u64 - 1);
+                    self.append(peer, entries);
+                    peer.next = Index(upto.0 + 1);
+                    if let Mode::Flow { flight } = &mut peer.mode {
+                        flight.push_back((upto, self.now));
+                    }
+                }
+            }
+            Mode::Pieces { snapshot, at, sent, mute: false } if sent.is_none() => {
+                *sent = Some(self.now);
+                let end = snapshot.data.len().min(*at + self.piece.max(1));
+                let word = Word::Piece {
+                    index: snapshot.index,
+                    index_term: snapshot.term,
+                    members: snapshot.members.clone(),
+                    total: snapshot.data.len() as u64,
+                    at: *at as u64,
+                    data: snapshot.data[*at..end].to_vec(),
+                    round: self.round,
+                };
+                self.say(peer, word);
+            }
+            Mode::Pieces { .. } => {}
+        }
+        if peer.asked_round < self.round {
+            self.say(peer, Word::Beat { commit: self.commit, round: Some(self.round) });
+        } else if peer.told < self.commit && matches!(peer.mode, Mode::Flow { .. }) {
+            self.say(peer, Word::Beat { commit: self.commit, round: None });
+        }
+    }
+
+    /// Once a beat: a sign of life, and again what was not answered.
+    fn beat(&mut self, peer: &mut Peer, beat: Micros) {
+        let late = |at: Micros| self.now - at >= beat;
+        match &mut peer.mode {
+            Mode::Probe { bare, sent } if late(peer.asked) => (*bare, *sent) = (true, false),
+            Mode::Flow { flight } if flight.front().is_some_and(|(_, at)| late(*at)) => {
+                peer.probe(Index(peer.matched.0 + 1), true);
+            }
+            Mode::Pieces { sent, mute, .. } if sent.is_some_and(|at| self.now - at >= 2 * beat) => {
+                (*sent, *mute) = (None, true);
+            }
+            _ => {}
+        }
+        self.serve(peer);
+        if self.now - peer.asked >= beat / 2 {
+            self.say(peer, Word::Beat { commit: self.commit, round: Some(self.round) });
+        }
+    }
+}
+
+/// A leader's state, from its election to its end.
+pub(crate) struct Leading {
+    pub(crate) since: Micros,
+    /// Its first entry; all before it is committed once this one is.
+    pub(crate) first: Index,
+    pub(crate) peers: Vec<Peer>,
+    pub(crate) next_beat: Micros,
+    asks: VecDeque<(Index, Ask)>,
+    /// Each read with the round that must come back from a majority.
+    reads: VecDeque<(u64, Ask)>,
+    round: u64,
+    /// Bytes of entries that are not committed.
+    open: usize,
+}
+
+impl Leading {
+    /// Answers all that is open: what was placed may still be committed, the rest was never done.
+    pub(crate) fn close(self, leader: Option<Place>, out: &mut Vec<Effect>) {
+        out.extend(self.asks.into_iter().map(|(_, ask)| Effect::Refused { ask, leader, lost: true }));
+        out.extend(self.reads.into_iter().map(|(_, ask)| Effect::Refused { ask, leader, lost: false }));
+    }
+
+    pub(crate) fn ask_at(&mut self, index: Index) -> Option<Ask> {
+        self.asks.pop_front_if(|(at, _)| *at == index).map(|(_, ask)| ask)
+    }
+
+    pub(crate) fn peer(&self, seat: Seat) -> Option<&Peer> {
+        self.peers.iter().find(|peer| peer.seat == seat)
+    }
+}
+
+impl Promptbook {
+    /// Elected.
+    pub(crate) fn lead(&mut self) {
+        let next = Index(self.log.last().0 + 1);
+        let others = self.log.members().0.iter().filter(|seat| **seat != self.own);
+        let peers = others.map(|seat| Peer::new(*seat, next, self.now)).collect();
+        self.role = Role::Leading(Box::new(Leading {
+            since: self.now,
+            first: next,
+            peers,
+            next_beat: self.now + self.timing.beat,
+            asks: VecDeque::new(),
+            reads: VecDeque::new(),
+            round: 1,
+            open: self.log.weight_after(self.commit),
+        }));
+        self.leader = Some(self.own);
+        self.place(What::Nothing);
+    }
+
+    /// Puts an entry at the end of the own log.
+    pub(crate) fn place(&mut self, what: What) -> Index {
+        let index = Index(self.log.last().0 + 1);
+        let entry = Entry { index, term: self.term, what };
+        if let Role::Leading(lead) = &mut self.role {
+            lead.open += weight(&entry);
+        }
+        self.log.append(entry);
+        index
+    }
+
+    fn refuse(&mut self, ask: Ask) {
+        let leader = self.leader.map(|seat| seat.place);
+        self.out.push(Effect::Refused { ask, leader, lost: false });
+    }
+
+    pub(crate) fn propose(&mut self, ask: Ask, data: Vec<u8>) {
+        if !matches!(&self.role, Role::Leading(lead) if lead.open + data.len() <= MOST_OPEN) {
+            return self.refuse(ask);
+        }
+        let index = self.place(What::Command(data));
+        if let Role::Leading(lead) = &mut self.role {
+            lead.asks.push_back((index, ask));
+        }
+    }
+
+    pub(crate) fn read(&mut self, ask: Ask) {
+        match &mut self.role {
+            // Only what is sent after the ask can prove that it still leads.
+            Role::Leading(lead) if lead.reads.len() < MOST_READS => {
+                lead.reads.push_back((lead.round + 1, ask))
+            }
+            _ => self.refuse(ask),
+        }
+    }
+
+    pub(crate) fn knows_peer(&self, seat: Seat) -> bool {
+        matches!(&self.role, Role::Leading(lead) if lead.peer(seat).is_some())
+    }
+
+    /// Gives up where no majority was heard from within an election span, or the own disk hangs. Called before
+    /// every event, as the process may have been frozen.
+    pub(crate) fn check_lead(&mut self) {
+        let Role::Leading(lead) = &self.role else { return };
+        let fresh = self.now - lead.since < self.timing.election;
+        if !(fresh || self.can_commit(&self.log.members().0)) || !self.disk_well() {
+            self.give_up();
+        }
+    }
+
+    /// True if a majority of `seats` answered within the last election span.
+    pub(crate) fn can_commit(&self, seats: &[Seat]) -> bool {
+        let Role::Leading(lead) = &self.role else { return false };
+        let lately = |seat: &&Seat| {
+            let peer = lead.peer(**seat);
+            **seat == self.own
+                || peer
+                    .is_some_and(|peer| peer.heard.is_some() && peer.silent(self.now) < self.timing.election)
+        };
+        seats.iter().filter(lately).count() > seats.len() / 2
+    }
+
+    /// The highest value that a majority of the members has.
+    fn agreed<T: Ord + Copy>(&self, own: T, of: impl Fn(&Peer) -> T) -> Option<T> {
+        let Role::Leading(lead) = &self.role else { return None };
+        let value = |seat: &Seat| if *seat == self.own { Some(own) } else { lead.peer(*seat).map(&of) };
+        let mut values: Vec<Option<T>> = self.log.members().0.iter().map(value).collect();
+        values.sort_unstable();
+        values[(values.len() - 1) / 2]
+    }
+
+    pub(crate) fn commit_more(&mut self) {
+        // Entries of older terms are committed only with one of the own term after them.
+        let agreed = self.agreed(self.disk.stable(), |peer| peer.matched);
+        let Some(upto) = agreed.filter(|upto| *upto > self.commit) else { return };
+        if self.log.term_at(upto) == Some(self.term)
+            && let Role::Leading(lead) = &mut self.role
+        {
+            let all = self.log.weight_after(self.commit) - self.log.weight_after(upto);
+            lead.open = lead.open.saturating_sub(all);
+            self.commit = upto;
+        }
+    }
+
+    pub(crate) fn answer_reads(&mut self) {
+        let proved = self.agreed(u64::MAX, |peer| peer.round).unwrap_or(0);
+        let Role::Leading(lead) = &mut self.role else { return };
+        if self.commit < lead.first {
+            return;
+        }
+        // Alone, it needs no proof.
+        while let Some((_, ask)) = lead.reads.pop_front_if(|(round, _)| *round <= proved) {
+            self.out.push(Effect::ReadAt { ask, index: self.commit });
+        }
+        // One round at a time; reads that come meanwhile share the next.
+        if proved >= lead.round && !lead.reads.is_empty() {
+            lead.round += 1;
+        }
+    }
+
+    fn with_desk(&mut self, mut each: impl FnMut(&mut Desk, &mut Peer)) {
+        let Role::Leading(lead) = &mut self.role else { return };
+        let (now, term, commit, piece) = (self.now, self.term, self.commit, self.timing.piece);
+        let mut desk =
+            Desk { now, term, log: &self.log, commit, round: lead.round, piece, out: &mut self.out };
+        for peer in &mut lead.peers {
+            each(&mut desk, peer);
+        }
+    }
+
+    pub(crate) fn pump(&mut self) {
+        self.with_desk(|desk, peer| desk.serve(peer));
+    }
+
+    pub(crate) fn beat(&mut self) {
+        let beat = self.timing.beat;
+        let Role::Leading(lead) = &mut self.role else { return };
+        if self.now < lead.next_beat {
+            return;
+        }
+        lead.next_beat = self.now + beat;
+        if !lead.reads.is_empty() {
+            lead.round += 1;
+        }
+        self.with_desk(|desk, peer| desk.beat(peer, beat));
+    }
+
+    /// Notes a word of a seat that is served, and its round.
+    fn peer_spoke(&mut self, from: Seat, round: u64) -> Option<&mut Peer> {
+        let Role::Leading(lead) = &mut self.role else { return None };
+        let newest = lead.round;
+        let peer = lead.peers.iter_mut().find(|peer| peer.seat == from)?;
+        peer.heard = Some(self.now);
+        peer.round = peer.round.max(round.min(newest));
+        if let Mode::Pieces { mute, .. } = &mut peer.mode {
+            *mute = false;
+        }
+        Some(peer)
+    }
+
+    pub(crate) fn appended(&mut self, from: Seat, matched: Index, got: Index, round: u64) {
+        let last = self.log.last();
+        let Some(peer) = self.peer_spoke(from, round) else { return };
+        if matched > got || got > last {
+            return;
+        }
+        peer.matched = peer.matched.max(matched);
+        let next = Index(got.0 + 1);
+        match &mut peer.mode {
+            Mode::Probe { .. } if next >= peer.next => {
+                peer.next = next;
+                peer.mode = Mode::Flow { flight: VecDeque::new() };
+            }
+            Mode::Pieces { snapshot, .. } if got >= snapshot.index => {
+                peer.next = next;
+                peer.mode = Mode::Flow { flight: VecDeque::new() };
+            }
+            Mode::Flow { flight } => {
+                while flight.pop_front_if(|(upto, _)| *upto <= matched).is_some() {}
+                peer.next = peer.next.max(next);
+            }
+            Mode::Probe { .. } | Mode::Pieces { .. } => {}
+        }
+    }
+
+    pub(crate) fn gap(&mut self, from: Seat, prev: Index, hint: Index, round: u64) {
+        let Some(peer) = self.peer_spoke(from, round) else { return };
+        let asked = match peer.mode {
+            Mode::Probe { .. } => prev.0 + 1 == peer.next.0,
+            Mode::Flow { .. } => prev < peer.next,
+            Mode::Pieces { .. } => false,
+        };
+        if asked && prev > peer.matched {
+            let agreed = hint.min(Index(prev.0 - 1)).max(peer.matched);
+            peer.probe(Index(agreed.0 + 1), false);
+        }
+    }
+
+    pub(crate) fn taken(&mut self, from: Seat, index: Index, upto: u64, round: u64) {
+        let Some(peer) = self.peer_spoke(from, round) else { return };
+        if let Mode::Pieces { snapshot, at, sent, .. } = &mut peer.mode
+            && snapshot.index == index
+            && let Ok(upto) = usize::try_from(upto)
+            && upto < snapshot.data.len()
+            && upto != *at
+        {
+            (*at, *sent) = (upto, None);
+        }
+    }
+}
--- a/crates/promptbook/src/lib.rs
+++ b/crates/promptbook/src/lib.rs
@@ -1,5 +1,19 @@
 //! Promptbook (replicated log): one elected leader orders all control changes in a log that a majority of
 //! the core has on disk. No I/O: time and events in, effects out.
+//!
+//! Raft with pre-votes, led reads and members changed one seat at a time; `docs/promptbook.md` tells what was
+//! weighed. Guards against: processes killed, disks wiped or full, machines replaced, links cut, messages lost,
+//! doubled, reordered or late, and leaders that were frozen and don't know that they lead no more.
+
+mod book;
+mod disk;
+mod follow;
+mod lead;
+mod log;
+mod seats;
+mod stand;
+
+pub use book::Promptbook;
 
 use props::{Ask, Index, Micros, Place, Seat, Term};
 use serde::{Deserialize, Serialize};
@@ -44,7 +58,9 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct WriteNo(pub u64);
 
-/// What must be on disk before `Event::Synced` answers it. Writes are carried out in order.
+/// What must be on disk before `Event::Synced` answers it. Writes are carried out in order, each of them whole
+/// or not at all. There is at most one under way: the next is made after `Synced` or `WriteFailed`, and
+/// holds all that gathered meanwhile, so that a failed one leaves no gap behind it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Write {
     pub no: WriteNo,
@@ -57,10 +73,48 @@
     pub snapshot: Option<Snapshot>,
 }
 
+/// What members say to each other. It is sent to a place; whoever sits there drops what was meant for another
+/// life of that place.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Message {
-    /// To be replaced by the real set.
-    Nothing,
+    /// The sender is no member, or a member without a leader: it asks to be let in.
+    Knock,
+    /// Answer to a knock by one that does not lead: who does.
+    Leader {
+        place: Place,
+    },
+    Said {
+        to: Seat,
+        term: Term,
+        word: Word,
+    },
+}
+
+/// The words of the protocol; each goes with its sender's term.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Word {
+    /// Pre-vote: would you vote for me in this term, which I have not begun yet?
+    MayStand { last: Index, last_term: Term },
+    /// A grant has the term asked for, a denial that of the answerer.
+    MayStood { granted: bool },
+    /// Vote for me in this term. Sent only once the sender's own vote and log are on its disk.
+    Stand { last: Index, last_term: Term },
+    /// A grant is sent only once it is on disk.
+    Stood { granted: bool },
+    /// Entries after `prev`; `round` proves leadership when it comes back.
+    Append { prev: Index, prev_term: Term, entries: Vec<Entry>, commit: Index, round: u64 },
+    /// The leader is there; answered if it has a round. Without one it only tells what is committed.
+    Beat { commit: Index, round: Option<u64> },
+    /// As in the leader's log: on disk up to `matched`, received up to `got`.
+    Appended { matched: Index, got: Index, round: u64 },
+    /// There is no such entry as `prev` here; try at `hint`.
+    Gap { prev: Index, hint: Index, round: u64 },
+    /// Bytes of a snapshot from `at` on.
+    Piece { index: Index, index_term: Term, members: Members, total: u64, at: u64, data: Vec<u8>, round: u64 },
+    /// So many bytes of that snapshot are here.
+    Taken { index: Index, upto: u64, round: u64 },
+    /// To a leader of an older term: the sender's term is newer.
+    Late,
 }
 
 #[derive(Clone, Debug)]
@@ -70,7 +124,8 @@
         from: Seat,
         message: Message,
     },
-    /// To be ordered; answered by `Apply` with this `ask`, or by `Refused`.
+    /// To be ordered; answered by `Apply` with this `ask`, or by `Refused`. Each ask gets exactly one answer in
+    /// a life of the process.
     Propose {
         ask: Ask,
         data: Vec<u8>,
@@ -85,7 +140,7 @@
     WriteFailed {
         write: WriteNo,
     },
-    /// All places known that serve control, to knock at while this one is no member.
+    /// All places known that serve control, to knock at while this one is no member; the last ones told count.
     Peers {
         places: Vec<Place>,
     },
@@ -114,12 +169,14 @@
         index: Index,
         data: Vec<u8>,
     },
+    /// A read may be answered from the state as it is when this effect is reached: all commands up to `index`
+    /// were handed out before it.
     ReadAt {
         ask: Ask,
         index: Index,
     },
-    /// Not done here and never will be by this ask; the leader's place where known. `lost`: it was
-    /// placed in the log, and may still come to be committed.
+    /// Not done here and never will be by this ask; the leader's place where known (the own one if too much
+    /// waits here). `lost`: it was placed in the log, and may still come to be committed.
     Refused {
         ask: Ask,
         leader: Option<Place>,
@@ -131,13 +188,16 @@
     },
 }
 
-/// Spans that the protocol runs by.
+/// Spans that the protocol runs by, in microseconds, and one size in bytes.
 #[derive(Clone, Copy, Debug)]
 pub struct Timing {
+    /// From one sign of life of a leader to the next, and the wait before something is sent again.
     pub beat: Micros,
+    /// A leader that hears from no majority for so long gives up; followers wait for it for this to twice this.
+    /// At least three beats.
     pub election: Micros,
     /// A voter not heard from for so long is dismissed where the rest can spare it.
     pub dismiss: Micros,
-    /// Most bytes of entries or snapshot in one message.
+    /// Most bytes of entries or snapshot in one message; a single entry may be larger.
     pub piece: usize,
 }
--- /dev/null
+++ b/crates/promptbook/src/seats.rs
@@ -0,0 +1,94 @@
+//! Who votes: seats let in and dismissed, one at a time, through the log.
+
+use props::{Index, Micros, Place, Seat};
+
+use crate::book::{Promptbook, Role};
+use crate::lead::Peer;
+use crate::{Members, What};
+
+/// Most voters; more than any core has.
+const MOST_VOTERS: usize = 15;
+/// Most seats that are caught up at the same time.
+const MOST_LEARNERS: usize = 4;
+/// Entries that a learner may be behind when it becomes a voter.
+const NEARLY: u64 = 32;
+/// A learner silent for so many election spans is let go; it may knock again.
+const LEARNER_ELECTIONS: Micros = 4;
+/// Fewest voters that are left by a dismissal with nobody to take the place.
+const FEWEST_LEFT: usize = 3;
+
+impl Promptbook {
+    /// A seat knocked at this leader: it becomes a learner, unless it is served already.
+    pub(crate) fn knocked(&mut self, from: Seat) {
+        let next = Index(self.log.last().0 + 1);
+        if from.place == self.own.place || self.knows_peer(from) || self.votes_in(from) {
+            return;
+        }
+        let (now, election) = (self.now, self.timing.election);
+        let members = self.log.members();
+        let Role::Leading(lead) = &mut self.role else { return };
+        let learner = |peer: &Peer| !members.0.contains(&peer.seat);
+        // An older life of the same place is over, unless it still speaks (a knock may come late).
+        lead.peers
+            .retain(|peer| !learner(peer) || peer.seat.place != from.place || peer.silent(now) < election);
+        let learners = || lead.peers.iter().filter(|peer| learner(peer));
+        if learners().count() < MOST_LEARNERS && !learners().any(|peer| peer.seat.place == from.place) {
+            lead.peers.push(Peer::new(from, next, now));
+        }
+    }
+
+    /// Makes at most one change of the members, where one is due and none is under way.
+    pub(crate) fn tend_members(&mut self) {
+        let (now, election) = (self.now, self.timing.election);
+        let members = self.log.members();
+        let Role::Leading(lead) = &mut self.role else { return };
+        lead.peers
+            .retain(|peer| members.0.contains(&peer.seat) || peer.silent(now) < LEARNER_ELECTIONS * election);
+        if lead.first > self.commit || self.log.members_since() > self.commit {
+            return;
+        }
+        if let Some(next) = self.next_members() {
+            let Role::Leading(lead) = &mut self.role else { return };
+            lead.peers
+                .retain(|peer| next.0.contains(&peer.seat) || !self.log.members().0.contains(&peer.seat));
+            self.place(What::Members(next));
+        }
+    }
+
+    fn next_members(&self) -> Option<Members> {
+        let Role::Leading(lead) = &self.role else { return None };
+        let members = self.log.members();
+        let without = |gone: Seat| -> Option<Members> {
+            let rest: Vec<Seat> = members.0.iter().copied().filter(|seat| *seat != gone).collect();
+            self.can_commit(&rest).then_some(Members(rest))
+        };
+        let (mut learners, mut ready) = (Vec::new(), None);
+        for peer in lead.peers.iter().filter(|peer| !members.0.contains(&peer.seat)) {
+            if peer.heard.is_some() && peer.silent(self.now) < self.timing.election {
+                learners.push(peer.seat.place);
+                if peer.matched.0 + NEARLY >= self.log.last().0 && peer.matched.0 > 0 {
+                    ready = ready.or(Some(peer.seat));
+                }
+            }
+        }
+        let voters = || lead.peers.iter().filter(|peer| members.0.contains(&peer.seat));
+        // Another life sits at its place: it is gone for good, and so is what it promised.
+        let replaced = |place: Place| learners.contains(&place);
+        let gone = voters()
+            .filter(|peer| replaced(peer.seat.place) && peer.silent(self.now) >= self.timing.election);
+        if let Some(next) = gone.filter_map(|peer| without(peer.seat)).next() {
+            return Some(next);
+        }
+        let spare = members.0.len() > FEWEST_LEFT || ready.is_some();
+        let silent = voters().filter(|peer| spare && peer.silent(self.now) >= self.timing.dismiss);
+        if let Some(next) = silent.filter_map(|peer| without(peer.seat)).next() {
+            return Some(next);
+        }
+        let ready = ready.filter(|ready| members.0.iter().all(|seat| seat.place != ready.place));
+        ready.filter(|_| members.0.len() < MOST_VOTERS).map(|seat| {
+            let mut next = members.clone();
+            next.0.push(seat);
+            next
+        })
+    }
+}
--- /dev/null
+++ b/crates/promptbook/src/stand.rs
@@ -0,0 +1,137 @@
+//! Elections: asking whether one may stand, standing, voting.
+
+use props::{Index, Micros, Seat, Term};
+
+use crate::Word;
+use crate::book::{Promptbook, Role};
+
+pub(crate) struct Votes {
+    granted: Vec<Seat>,
+    pub(crate) next_ask: Micros,
+}
+
+impl Promptbook {
+    /// First round: nobody's term changes for it, so that a seat that was cut off disturbs nobody.
+    pub(crate) fn ask_to_stand(&mut self) {
+        self.follow(self.term, None);
+        self.role = Role::Asking(Votes { granted: vec![self.own], next_ask: self.now });
+        if self.majority() == 1 {
+            self.stand();
+        }
+    }
+
+    /// Second round. Votes are asked for, and the own one counts, once term, vote and log are on disk.
+    fn stand(&mut self) {
+        let term = Term(self.term.0 + 1);
+        self.follow(term, None);
+        self.voted = Some(self.own);
+        self.role = Role::Standing(Votes { granted: Vec::new(), next_ask: Micros::MAX });
+        self.arm();
+    }
+
+    pub(crate) fn ask_again(&mut self) {
+        let (last, last_term) = (self.log.last(), self.log.last_term());
+        let next = self.now + self.timing.beat;
+        let (term, word, votes) = match &mut self.role {
+            Role::Asking(votes) => (Term(self.term.0 + 1), Word::MayStand { last, last_term }, votes),
+            Role::Standing(votes) => (self.term, Word::Stand { last, last_term }, votes),
+            Role::Following | Role::Leading(_) => return,
+        };
+        if self.now < votes.next_ask {
+            return;
+        }
+        votes.next_ask = next;
+        let granted = votes.granted.clone();
+        for seat in self.log.members().0.clone() {
+            if seat != self.own && !granted.contains(&seat) {
+                self.say_in(term, seat, word.clone());
+            }
+        }
+    }
+
+    fn log_is_old(&self, last: Index, last_term: Term) -> bool {
+        (last_term, last) < (self.log.last_term(), self.log.last())
+    }
+
+    /// Led by another or by itself, as far as it can know: no time for an election.
+    fn led(&self) -> bool {
+        let lately = self.heard_leader.is_some_and(|at| self.now - at < self.timing.election);
+        self.leads() || (self.leader.is_some() && lately)
+    }
+
+    /// A seat without any log never votes, be it asked or not: it has not been let in.
+    fn may_vote(&self) -> bool {
+        self.disk_well() && self.log.last() > Index(0)
+    }
+
+    pub(crate) fn may_stand(&mut self, from: Seat, term: Term, last: Index, last_term: Term) {
+        let granted = term > self.term && !self.led() && self.may_vote() && !self.log_is_old(last, last_term);
+        self.say_in(if granted { term } else { self.term }, from, Word::MayStood { granted });
+    }
+
+    pub(crate) fn may_stood(&mut self, from: Seat, term: Term) {
+        if let Role::Asking(votes) = &mut self.role
+            && term.0 == self.term.0 + 1
+            && count(votes, from, &self.log.members().0) >= self.majority()
+            && self.disk_well()
+        {
+            self.stand();
+        }
+    }
+
+    pub(crate) fn stand_asked(&mut self, from: Seat, term: Term, last: Index, last_term: Term) {
+        if term > self.term {
+            if self.led() {
+                return;
+            }
+            self.follow(term, None);
+        }
+        let free = self.voted.is_none_or(|voted| voted == from);
+        if term < self.term || !free || !self.may_vote() || self.log_is_old(last, last_term) {
+            return self.say(from, Word::Stood { granted: false });
+        }
+        self.follow(term, self.leader);
+        self.voted = Some(from);
+        self.arm();
+        self.owes_vote = true;
+        self.pay_vote();
+    }
+
+    /// Sends the grant that waited for the disk.
+    fn pay_vote(&mut self) {
+        if let Some(seat) = self.voted.filter(|_| self.owes_vote && self.disk.knows(self.term, self.voted)) {
+            self.owes_vote = false;
+            self.say(seat, Word::Stood { granted: true });
+        }
+    }
+
+    pub(crate) fn stood(&mut self, from: Seat) {
+        if let Role::Standing(votes) = &mut self.role
+            && count(votes, from, &self.log.members().0) >= self.majority()
+        {
+            self.lead();
+        }
+    }
+
+    pub(crate) fn after_sync(&mut self) {
+        self.pay_vote();
+        let ready = self.disk.knows(self.term, self.voted) && self.disk.stable() == self.log.last();
+        if let Role::Standing(votes) = &mut self.role
+            && votes.granted.is_empty()
+            && ready
+        {
+            votes.next_ask = self.now;
+            self.stood(self.own);
+            self.ask_again();
+        }
+        self.pay_round();
+    }
+}
+
+/// The votes of members, with this one.
+fn count(votes: &mut Votes, from: Seat, members: &[Seat]) -> usize {
+    if members.contains(&from) && !votes.granted.contains(&from) {
+        votes.granted.push(from);
+    }
+    votes.granted.len()
+}
