--- /dev/null
+++ b/crates/cast/tests/cast.rs
@@ -0,0 +1,219 @@
+//! What the list promises, in a seeded world that loses messages, cuts links and kills nodes.
+
+mod world;
+
+use cast::{Effect, InstanceId, State};
+use props::{MS, Micros, SECOND};
+use world::{BEAT, World};
+
+const LEAVING: [State; 2] = [State::Draining, State::Gone];
+
+#[test]
+fn all_nodes_learn_all_instances_and_quiet_times_cost_little() {
+    for (hubs, foyers, instances) in [(5, 10, 34), (11, 59, 215)] {
+        let mut world = World::new(7, hubs, foyers, instances);
+        world.run(BEAT + 2_500 * MS);
+        world.assert_all_know();
+        world.run(20 * SECOND);
+        let before = world.sent;
+        world.run(10 * SECOND);
+        world.assert_all_know();
+        let each = (world.sent - before) as f64 / (hubs + foyers) as f64 / 10.0;
+        assert!(each < 3.0, "{each} messages a second from each node");
+        assert!(world.longest <= 1000, "a message of {} bytes", world.longest);
+        for hub in world.hubs.clone() {
+            let kept = world.up[&hub].cast.records().filter(|known| known.keeper == hub).count();
+            assert!(kept <= instances / hubs * 2 + 4, "{kept} at one hub");
+        }
+    }
+}
+
+#[test]
+fn a_drain_acknowledged_by_a_hub_that_dies_at_once_is_known_everywhere_within_two_seconds() {
+    for (hubs, foyers, seeds) in [(5, 10, 60), (11, 59, 6)] {
+        for seed in 0..seeds {
+            let mut world = World::new(seed, hubs, foyers, 20);
+            world.loss = 5;
+            world.run(6 * SECOND);
+            let id = InstanceId("i-00000003".into());
+            world.drain(&id);
+            world.run_until(world.now + 3 * SECOND, |world| {
+                world.instances.iter().any(|one| one.drained.is_some())
+            });
+            let (hub, at) = world.instance(&id).drained.expect("acknowledged");
+            // Killed, or cut off with what it has just sent still on the way.
+            if seed % 2 == 0 {
+                world.kill(hub)
+            } else {
+                world.cut(&[hub])
+            }
+            world.run(at + 2 * SECOND - world.now);
+            assert_eq!(world.without(&id, &LEAVING), [], "seed {seed}, {hubs} hubs");
+        }
+    }
+}
+
+#[test]
+fn a_hub_without_a_majority_or_without_any_other_node_acknowledges_no_drain() {
+    let mut world = World::new(3, 3, 4, 6);
+    world.run(6 * SECOND);
+    let alone = world.hubs[0];
+    world.cut(&[alone]);
+    for wait in [0, 4 * SECOND] {
+        // At first it believes that the others are there; later it knows of nobody.
+        world.run(wait);
+        let mut beat = world.instances[0].beat.clone();
+        (beat.draining, beat.sequence) = (true, beat.sequence + 100);
+        let ask = world.call(alone, beat);
+        world.run(790 * MS);
+        assert_eq!(world.answer(ask), None);
+        world.run(20 * MS);
+        assert_eq!(world.answer(ask), Some(Effect::NotTaken { ask }));
+    }
+    // What it heard is not lost: the others learn it when the cut heals.
+    world.cut(&[]);
+    world.run(3 * SECOND);
+    assert_eq!(world.without(&InstanceId("i-00000000".into()), &LEAVING), []);
+}
+
+#[test]
+fn the_silent_are_found_and_come_back_by_a_later_beat_also_when_their_keeper_dies() {
+    let mut world = World::new(11, 5, 10, 12);
+    world.run(8 * SECOND);
+    let id = InstanceId("i-00000001".into());
+    world.instance(&id).alive = false;
+    let keeper = world.up[&world.foyers[0]].cast.get(&id).expect("known").keeper;
+    world.run(2_800 * MS);
+    assert_eq!(world.without(&id, &[State::InService]), [], "two beats may be missed");
+    world.run(2_700 * MS);
+    assert_eq!(world.without(&id, &[State::Silent]), []);
+    let now = world.now;
+    (world.instance(&id).alive, world.instance(&id).next) = (true, now);
+    world.run(2 * SECOND);
+    world.assert_all_know();
+    // Its keeper and the instance end together: another hub has to say it. Nobody else falls silent.
+    world.instance(&id).alive = false;
+    world.kill(keeper);
+    world.run(9 * SECOND);
+    assert_eq!(world.without(&id, &[State::Silent]), []);
+    world.assert_all_know();
+}
+
+#[test]
+fn an_address_used_again_ends_the_older_life_for_good() {
+    let mut world = World::new(5, 3, 6, 8);
+    world.run(6 * SECOND);
+    let old = InstanceId("i-00000002".into());
+    let mut late = world.instance(&old).beat.clone();
+    world.instance(&old).alive = false;
+    world.run(2 * SECOND);
+    let new = world.add("i-000000ff", 2);
+    world.instance(&new).beat.service = "another".into();
+    world.run(5 * SECOND);
+    assert_eq!(world.without(&old, &[State::Gone]), []);
+    assert_eq!(world.without(&new, &[State::InService]), []);
+    late.sequence += 1;
+    let ask = world.call(world.hubs[1], late);
+    assert!(matches!(world.answer(ask), Some(Effect::Taken { .. })));
+    world.run(3 * SECOND);
+    assert_eq!(world.without(&old, &[State::Gone]), []);
+    assert_eq!(world.without(&new, &[State::InService]), []);
+}
+
+#[test]
+fn late_calls_change_nothing_and_the_later_of_two_views_holds() {
+    let mut world = World::new(2, 3, 3, 2);
+    world.run(5 * SECOND);
+    let mut late = world.instances[0].beat.clone();
+    let (id, hub) = (late.id.clone(), world.hubs[2]);
+    late.sequence -= 1;
+    late.slots = 99;
+    // The hub that is not its keeper knows an older sequence, and may be taken in for a while.
+    for at in world.hubs.clone() {
+        let ask = world.call(at, late.clone());
+        assert!(matches!(world.answer(ask), Some(Effect::Taken { .. })));
+    }
+    world.run(3 * SECOND);
+    for node in world.up.values() {
+        assert_eq!(node.cast.get(&id).map(|known| known.slots), Some(3));
+    }
+    // A drain is believed whenever it comes: and no beat undoes it.
+    (late.draining, late.sequence) = (true, 1);
+    let ask = world.call(hub, late);
+    world.run(500 * MS);
+    assert!(matches!(world.answer(ask), Some(Effect::Taken { .. })));
+    world.run(4 * SECOND);
+    assert_eq!(world.without(&id, &[State::Draining]), []);
+}
+
+#[test]
+fn a_detach_of_an_unknown_life_is_remembered_for_a_minute_and_then_forgotten_everywhere() {
+    let mut world = World::new(9, 3, 6, 4);
+    world.run(5 * SECOND);
+    let id = InstanceId("i-never".into());
+    let ask = props::Ask(1 << 40);
+    world.event(world.hubs[0], cast::Event::Detach { ask, id: id.clone() });
+    world.run(500 * MS);
+    assert!(matches!(world.answer(ask), Some(Effect::Taken { .. })));
+    let mut beat = world.instances[0].beat.clone();
+    (beat.id, beat.address) = (id.clone(), "10.9.9.9:80".parse().expect("an address"));
+    world.call(world.hubs[1], beat);
+    world.run(40 * SECOND);
+    assert_eq!(world.without(&id, &[State::Gone]), []);
+    world.run(25 * SECOND);
+    assert_eq!(world.without(&id, &LEAVING).len(), 9);
+    world.assert_all_know();
+}
+
+#[test]
+fn nodes_that_restart_learn_the_list_and_a_world_that_restarts_fills_it_by_beats() {
+    let mut world = World::new(21, 5, 10, 34);
+    world.run(6 * SECOND);
+    let (hub, foyer) = (world.hubs[1], world.foyers[3]);
+    world.kill(hub);
+    world.kill(foyer);
+    world.run(SECOND);
+    world.start(hub);
+    world.start(foyer);
+    world.run(2 * SECOND + 500 * MS);
+    world.assert_all_know();
+    for at in world.up.keys().copied().collect::<Vec<_>>() {
+        world.kill(at);
+        world.start(at);
+    }
+    world.run(BEAT + 3 * SECOND);
+    world.assert_all_know();
+}
+
+#[test]
+fn a_cut_heals_without_false_silence_and_what_left_meanwhile_stays_away() {
+    let mut world = World::new(13, 5, 10, 20);
+    world.run(6 * SECOND);
+    let id = InstanceId("i-00000004".into());
+    let side: Vec<_> = [&world.hubs[..2], &world.foyers[..3]].concat();
+    world.cut(&side);
+    world.run(2 * SECOND);
+    world.drain(&id);
+    world.run(3 * SECOND);
+    world.instance(&id).alive = false;
+    world.cut(&[]);
+    world.run(4 * SECOND);
+    assert_eq!(world.without(&id, &LEAVING), []);
+    world.assert_all_know();
+}
+
+#[test]
+fn a_hub_that_stood_still_calls_nobody_silent_and_sends_instances_elsewhere_for_a_moment() {
+    let mut world = World::new(17, 1, 2, 3);
+    world.run(4 * SECOND);
+    let hub = world.hubs[0];
+    let held: Micros = 7 * SECOND;
+    // Nothing ran meanwhile; beats that lay in buffers may be of instances that ended since.
+    world.now += held;
+    let mut beat = world.instances[0].beat.clone();
+    beat.sequence += 1;
+    let ask = world.call(hub, beat);
+    assert_eq!(world.answer(ask), Some(Effect::NotTaken { ask }));
+    world.run(3 * SECOND);
+    world.assert_all_know();
+}
--- /dev/null
+++ b/crates/cast/tests/world/mod.rs
@@ -0,0 +1,271 @@
+//! A seeded world of a few nodes and instances: messages that are late or lost, cuts, killed nodes.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+use cast::{Beat, Cast, Effect, Event, InstanceId, Message, State, Timing};
+use oorandom::Rand32;
+use props::{Ask, MS, Micros, Place, SECOND};
+
+pub const BEAT: Micros = 1_500 * MS;
+/// How long until nodes hear from their membership that one is up, down or out of reach.
+const NOTICED: Micros = 1_500 * MS;
+
+pub struct Node {
+    pub cast: Cast,
+    /// What a driver knows by `Changed` alone.
+    pub shown: BTreeMap<InstanceId, State>,
+}
+
+pub struct Instance {
+    pub beat: Beat,
+    pub next: Micros,
+    pub target: Option<Place>,
+    pub waits: Option<Ask>,
+    /// Which hub acknowledged its drain, and when.
+    pub drained: Option<(Place, Micros)>,
+    pub alive: bool,
+}
+
+pub struct World {
+    pub now: Micros,
+    pub hubs: Vec<Place>,
+    pub foyers: Vec<Place>,
+    pub up: BTreeMap<Place, Node>,
+    pub cut: BTreeSet<Place>,
+    /// Lost messages in a hundred.
+    pub loss: u32,
+    pub instances: Vec<Instance>,
+    pub rng: Rand32,
+    pub sent: usize,
+    pub longest: usize,
+    net: BTreeMap<(Micros, u64), (Place, Place, Message)>,
+    answers: BTreeMap<Ask, (Place, Effect)>,
+    peers_at: Micros,
+    counter: u64,
+}
+
+pub fn place(number: usize) -> Place {
+    Place(Ipv4Addr::new(10, 0, (number / 200) as u8, (number % 200) as u8 + 1))
+}
+
+impl World {
+    pub fn new(seed: u64, hubs: usize, foyers: usize, instances: usize) -> World {
+        let mut world = World {
+            now: SECOND,
+            hubs: (0..hubs).map(place).collect(),
+            foyers: (hubs..hubs + foyers).map(place).collect(),
+            up: BTreeMap::new(),
+            cut: BTreeSet::new(),
+            loss: 2,
+            instances: Vec::new(),
+            rng: Rand32::new(seed),
+            sent: 0,
+            longest: 0,
+            net: BTreeMap::new(),
+            answers: BTreeMap::new(),
+            peers_at: SECOND,
+            counter: 0,
+        };
+        for node in world.hubs.clone().into_iter().chain(world.foyers.clone()) {
+            world.start(node);
+        }
+        world.peers_at = world.now;
+        (0..instances).for_each(|number| drop(world.add(&format!("i-{number:08x}"), number as u16)));
+        world
+    }
+
+    /// A new life, at an address of its number.
+    pub fn add(&mut self, id: &str, number: u16) -> InstanceId {
+        let next = self.now + Micros::from(self.rng.rand_range(0..1_500)) * MS;
+        let beat = Beat {
+            id: InstanceId(id.into()),
+            service: format!("huvo{}a", number % 4),
+            address: SocketAddrV4::new(Ipv4Addr::new(10, 128, 0, 9), 8_000 + number),
+            zone: "hala-a".into(),
+            version: "v1".into(),
+            slots: 3,
+            draining: false,
+            warmup_left: 2 * SECOND,
+            sequence: 0,
+        };
+        let id = beat.id.clone();
+        self.instances.push(Instance { beat, next, target: None, waits: None, drained: None, alive: true });
+        id
+    }
+
+    pub fn start(&mut self, at: Place) {
+        let seed = u64::from(self.rng.rand_u32());
+        let cast = Cast::start(at, Timing::of_heartbeat(BEAT), seed, self.now);
+        self.up.insert(at, Node { cast, shown: BTreeMap::new() });
+        self.noticed();
+    }
+
+    pub fn kill(&mut self, at: Place) {
+        self.up.remove(&at);
+        self.noticed();
+    }
+
+    pub fn cut(&mut self, side: &[Place]) {
+        self.cut = side.iter().copied().collect();
+        self.noticed();
+    }
+
+    fn noticed(&mut self) {
+        self.peers_at = self.now + NOTICED;
+    }
+
+    pub fn instance(&mut self, id: &InstanceId) -> &mut Instance {
+        self.instances.iter_mut().find(|instance| instance.beat.id == *id).expect("added before")
+    }
+
+    /// Has it say now that it drains.
+    pub fn drain(&mut self, id: &InstanceId) {
+        let now = self.now;
+        let instance = self.instance(id);
+        (instance.beat.draining, instance.next, instance.waits) = (true, now, None);
+    }
+
+    pub fn event(&mut self, at: Place, event: Event) {
+        let Some(node) = self.up.get_mut(&at) else { return };
+        for effect in node.cast.step(self.now, event) {
+            match effect {
+                Effect::Send { to, message } => {
+                    self.sent += 1;
+                    let length = postcard::to_allocvec(&message).expect("travels").len();
+                    self.longest = self.longest.max(length);
+                    if self.rng.rand_range(0..100) < self.loss {
+                        continue;
+                    }
+                    let delay = Micros::from(self.rng.rand_range(1..25)) * MS;
+                    self.counter += 1;
+                    self.net.insert((self.now + delay, self.counter), (at, to, message));
+                }
+                Effect::Changed { record } => drop(node.shown.insert(record.id, record.state)),
+                Effect::Taken { ask, .. } | Effect::NotTaken { ask } => {
+                    self.answers.insert(ask, (at, effect));
+                }
+            }
+        }
+        assert!(node.cast.due() > self.now, "{at} would spin");
+    }
+
+    /// A call outside the turn of any instance; its answer is read by `answer`.
+    pub fn call(&mut self, at: Place, beat: Beat) -> Ask {
+        self.counter += 1;
+        let ask = Ask(self.counter);
+        self.event(at, Event::Beat { ask, beat });
+        ask
+    }
+
+    pub fn answer(&mut self, ask: Ask) -> Option<Effect> {
+        self.answers.get(&ask).map(|(_, effect)| effect.clone())
+    }
+
+    /// Plays until `until`, or until `stop` says so.
+    pub fn run_until(&mut self, until: Micros, mut stop: impl FnMut(&World) -> bool) {
+        while !stop(self) {
+            let nodes = self.up.values().map(|node| node.cast.due()).min().unwrap_or(Micros::MAX);
+            let net = self.net.first_key_value().map_or(Micros::MAX, |((at, _), _)| *at);
+            let calls = self.instances.iter().filter(|one| one.alive).map(|one| one.next).min();
+            let next = nodes.min(net).min(calls.unwrap_or(Micros::MAX)).min(self.peers_at);
+            if next > until {
+                self.now = until;
+                return;
+            }
+            self.now = self.now.max(next);
+            if self.now >= self.peers_at {
+                self.peers_at = Micros::MAX;
+                self.tell_peers();
+            }
+            while let Some(entry) = self.net.first_entry().filter(|entry| entry.key().0 <= self.now) {
+                let (from, to, message) = entry.remove();
+                if self.cut.contains(&from) == self.cut.contains(&to) {
+                    self.event(to, Event::Received { from, message });
+                }
+            }
+            let due: Vec<Place> =
+                (self.up.iter().filter(|(_, node)| node.cast.due() <= self.now)).map(|(at, _)| *at).collect();
+            due.into_iter().for_each(|at| self.event(at, Event::Tick));
+            (0..self.instances.len()).for_each(|index| self.turn(index));
+        }
+    }
+
+    pub fn run(&mut self, span: Micros) {
+        self.run_until(self.now + span, |_| false);
+    }
+
+    fn tell_peers(&mut self) {
+        for at in self.up.keys().copied().collect::<Vec<_>>() {
+            let seen = |other: &&Place| {
+                self.up.contains_key(other) && self.cut.contains(other) == self.cut.contains(&at)
+            };
+            let hubs = self.hubs.iter().filter(seen).copied().collect();
+            let others = self.foyers.iter().filter(seen).copied().collect();
+            self.event(at, Event::Peers { hubs, others });
+        }
+    }
+
+    /// An instance reads an answer, or calls: its target, or another hub where the last call failed.
+    fn turn(&mut self, index: usize) {
+        let Instance { alive, waits, next, .. } = self.instances[index];
+        if !alive {
+            return;
+        }
+        if let Some(ask) = waits
+            && let Some((at, answer)) = self.answers.remove(&ask)
+        {
+            let instance = &mut self.instances[index];
+            instance.waits = None;
+            if let Effect::Taken { target, .. } = answer {
+                instance.target = target;
+                instance.next = self.now + BEAT;
+                if instance.beat.draining && instance.drained.is_none() {
+                    instance.drained = Some((at, self.now));
+                }
+            } else {
+                (instance.target, instance.next) = (None, self.now + 20 * MS);
+            }
+        } else if self.now >= next {
+            let any = self.hubs[self.rng.rand_range(0..self.hubs.len() as u32) as usize];
+            let instance = &mut self.instances[index];
+            let to = if waits.is_some() { any } else { instance.target.unwrap_or(any) };
+            instance.beat.sequence += 1;
+            instance.beat.warmup_left = (instance.beat.warmup_left - BEAT).max(0);
+            let beat = instance.beat.clone();
+            if self.up.contains_key(&to) {
+                let ask = self.call(to, beat);
+                (self.instances[index].waits, self.instances[index].next) = (Some(ask), self.now + SECOND);
+                self.turn(index);
+            } else {
+                (instance.target, instance.next) = (None, self.now + 50 * MS);
+            }
+        }
+    }
+
+    /// Nodes where `id` is not in one of `states`, by the records and by what the driver was shown.
+    pub fn without(&self, id: &InstanceId, states: &[State]) -> Vec<Place> {
+        let knows = |node: &Node| {
+            let state = node.cast.get(id).map(|known| known.state);
+            assert_eq!(
+                state,
+                node.shown.get(id).copied().filter(|_| state.is_some()),
+                "shown is what is known"
+            );
+            state.is_some_and(|state| states.contains(&state))
+        };
+        self.up.iter().filter(|(_, node)| !knows(node)).map(|(at, _)| *at).collect()
+    }
+
+    /// Asserts that all nodes know all living instances as in service, and no other one as such.
+    pub fn assert_all_know(&self) {
+        for (at, node) in &self.up {
+            let known: BTreeSet<&InstanceId> = (node.cast.records())
+                .filter(|known| known.state == State::InService)
+                .map(|known| &known.id)
+                .collect();
+            let living = self.instances.iter().filter(|one| one.alive && !one.beat.draining);
+            assert_eq!(known, living.map(|one| &one.beat.id).collect(), "at {at}, {}", self.now);
+        }
+    }
+}
