--- a/crates/cast/src/cast.rs
+++ b/crates/cast/src/cast.rs
@@ -14,8 +14,10 @@
 const GATHER: Micros = 50 * MS;
 /// The same for drains that are passed on.
 const GATHER_LEAVING: Micros = 15 * MS;
-/// How many others get a drain from each node that hears of it for the first time.
+/// How many others get a drain from each node that hears of it for the first time; in a large fleet, where
+/// fewer are told directly, more.
 const PASSED_TO: usize = 2;
+const PASSED_TO_IN_LARGE: usize = 3;
 /// A drain that is found by comparing copies is passed on while it is younger.
 const FRESH: Micros = 3 * SECOND;
 /// Between two comparisons; half a second more or less by chance.
@@ -441,7 +443,7 @@
             tell(&second, &pieces(self.list.records(now, &leaving)), false, out);
         }
         if !few.is_empty() {
-            let to = self.some_others(PASSED_TO);
+            let to = self.some_others(if small { PASSED_TO } else { PASSED_TO_IN_LARGE });
             tell(&to, &pieces(self.list.records(now, &few)), false, out);
         }
     }
