--- a/crates/bill/src/read.rs
+++ b/crates/bill/src/read.rs
@@ -18,6 +18,8 @@
 /// Up to here (2^53) every whole number is exact, also when it is written with a point.
 const MAX_WHOLE: u64 = 1 << 53;
 
+const FEW_FIELDS: usize = 32;
+
 pub(crate) const ROUTE: &str = "RouteTable";
 pub(crate) const SERVICE: &str = "ServiceTable";
 pub(crate) const LIMITS: &str = "LimitSet";
@@ -65,10 +67,12 @@
             faults.add(place, "an object");
             return None;
         };
-        let mut seen = HashSet::with_capacity(object.len());
-        for name in object.keys() {
-            if !seen.insert(name.as_str()) {
-                faults.add(place, format_args!("the field {} only once", quoted(name)));
+        // Objects of more fields are none of ours, and comparing each with each would take long.
+        if object.len() <= FEW_FIELDS {
+            for (at, name) in object.keys().enumerate() {
+                if object.keys().take(at).any(|other| other == name) {
+                    faults.add(place, format_args!("the field {} only once", quoted(name)));
+                }
             }
         }
         Some(Fields { value, place })
@@ -110,8 +114,7 @@
     }
 
     fn whole(&self, name: &str, least: u64, most: u64, faults: &mut Faults) -> Option<u64> {
-        let expected = format_args!("a whole number from {least} to {most}").to_string();
-        self.wanted(name, expected, faults, |value| {
+        self.wanted(name, format_args!("a whole number from {least} to {most}"), faults, |value| {
             let number = value.as_u64().or_else(|| {
                 let number = value.as_f64()?;
                 // Written with a point, such as 2.0.
