--- a/crates/company/src/node.rs
+++ b/crates/company/src/node.rs
@@ -401,6 +401,16 @@
         out.push(Effect::Send { to: place, message });
     }
 
+    /// Asks whoever is at a place for its name, and tells whom it is held to be.
+    fn ask_place(&mut self, place: Place, out: &mut Vec<Effect>) {
+        let now = self.now;
+        let again = self.timing.answer_within;
+        let Some(peer) = self.roster.get_mut(place).filter(|peer| now - peer.told >= again) else { return };
+        peer.told = now;
+        let news = vec![peer.rumor()];
+        out.push(Effect::Send { to: place, message: Message { news, ..self.bare(Talk::Who) } });
+    }
+
     /// Suspects whose time is over are dead; one that was heard lately is told once more instead.
     fn bury_suspects(&mut self, out: &mut Vec<Effect>) {
         let over = |peer: &&Peer| peer.standing == Standing::Suspect && self.now >= peer.until;
@@ -481,7 +491,7 @@
     /// Another life at a known place: the old one has ended, whatever was held of it.
     fn new_life(&mut self, rumor: Rumor, direct: bool, out: &mut Vec<Effect>) {
         let Some(old) = self.roster.get(rumor.member.place) else { return };
-        let former = Some((old.member.life, self.now));
+        let former = direct.then_some((old.member.life, self.now));
         let incarnation =
             if direct { rumor.incarnation.max(old.incarnation.above()) } else { rumor.incarnation };
         if old.standing.up() {
@@ -602,9 +612,8 @@
                 }
             }
             Worth::Contradicted => {
-                let told = self.roster.get(place).map_or(self.now, |peer| peer.told);
-                if self.stage == Stage::Here && self.now - told > self.timing.probe_every {
-                    self.tell_suspect(place, out);
+                if self.stage == Stage::Here {
+                    self.ask_place(place, out);
                 }
             }
         }
--- a/crates/company/src/roster.rs
+++ b/crates/company/src/roster.rs
@@ -10,6 +10,9 @@
 /// a mistake about which of two lives is the newer one mends itself.
 const FORMER_MUTE: Micros = 1_000 * MS;
 
+/// So long after its own word, a life is replaced by nothing but the own word of another life there.
+const HEARD_HOLDS: Micros = 2_000 * MS;
+
 /// What is held of one place.
 #[derive(Clone, Debug)]
 pub(crate) struct Peer {
@@ -24,7 +27,7 @@
     pub heard: Micros,
     /// Last time it was told what is said of it, outside the common messages.
     pub told: Micros,
-    /// The life it replaced, and when.
+    /// The life that it replaced by its own word, and when.
     pub former: Option<(Life, Micros)>,
 }
 
@@ -58,7 +61,7 @@
     Gone,
     /// A life that was replaced is told of at an incarnation that would win: the newer life goes above it.
     Outdated,
-    /// Another life, told of at an incarnation that loses: whoever is there should hear what is held of it.
+    /// Another life, told of by hearsay that does not win: whoever is there should hear what is held of it.
     Contradicted,
 }
 
@@ -97,7 +100,10 @@
     if peer.former.is_some_and(|(former, _)| former == rumor.member.life) {
         return if ahead { Worth::Outdated } else { Worth::Nothing };
     }
-    match (ahead, rumor.standing.up()) {
+    // Who was heard itself this lately is not replaced by hearsay: a node that just began may be taken for older
+    // than its last life by those that do not know it yet. The place itself is asked.
+    let heard_lately = now - peer.heard < HEARD_HOLDS;
+    match (ahead && !heard_lately, rumor.standing.up()) {
         (true, true) => Worth::NewLife,
         (false, true) => Worth::Contradicted,
         (_, false) => Worth::Nothing,
