--- a/crates/ledger/src/form.rs
+++ b/crates/ledger/src/form.rs
@@ -113,8 +113,8 @@
     }
 }
 
-/// Reads a whole store that is not empty. The hard state is written with every batch, so whatever it names must
-/// be there and nothing else may be.
+/// Reads a whole store that is not empty. The hard state is written with every batch, so whatever it names
+/// must be there and nothing else may be.
 pub(crate) fn read_all(all: Pairs) -> Result<Recovered, LedgerError> {
     let (mut life, mut hard, mut snapshot) = (None, None, None);
     let mut entries = Vec::new();
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -1,8 +1,8 @@
 //! Ledger (durable state): the form of the core's state on disk and its recovery, over a `Store`.
 //!
 //! Each value carries a format version and a checksum over its key and bytes, so that what is torn, rotten or
-//! misplaced is found out when it is read. The record of the hard state also tells which entries there must be:
-//! an entry that is missing, even the newest, is an error and never a shorter log.
+//! misplaced is found out when it is read. The record of the hard state also tells which entries there must
+//! be: an entry that is missing, even the newest, is an error and never a shorter log.
 
 mod form;
 mod store;
@@ -29,7 +29,8 @@
     /// A value written by a newer program.
     #[error("{at} has the form {form}, which this program does not know")]
     Unknown { at: String, form: u8 },
-    /// A write that does not follow on what is kept: it would leave a gap, or write over entries without a cut.
+    /// A write that does not follow on what is kept: it would leave a gap, or write over entries without a
+    /// cut.
     #[error("entry {found} can't follow entry {last} of the log")]
     Misfit { last: u64, found: u64 },
 }
@@ -60,9 +61,9 @@
 }
 
 impl<S: Store> Ledger<S> {
-    /// Opens what is in the store, or begins it with the life `fresh` if it is empty; the beginning is durable
-    /// at return. Damage is an error that names its place: nothing is dropped to get on, since all that was
-    /// ever kept may have been acknowledged.
+    /// Opens what is in the store, or begins it with the life `fresh` if it is empty; the beginning is
+    /// durable at return. Damage is an error that names its place: nothing is dropped to get on, since all
+    /// that was ever kept may have been acknowledged.
     pub fn open(mut store: S, fresh: Life) -> Result<(Self, Opened), LedgerError> {
         let all = store.scan(&[], &[])?;
         if all.is_empty() {
--- a/crates/ledger/src/store.rs
+++ b/crates/ledger/src/store.rs
@@ -2,7 +2,8 @@
 
 use thiserror::Error;
 
-/// Why a store could not do what it was asked to. After a failed `put` the batch is there whole or not at all.
+/// Why a store could not do what it was asked to. After a failed `put` the batch is there whole or not at
+/// all.
 #[derive(Clone, Debug, Error, PartialEq, Eq)]
 pub enum StoreError {
     /// The disk is full, gone or failing; later tries may succeed.
@@ -30,8 +31,8 @@
     },
 }
 
-/// Changes that are made together, in order: all or none. Carrying out the same batch again, whether or not it
-/// was carried out before, gives the same store.
+/// Changes that are made together, in order: all or none. Carrying out the same batch again, whether or not
+/// it was carried out before, gives the same store.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Batch {
     pub steps: Vec<Step>,
--- a/crates/wings/src/disk.rs
+++ b/crates/wings/src/disk.rs
@@ -1,7 +1,7 @@
 //! Disk store: one redb file in the data directory.
 //!
-//! The file is made under another name, synced, then renamed, so that the final name stands only for a file that
-//! was whole; what can't be read under it is damage, never a beginning that was cut short.
+//! The file is made under another name, synced, then renamed, so that the final name stands only for a file
+//! that was whole; what can't be read under it is damage, never a beginning that was cut short.
 
 use std::fmt;
 use std::fs::{self, File, OpenOptions};
@@ -24,8 +24,7 @@
 pub trait Folder: Send {
     type File: StorageBackend;
 
-    /// Opens a file if there is one, and syncs it: what a dead process wrote without a sync, and this one is
-    /// about to read and believe, must not be lost later.
+    /// Opens a file if there is one.
     fn open(&self, name: &str) -> io::Result<Option<Self::File>>;
     /// Makes a new, empty file in place of any of that name.
     fn create(&self, name: &str) -> io::Result<Self::File>;
@@ -44,10 +43,7 @@
 
     fn open(&self, name: &str) -> io::Result<Option<FileBackend>> {
         match OpenOptions::new().read(true).write(true).open(self.0.join(name)) {
-            Ok(file) => {
-                file.sync_all()?;
-                FileBackend::new(file).map(Some).map_err(io::Error::other)
-            }
+            Ok(file) => FileBackend::new(file).map(Some).map_err(io::Error::other),
             Err(error) if error.kind() == ErrorKind::NotFound => Ok(None),
             Err(error) => Err(error),
         }
@@ -76,8 +72,8 @@
 }
 
 impl DiskStore<DirFolder> {
-    /// Opens the store in `dir`, or makes an empty one there. Fails with `Damaged` where the file can't be read:
-    /// it may hold what was acknowledged, so nothing is begun over it.
+    /// Opens the store in `dir`, or makes an empty one there. Fails with `Damaged` where the file can't be
+    /// read: it may hold what was acknowledged, so nothing is begun over it.
     pub fn open(dir: &Path) -> Result<Self, StoreError> {
         fs::create_dir_all(dir).map_err(|e| failed("making the data directory", &e))?;
         Self::over(DirFolder(dir.to_owned()))
@@ -95,7 +91,7 @@
 impl<F: Folder> DiskStore<F> {
     /// As `open`, over any folder.
     pub fn over(folder: F) -> Result<Self, StoreError> {
-        let database = open_or_make(&folder)?;
+        let database = open_anew(&folder)?;
         Ok(Self { folder, database: Some(database) })
     }
 
@@ -105,7 +101,7 @@
     ) -> Result<T, StoreError> {
         let database = match self.database.take() {
             Some(database) => database,
-            None => make_anew(&self.folder)?,
+            None => open_anew(&self.folder)?,
         };
         let done = guarded(doing, || work(&database))?;
         self.database = Some(database);
@@ -129,37 +125,23 @@
     }
 }
 
-fn open_or_make<F: Folder>(folder: &F) -> Result<Database, StoreError> {
+/// Opens what is there and writes it to a new file, which takes its place; or makes an empty one. Done at
+/// every start and after every failure, since a sync may have failed, in this process or in one that was
+/// killed: pages the system then counts as written are not on the disk, can still be read, and no later sync
+/// writes them.
+fn open_anew<F: Folder>(folder: &F) -> Result<Database, StoreError> {
+    let mut batch = Batch::default();
     if let Some(file) = folder.open(NAME).map_err(|e| failed("opening", &e))? {
-        // The renaming may have been the last thing a killed process did.
-        folder.sync().map_err(|e| failed("syncing the folder", &e))?;
-        return open_file("opening", file);
+        let database = open_file("opening", file)?;
+        let pairs = guarded("reading", || read(&database, &[], &[]))?;
+        batch.steps.extend(pairs.into_iter().map(|(key, value)| Step::Put { key, value }));
     }
-    replace(folder, &Batch::default())
-}
-
-/// After a failure that may have been one of syncing: pages the system counts as written may not be on the disk
-/// and won't be tried again, so all that can be read is written to a new file.
-fn make_anew<F: Folder>(folder: &F) -> Result<Database, StoreError> {
-    let database = open_or_make(folder)?;
-    let pairs = guarded("reading", || read(&database, &[], &[]))?;
-    drop(database);
-    let steps = pairs.into_iter().map(|(key, value)| Step::Put { key, value }).collect();
-    replace(folder, &Batch { steps })
-}
-
-/// Makes a file with what the batch puts in it, whole and synced, and only then gives it its name.
-fn replace<F: Folder>(folder: &F, batch: &Batch) -> Result<Database, StoreError> {
     let file = folder.create(UNBORN).map_err(|e| failed("making the file", &e))?;
     let database = open_file("making the file", file)?;
-    guarded("making the file", || write(&database, batch))?;
-    drop(database);
-    folder.open(UNBORN).map_err(|e| failed("syncing the new file", &e))?;
+    guarded("making the file", || write(&database, &batch))?;
     folder.rename(UNBORN, NAME).map_err(|e| failed("naming the file", &e))?;
     folder.sync().map_err(|e| failed("syncing the folder", &e))?;
-    let file = folder.open(NAME).map_err(|e| failed("opening", &e))?;
-    let file = file.ok_or_else(|| failed("opening", &io::Error::from(ErrorKind::NotFound)))?;
-    open_file("opening", file)
+    Ok(database)
 }
 
 fn open_file(doing: &'static str, file: impl StorageBackend) -> Result<Database, StoreError> {
--- a/crates/wings/src/hand.rs
+++ b/crates/wings/src/hand.rs
@@ -1,5 +1,5 @@
-//! Disk hand (write thread): carries out a ledger's writes in order on a thread of its own, so that nobody who
-//! answers clients waits for the disk.
+//! Disk hand (write thread): carries out a ledger's writes in order on a thread of its own, so that nobody
+//! who answers clients waits for the disk.
 
 use std::io;
 use std::sync::mpsc::{Receiver, RecvTimeoutError, SyncSender, TryRecvError, TrySendError, sync_channel};
@@ -18,8 +18,8 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
 const LONGEST_PAUSE: Duration = Duration::from_secs(1);
 
-/// What became of a write. `ok: false` says that it is not known to be on disk; unless it was refused, it stays
-/// in line, before all later ones, and `ok: true` follows once it is there.
+/// What became of a write. `ok: false` says that it is not known to be on disk; unless it was refused, it
+/// stays in line, before all later ones, and `ok: true` follows once it is there.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Done {
     pub no: WriteNo,
@@ -51,8 +51,9 @@
     }
 
     /// Hands over a write; never waits. False, and an answer of `ok: false`, if it was refused: the queue was
-    /// full, an earlier one was refused, or a write did not fit the ledger. The ledger then is to be opened
-    /// anew: what it holds is sound, but it lacks writes that the caller has made.
+    /// full, or an earlier one was refused. Likewise, after a write that does not fit the ledger, that one
+    /// and all later ones are answered `ok: false` for good. The ledger then is to be opened anew: what it
+    /// holds is sound, but it lacks writes that the caller has made.
     pub fn write(&mut self, write: Write) -> bool {
         let no = write.no;
         if !self.refusing {
@@ -90,6 +91,10 @@
             }
             batch.clear();
         }
+        // Only after a write that did not fit does anything come here.
+        while let Ok(write) = self.waiting.recv() {
+            self.answer(&[write], false);
+        }
         self.ledger
     }
 
--- a/crates/wings/src/lib.rs
+++ b/crates/wings/src/lib.rs
@@ -1,5 +1,5 @@
-//! Wings (transports and stores): what carries the words between machines and keeps them on disk. Nothing here
-//! decides anything; every transport and every store passes the contracts in `tests/contracts.rs`.
+//! Wings (transports and stores): what carries the words between machines and keeps them on disk. Nothing
+//! here decides anything; every transport and every store passes the contracts in `tests/contracts.rs`.
 
 mod disk;
 mod hand;
--- a/crates/wings/src/memory_store.rs
+++ b/crates/wings/src/memory_store.rs
@@ -46,7 +46,8 @@
         contents.fault = Fault::None;
     }
 
-    /// Changes the value of a key behind the back of whoever uses the store, as rot does; tells if there is one.
+    /// Changes the value of a key behind the back of whoever uses the store, as rot does; tells if there is
+    /// one.
     pub fn rot(&self, key: &[u8], change: impl FnOnce(&mut Vec<u8>)) -> bool {
         self.lock().live.get_mut(key).map(change).is_some()
     }
--- a/crates/wings/src/outgoing.rs
+++ b/crates/wings/src/outgoing.rs
@@ -123,8 +123,8 @@
 }
 
 impl Line {
-    /// Sends what is in the queue until there is nothing for long, or the peer can't be reached; then what still
-    /// waits is dropped, since whoever sent it asks again with newer words.
+    /// Sends what is in the queue until there is nothing for long, or the peer can't be reached; then what
+    /// still waits is dropped, since whoever sent it asks again with newer words.
     async fn run(self) {
         let mut unsent = None;
         let mut broken_in_a_row = 0;
