--- /dev/null
+++ b/crates/promptbook/tests/world.rs
@@ -0,0 +1,479 @@
+//! A small world: seats, a net that loses, doubles and delays, disks that forget what was not synced. Every
+//! effect is checked as it comes; a seed plays the same each time.
+
+use std::collections::BTreeMap;
+use std::net::Ipv4Addr;
+
+use promptbook::{Effect, Event, Members, Message, Promptbook, Saved, Timing, Write};
+use props::{Ask, Index, Life, MS, Micros, Place, SECOND, Seat};
+
+const TIMING: Timing = Timing { beat: 50 * MS, election: 250 * MS, dismiss: 3 * SECOND, piece: 3000 };
+
+enum What {
+    Word { to: Place, from: Seat, message: Message },
+    Disk { at: usize, run: u64, write: Write },
+    Tick { at: usize, run: u64 },
+    Kept { at: usize, run: u64, index: Index, data: Vec<u8> },
+    Start { at: usize },
+    Clients,
+    Fault,
+}
+
+#[derive(Default)]
+struct Machine {
+    seat: Option<Seat>,
+    book: Option<Promptbook>,
+    disk: Saved,
+    /// Counts the processes here, so that what was meant for an earlier one is dropped.
+    run: u64,
+    gone: bool,
+    /// Only the tick set last counts.
+    tick: Micros,
+    frozen: Micros,
+    full: Micros,
+    hung: Micros,
+    under_way: Option<Write>,
+    applied: u64,
+    sum: u64,
+    since_kept: u32,
+    open: BTreeMap<u64, (Option<Vec<u8>>, u64)>,
+}
+
+struct World {
+    now: Micros,
+    chance: oorandom::Rand32,
+    queue: BTreeMap<(Micros, u64), What>,
+    made: u64,
+    machines: Vec<Machine>,
+    cuts: Vec<(Place, Place, Micros)>,
+    calm: bool,
+    fat: bool,
+    loss: u32,
+    /// The one true order: what was handed out at an index, and the sum of all up to it.
+    truth: BTreeMap<u64, (Vec<u8>, u64)>,
+    acked: u64,
+    acks: u64,
+    reads: u64,
+    leaders: BTreeMap<u64, Seat>,
+}
+
+fn place(at: usize) -> Place {
+    Place(Ipv4Addr::new(10, 0, 0, at as u8 + 1))
+}
+
+fn sum_of(before: u64, data: &[u8]) -> u64 {
+    let id = u64::from_le_bytes(data[..8].try_into().expect("a command has its number"));
+    (before.rotate_left(7) ^ id).wrapping_mul(0x100_0000_01b3)
+}
+
+impl World {
+    fn new(seed: u64, machines: usize) -> World {
+        let mut world = World {
+            now: 0,
+            chance: oorandom::Rand32::new(seed),
+            queue: BTreeMap::new(),
+            made: 0,
+            machines: Vec::new(),
+            cuts: Vec::new(),
+            calm: true,
+            fat: seed % 3 == 0,
+            loss: 0,
+            truth: BTreeMap::new(),
+            acked: 0,
+            acks: 0,
+            reads: 0,
+            leaders: BTreeMap::new(),
+        };
+        let first = Members((0..3).map(|at| Seat { place: place(at), life: Life(0) }).collect());
+        for at in 0..machines {
+            world.machines.push(Machine::default());
+            world.start(at, (at < 3).then(|| first.clone()));
+        }
+        world.later(10 * MS, What::Clients);
+        world
+    }
+
+    fn below(&mut self, end: u32) -> u32 {
+        self.chance.rand_range(0..end)
+    }
+
+    fn span(&mut self, from: Micros, to: Micros) -> Micros {
+        from + Micros::from(self.below((to - from) as u32))
+    }
+
+    fn later(&mut self, after: Micros, what: What) {
+        self.made += 1;
+        self.queue.insert((self.now + after, self.made), what);
+    }
+
+    fn start(&mut self, at: usize, first: Option<Members>) {
+        if self.machines[at].gone || self.machines[at].book.is_some() {
+            return;
+        }
+        let empty = self.machines[at].disk == Saved::default();
+        let life = Life(if first.is_some() { 0 } else { u64::from(self.chance.rand_u32()) });
+        let seat = self.machines[at].seat.filter(|_| !empty).unwrap_or(Seat { place: place(at), life });
+        let seed = u64::from(self.chance.rand_u32());
+        let machine = &mut self.machines[at];
+        machine.seat = Some(seat);
+        machine.run += 1;
+        (machine.applied, machine.sum) = (0, 0);
+        let (book, effects) = Promptbook::start(seat, first, machine.disk.clone(), TIMING, seed, self.now);
+        machine.book = Some(book);
+        self.carry_out(at, effects);
+        self.meet(at);
+        self.tick_again(at);
+    }
+
+    /// Tells which places serve control.
+    fn meet(&mut self, at: usize) {
+        let there = (0..self.machines.len()).filter(|other| *other != at && !self.machines[*other].gone);
+        self.step(at, Event::Peers { places: there.map(place).collect() });
+    }
+
+    fn tick_again(&mut self, at: usize) {
+        let machine = &self.machines[at];
+        if let Some(book) = &machine.book {
+            let wait = (book.due() - self.now).max(MS) + Micros::from(self.chance.rand_range(0..3000));
+            let run = self.machines[at].run;
+            self.machines[at].tick = self.now + wait;
+            self.later(wait, What::Tick { at, run });
+        }
+    }
+
+    /// The process ends. `power`: what is not synced is gone, else it still gets to the disk.
+    fn stop(&mut self, at: usize, power: bool) {
+        let lands = !power || self.below(3) == 0;
+        let machine = &mut self.machines[at];
+        machine.book = None;
+        machine.run += 1;
+        machine.open.clear();
+        if let Some(write) = machine.under_way.take().filter(|_| lands) {
+            apply(&mut machine.disk, write);
+        }
+    }
+
+    fn wipe(&mut self, at: usize) {
+        self.stop(at, true);
+        self.machines[at].disk = Saved::default();
+    }
+
+    fn step(&mut self, at: usize, event: Event) {
+        let Some(book) = &mut self.machines[at].book else { return };
+        let (before, due) = (book.committed(), book.due());
+        let effects = book.step(self.now, event);
+        assert!(book.committed() >= before, "what is committed stays so");
+        let sooner = book.due() < due;
+        self.carry_out(at, effects);
+        if sooner {
+            self.tick_again(at);
+        }
+    }
+
+    fn carry_out(&mut self, at: usize, effects: Vec<Effect>) {
+        for effect in effects {
+            match effect {
+                Effect::Send { to, message } => self.send(at, to, message),
+                Effect::Write(write) => {
+                    assert!(self.machines[at].under_way.is_none(), "one write at a time");
+                    self.machines[at].under_way = Some(write.clone());
+                    let wait = self.span(300, 2 * MS) + (self.machines[at].hung - self.now).max(0);
+                    let run = self.machines[at].run;
+                    self.later(wait, What::Disk { at, run, write });
+                }
+                Effect::Apply { index, data, ask } => self.applied(at, index, data, ask),
+                Effect::Restore { index, data } => {
+                    let (_, (_, sum)) = self.truth.range(..=index.0).next_back().expect("it was handed out");
+                    assert_eq!(data[..8], sum.to_le_bytes(), "a snapshot is the true state");
+                    let machine = &mut self.machines[at];
+                    assert!(machine.applied <= index.0);
+                    (machine.applied, machine.sum) = (index.0, *sum);
+                }
+                Effect::ReadAt { ask, index } => {
+                    let machine = &mut self.machines[at];
+                    let (data, floor) = machine.open.remove(&ask.0).expect("one answer for each ask");
+                    assert!(data.is_none() && index.0 >= floor && machine.applied >= floor, "an old read");
+                    self.reads += 1;
+                }
+                Effect::Refused { ask, lost, .. } => {
+                    let (data, _) = self.machines[at].open.remove(&ask.0).expect("one answer for each ask");
+                    assert!(data.is_some() || !lost);
+                }
+                Effect::Leader { leader, term } => {
+                    if let Some(leader) = leader {
+                        assert_eq!(*self.leaders.entry(term.0).or_insert(leader), leader, "one for a term");
+                    }
+                }
+            }
+        }
+    }
+
+    fn applied(&mut self, at: usize, index: Index, data: Vec<u8>, ask: Option<Ask>) {
+        let machine = &mut self.machines[at];
+        assert!(index.0 > machine.applied, "in order, each once");
+        machine.applied = index.0;
+        machine.sum = sum_of(machine.sum, &data);
+        let (true_data, true_sum) = self.truth.entry(index.0).or_insert_with(|| (data.clone(), machine.sum));
+        assert_eq!(*true_data, data, "two commands at {index:?}");
+        assert_eq!(*true_sum, machine.sum, "something is missing before {index:?}");
+        if let Some(ask) = ask {
+            let (asked, _) = machine.open.remove(&ask.0).expect("one answer for each ask");
+            assert_eq!(asked, Some(data));
+            self.acked = self.acked.max(index.0);
+            self.acks += 1;
+        }
+        machine.since_kept += 1;
+        if machine.since_kept > 25 {
+            machine.since_kept = 0;
+            let mut data = machine.sum.to_le_bytes().to_vec();
+            data.resize(8 + (machine.sum % 9000) as usize, 1);
+            let run = machine.run;
+            self.later(MS, What::Kept { at, run, index, data });
+        }
+    }
+
+    fn send(&mut self, at: usize, to: Place, message: Message) {
+        let from = self.machines[at].seat.expect("it runs");
+        let now = self.now;
+        if self.cuts.iter().any(|cut| (cut.0, cut.1) == (from.place, to) && cut.2 > now) {
+            return;
+        }
+        let copies = match self.below(100) {
+            chance if chance < self.loss => 0,
+            chance if chance < 2 * self.loss => 2,
+            _ => 1,
+        };
+        for _ in 0..copies {
+            let late = !self.calm && self.below(200) == 0;
+            let wait = if late { self.span(10 * MS, 2 * SECOND) } else { self.span(MS, 3 * MS) };
+            self.later(wait, What::Word { to, from, message: message.clone() });
+        }
+    }
+
+    fn run(&mut self, span: Micros) {
+        let end = self.now + span;
+        while self.queue.first_key_value().is_some_and(|((at, _), _)| *at <= end) {
+            let ((now, _), what) = self.queue.pop_first().expect("there is one");
+            self.now = now;
+            let awake = |machine: &Machine, run: u64| machine.run == run && machine.frozen <= now;
+            match what {
+                What::Word { to, from, message } => {
+                    let Some(at) = (0..self.machines.len()).find(|at| place(*at) == to) else { continue };
+                    match self.machines[at].frozen - now {
+                        wait if wait > 0 => self.later(wait, What::Word { to, from, message }),
+                        _ => self.step(at, Event::Received { from, message }),
+                    }
+                }
+                What::Tick { at, run } if awake(&self.machines[at], run) => {
+                    if self.machines[at].tick <= now {
+                        self.step(at, Event::Tick);
+                        self.tick_again(at);
+                    }
+                }
+                What::Tick { at, run } if self.machines[at].run == run => {
+                    self.machines[at].tick = self.machines[at].frozen;
+                    self.later(self.machines[at].frozen - now, What::Tick { at, run });
+                }
+                What::Kept { at, run, index, data } if awake(&self.machines[at], run) => {
+                    self.step(at, Event::Kept { index, data });
+                }
+                What::Disk { at, run, write } if awake(&self.machines[at], run) => self.synced(at, write),
+                What::Disk { at, run, write } if self.machines[at].run == run => {
+                    self.later(self.machines[at].frozen - now, What::Disk { at, run, write });
+                }
+                What::Start { at } => self.start(at, None),
+                What::Clients => self.clients(),
+                What::Fault if !self.calm => self.fault(),
+                What::Tick { .. } | What::Kept { .. } | What::Disk { .. } | What::Fault => {}
+            }
+        }
+        self.now = end;
+    }
+
+    fn synced(&mut self, at: usize, write: Write) {
+        let full = self.machines[at].full > self.now;
+        let lands = !full || self.below(4) == 0;
+        let machine = &mut self.machines[at];
+        machine.under_way = None;
+        let no = write.no;
+        if lands {
+            apply(&mut machine.disk, write);
+        }
+        self.step(at, if full { Event::WriteFailed { write: no } } else { Event::Synced { write: no } });
+    }
+
+    fn clients(&mut self) {
+        let wait = self.span(5 * MS, 40 * MS);
+        self.later(wait, What::Clients);
+        let led = (0..self.machines.len()).find(|at| self.leads(*at)).unwrap_or(0);
+        for _ in 0..=self.below(3) {
+            let at = if self.below(4) == 0 { self.below(self.machines.len() as u32) as usize } else { led };
+            if self.machines[at].book.is_none() || self.machines[at].frozen > self.now {
+                continue;
+            }
+            self.made += 1;
+            let ask = Ask(self.made);
+            if self.below(3) == 0 {
+                self.machines[at].open.insert(ask.0, (None, self.acked));
+                self.step(at, Event::Read { ask });
+            } else {
+                let mut data = ask.0.to_le_bytes().to_vec();
+                data.resize(8 + self.below(if self.fat { 9000 } else { 300 }) as usize, 7);
+                self.machines[at].open.insert(ask.0, (Some(data.clone()), 0));
+                self.step(at, Event::Propose { ask, data });
+            }
+        }
+    }
+
+    fn leads(&self, at: usize) -> bool {
+        self.machines[at].book.as_ref().is_some_and(Promptbook::leads)
+    }
+
+    fn leader(&self) -> usize {
+        let leads =
+            (0..self.machines.len()).filter(|at| self.leads(*at) && self.machines[*at].frozen <= self.now);
+        leads.max_by_key(|at| self.book(*at).term()).expect("somebody leads")
+    }
+
+    fn book(&self, at: usize) -> &Promptbook {
+        self.machines[at].book.as_ref().expect("it runs")
+    }
+
+    /// True if every member in anybody's view can be spared beside those whose disk is gone already.
+    fn spares(&self, gone: usize) -> bool {
+        let intact = |seat: &&Seat| {
+            let at = (0..self.machines.len()).find(|at| place(*at) == seat.place);
+            at.is_some_and(|at| {
+                at != gone && self.machines[at].seat == Some(**seat) && !self.machines[at].gone
+            })
+        };
+        self.machines.iter().filter(|machine| !machine.gone).all(|machine| {
+            let Some(book) = &machine.book else { return false };
+            let members = &book.members().0;
+            members.iter().filter(intact).count() > members.len() / 2
+        })
+    }
+
+    fn fault(&mut self) {
+        let wait = self.span(50 * MS, 1500 * MS);
+        self.later(wait, What::Fault);
+        let at = self.below(self.machines.len() as u32) as usize;
+        let (back, span) = (self.span(50 * MS, SECOND), self.span(50 * MS, 2 * SECOND));
+        let until = self.now + span;
+        match self.below(13) {
+            0 | 1 => {
+                let power = self.below(2) == 0;
+                self.stop(at, power);
+                self.later(back, What::Start { at });
+            }
+            2 => {
+                let power = self.below(2) == 0;
+                for at in 0..self.machines.len() {
+                    let back = self.span(50 * MS, SECOND);
+                    self.stop(at, power);
+                    self.later(back, What::Start { at });
+                }
+            }
+            3 | 4 if self.spares(at) => {
+                self.wipe(at);
+                self.later(back, What::Start { at });
+            }
+            5 if self.spares(at) && self.machines.len() < 9 && !self.machines[at].gone => self.replace(at),
+            6 | 7 => self.machines[at].frozen = until,
+            8 => self.machines[at].full = until,
+            9 => self.machines[at].hung = until,
+            10 => self.cut_off(&[at], until),
+            11 => {
+                let half: Vec<usize> =
+                    (0..self.machines.len()).filter(|_| self.chance.rand_u32() % 2 == 0).collect();
+                self.cut_off(&half, until);
+            }
+            _ => {
+                let other = self.below(self.machines.len() as u32) as usize;
+                self.cuts.push((place(at), place(other), until));
+            }
+        }
+    }
+
+    fn replace(&mut self, at: usize) {
+        self.wipe(at);
+        self.machines[at].gone = true;
+        self.machines.push(Machine::default());
+        self.start(self.machines.len() - 1, None);
+        for at in 0..self.machines.len() {
+            self.meet(at);
+        }
+    }
+
+    fn cut_off(&mut self, some: &[usize], until: Micros) {
+        for one in some {
+            for other in (0..self.machines.len()).filter(|other| !some.contains(other)) {
+                self.cuts.push((place(*one), place(other), until));
+                self.cuts.push((place(other), place(*one), until));
+            }
+        }
+    }
+
+    /// All faults end. In the given time everybody must be in again, and all must have the same.
+    fn calm_down(&mut self, span: Micros) {
+        self.calm = true;
+        self.loss = 0;
+        self.cuts.clear();
+        for at in 0..self.machines.len() {
+            let machine = &mut self.machines[at];
+            (machine.frozen, machine.full, machine.hung) = (machine.frozen.min(self.now), 0, 0);
+            self.later(100 * MS, What::Start { at });
+        }
+        self.run(span);
+        let (acks, reads) = (self.acks, self.reads);
+        self.run(2 * SECOND);
+        assert!(self.acks > acks + 20 && self.reads > reads + 10, "no progress when calm");
+        let live: Vec<usize> = (0..self.machines.len()).filter(|at| !self.machines[*at].gone).collect();
+        let leader = self.book(self.leader());
+        for at in &live {
+            let (machine, book) = (&self.machines[*at], self.book(*at));
+            assert!(leader.members().0.contains(&machine.seat.expect("it runs")), "machine {at} is not in");
+            assert_eq!((book.leader(), book.members()), (leader.leader(), leader.members()));
+            assert!(machine.applied >= self.acked - 20, "machine {at} is behind");
+            assert!(machine.open.len() < 20, "asks without an answer");
+        }
+        let seats = leader.members().0.len();
+        assert!(seats == live.len().max(3.min(seats)), "seats that are gone vote: {:?}", leader.members());
+    }
+}
+
+fn apply(disk: &mut Saved, write: Write) {
+    (disk.term, disk.voted) = (write.term, write.voted);
+    if let Some(from) = write.cut_from {
+        disk.entries.retain(|entry| entry.index < from);
+    }
+    disk.entries.extend(write.entries);
+    if let Some(snapshot) = write.snapshot {
+        disk.entries.retain(|entry| entry.index > snapshot.index);
+        disk.snapshot = Some(snapshot);
+    }
+    let start = disk.snapshot.as_ref().map_or(0, |snapshot| snapshot.index.0);
+    let in_order = disk.entries.iter().zip(start + 1..).all(|(entry, index)| entry.index.0 == index);
+    assert!(in_order, "a disk without gaps");
+}
+
+fn troubled(seed: u64) {
+    let mut world = World::new(seed, 3 + (seed % 3) as usize);
+    world.run(2 * SECOND);
+    world.calm = false;
+    world.loss = world.below(3) * world.below(8);
+    world.later(100 * MS, What::Fault);
+    world.run(20 * SECOND);
+    world.calm_down(12 * SECOND);
+}
+
+/// `WORLDS=from-to` plays others than the few that are always played.
+#[test]
+fn nothing_acknowledged_is_lost_whatever_happens() {
+    let seeds = std::env::var("WORLDS").unwrap_or("0-8".into());
+    let (from, to) = seeds.split_once('-').expect("from-to");
+    for seed in from.parse::<u64>().expect("a number")..to.parse().expect("a number") {
+        println!("seed {seed}");
+        troubled(seed);
+    }
+}
