--- /dev/null
+++ b/src/balance/scarcity.rs
@@ -0,0 +1,85 @@
+//! Scarcity (load shedding): who waits and who is turned back where there is not room for all.
+
+use super::*;
+
+const JAMMED: f64 = 1.5; // agreed times that a trip without an answer counts for in the pressure
+const LOST: f64 = 4.0; // of what many answers take, the most that a trip without one counts for as pressure
+
+impl<H: Host> Balance<H> {
+    /// What part of their agreed time the last trips in a zone took, or in all where that tells nothing, and
+    /// of all profiles: a gateway with little traffic has no more to go by. A trip that got no answer counts
+    /// as late, and one long out counts before it ends; but where answers are quick it is lost, not queued:
+    /// taken for a jam, a tenth of all answers lost would have most tickets turned back.
+    pub(super) fn pressure(&self) -> impl Fn(ZoneId) -> Option<f64> + use<H> {
+        let (now, aim) = (self.host.now(), |profile| self.terms.class(profile).on_time as f64);
+        let ended = self.seen.times.iter().flat_map(|(profile, kept)| {
+            let (fresh, aim) = (kept.iter().filter(|s| now - s.at < FRESH), aim(*profile));
+            fresh.filter_map(move |s| match s.ending {
+                Ending::Finished => Some((Some(s.zone), s.took as f64 / aim, true)),
+                Ending::Full => Some((Some(s.zone), JAMMED, true)),
+                Ending::TimedOut | Ending::Stopped => Some((Some(s.zone), JAMMED, false)),
+                _ => None,
+            })
+        });
+        let out = self.seen.out().map(|(profile, trip)| {
+            let there = self.seen.servers.get(&trip.server).map(|server| server.listing.zone);
+            (there, (now - trip.sent) as f64 / aim(profile))
+        });
+        let long = out.filter(|(_, part)| *part >= LONG_OUT);
+        let parts: Vec<_> = ended.chain(long.map(|(zone, part)| (zone, part.min(JAMMED), false))).collect();
+        let mean = move |zone: Option<ZoneId>| {
+            let of = |answers: bool| {
+                let here = parts
+                    .iter()
+                    .filter(move |(there, ..)| there.is_none() || zone.is_none_or(|z| *there == Some(z)));
+                here.filter(move |(.., answered)| *answered == answers).map(|(_, part, _)| *part)
+            };
+            let (sum, quick) = (of(true).sum::<f64>(), of(true).count());
+            let most = if quick < SAMPLES { JAMMED } else { LOST * sum / quick as f64 };
+            let sum = of(false).fold(sum, |sum, part| sum + part.min(most));
+            let count = (quick + of(false).count()) as f64;
+            (count >= 2.0).then(|| sum / count)
+        };
+        move |zone| mean(Some(zone)).or_else(|| mean(None))
+    }
+
+    /// The time that a trip should take at the server: as its last answers did beside what is usual, for more
+    /// or fewer trips out now than then. Without that part a queue that has gone would turn tickets back.
+    pub(super) fn expected(&self, server: &Server, usual: f64) -> f64 {
+        let answers = server.fresh_answers(self.host.now(), FRESH);
+        let (sum, then, n) =
+            answers.fold((2.0, 0.0, 0.0), |(sum, then, n), s| (sum + s.stretch, then + s.beside, n + 1.0));
+        let out = server.out.len() as f64;
+        usual * sum / (n + 2.0) * (out + 3.0) / (if n > 0.0 { then / n } else { out } + 3.0)
+    }
+
+    /// The part of the time left that the expected time may fill before a ticket is turned back: most for the
+    /// profile with most benefit for its time, or its work where that counts; overload falls on the others.
+    pub(super) fn patience(&self, view: &View, profile: ProfileId) -> f64 {
+        let worth = |profile: ProfileId| self.terms.class(profile).worth;
+        let part = if self.terms.worth_by_work {
+            Some(worth(profile) / self.terms.most_worth)
+        } else {
+            let densities = view.usuals.iter().map(|(p, usual)| worth(*p) / (*usual).max(1) as f64);
+            let most = densities.fold(f64::MIN_POSITIVE, f64::max);
+            view.usual(profile).map(|usual| worth(profile) / usual.max(1) as f64 / most)
+        };
+        0.4 + 0.3 * part.unwrap_or(1.0)
+    }
+
+    /// The final answer of a ticket that gets no further trip: turned back where that promises no lie.
+    pub(super) fn give_up(&mut self, id: TicketId) {
+        let ticket = &self.seen.tickets[&id];
+        let ran = ticket.trips.iter().any(Trip::may_have_run);
+        let class = self.terms.class(ticket.arrival.profile);
+        let drops_all = class.repeat == Repeat::Keyed && class.scope == Scope::All;
+        let harmless = !ran || class.repeat == Repeat::Safe || drops_all;
+        if harmless {
+            let wait = self.terms.come_back.map(|most| self.between(most / 2, most));
+            self.host.turn_back(id, wait);
+        } else {
+            self.host.forfeit(id);
+        }
+        self.seen.end(id);
+    }
+}
--- a/src/host.rs
+++ b/src/host.rs
@@ -6,6 +6,9 @@
 /// A time or a span, in whole microseconds.
 pub type Micros = i64;
 
+pub const MS: Micros = 1_000;
+pub const SECOND: Micros = 1_000_000;
+
 macro_rules! ids {
     ($($(#[$doc:meta])* $name:ident($of:ty);)*) => {$(
         $(#[$doc])*
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,3 +6,4 @@
 pub mod host;
 pub mod names;
 pub mod seen;
+pub mod terms;
--- a/src/seen.rs
+++ b/src/seen.rs
@@ -1,4 +1,4 @@
-//! What a gateway remembers: plain state, filled and read by the decisions in `balance.rs`.
+//! What a gateway remembers: plain state, filled and read by the decisions in `balance.rs` and its folder.
 
 use std::collections::{BTreeMap, VecDeque};
 
@@ -20,6 +20,11 @@
         }
     }
 
+    /// How many came after `since`.
+    pub fn count_since(&self, since: Micros) -> usize {
+        self.0.len() - self.0.partition_point(|(at, _)| *at <= since)
+    }
+
     pub fn since(&self, since: Micros) -> impl Iterator<Item = &T> {
         self.0.iter().rev().take_while(move |(at, _)| *at > since).map(|(_, what)| what)
     }
@@ -127,6 +132,41 @@
 /// Some outcomes: when they came, how many failed, and how many there were.
 pub type Outcomes = (Micros, f64, f64);
 
+/// What is known of a build by one sign: the paper's statistic y, and the last outcomes.
+#[derive(Default)]
+pub struct Record {
+    pub y: f64,
+    pub outcomes: VecDeque<Outcomes>,
+}
+
+/// One outcome as gateways tell it to each other, in five bytes; the profile's number has six bits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Told {
+    /// The lowest byte of the number of the build on trial.
+    pub build: u8,
+    /// Of the message, by its sender.
+    pub number: u16,
+    pub zone: u8,
+    pub profile: u8,
+    /// The outcome is that build's, not an earlier one's.
+    pub judged: bool,
+    pub failed: bool,
+}
+
+impl Told {
+    pub fn bytes(self) -> [u8; 5] {
+        let [n0, n1] = self.number.to_le_bytes();
+        let code = self.profile << 2 | u8::from(self.judged) << 1 | u8::from(self.failed);
+        [self.build, n0, n1, self.zone, code]
+    }
+
+    pub fn read(bytes: &[u8]) -> Option<Told> {
+        let [build, n0, n1, zone, code] = *bytes else { return None };
+        let number = u16::from_le_bytes([n0, n1]);
+        Some(Told { build, number, zone, profile: code >> 2, judged: code & 2 > 0, failed: code & 1 > 0 })
+    }
+}
+
 /// All of it.
 #[derive(Default)]
 pub struct Seen {
@@ -140,10 +180,7 @@
     /// When the vote on is due, for which a wake-up is set.
     pub ripe: Micros,
     pub alarm: Option<Sign>,
-    /// The paper's statistic y, by build and sign.
-    pub cusums: BTreeMap<(BuildNo, Sign), f64>,
-    /// The last outcomes by build and sign.
-    pub outcomes: BTreeMap<(BuildNo, Sign), VecDeque<Outcomes>>,
+    pub records: BTreeMap<BuildNo, BTreeMap<Sign, Record>>,
     /// Tallies that wait for the rest of their batch, and when the last period of each kind ended.
     pub tallies: Vec<Tally>,
     pub tallied: BTreeMap<(BuildNo, ProfileId), Micros>,
@@ -190,10 +227,64 @@
         })
     }
 
+    /// Takes what the list says of some servers; one that starts anew is another process, of which what the
+    /// last one did says nothing. Those that are gone are forgotten once no trip is out there.
+    pub fn listed(&mut self, list: Vec<Listing>) {
+        for listing in list {
+            let server = self.servers.entry(listing.server).or_default();
+            if (server.listing.build, server.listing.started) != (listing.build, listing.started) {
+                *server = Server { out: std::mem::take(&mut server.out), ..Server::default() };
+            }
+            server.listing = listing;
+        }
+        self.servers.retain(|_, s| s.listing.condition != Condition::Gone || !s.out.is_empty());
+    }
+
     /// What a profile's last answers took.
-    pub fn answers(&self, profile: ProfileId, since: Micros) -> Vec<Micros> {
+    pub fn answers(&self, profile: ProfileId, since: Micros) -> impl Iterator<Item = Micros> {
         let kept = self.times.get(&profile).into_iter().flatten();
-        kept.filter(|s| s.at > since && s.ending == Ending::Finished).map(|s| s.took).collect()
+        kept.filter(move |s| s.at > since && s.ending == Ending::Finished).map(|s| s.took)
+    }
+
+    /// A profile's usual time; unknown while it rests on less than 5 answers.
+    pub fn usual(&self, profile: ProfileId, since: Micros) -> Option<Micros> {
+        let (sum, count) = self.answers(profile, since).fold((0, 0), |(sum, n), took| (sum + took, n + 1));
+        (count >= 5).then(|| sum / count)
+    }
+
+    /// How many outcomes of the builds before this one failed, and how many there were.
+    pub fn earlier(&self, build: BuildNo, sign: Sign, since: Micros) -> (f64, f64) {
+        let records = self.records.range(..build).filter_map(|(_, records)| records.get(&sign));
+        let kept = records.flat_map(|record| record.outcomes.iter().filter(|(at, ..)| *at >= since));
+        kept.fold((0.0, 0.0), |(f, n), (_, failed, count)| (f + failed, n + count))
+    }
+
+    /// News of a new build: what peers told begins anew, and builds before `oldest` are forgotten.
+    pub fn forget_before(&mut self, oldest: BuildNo) {
+        self.heard.clear();
+        self.records.retain(|build, _| *build >= oldest);
+        self.tallied.retain(|(build, _), _| *build >= oldest);
+        self.answered.retain(|_, build| *build >= oldest);
+    }
+
+    /// Takes an ended trip off its server; tells that server's zone and whether it was silent all the while.
+    pub fn landed(&mut self, on: &Trip, ending: Ending, now: Micros) -> Option<(ZoneId, bool)> {
+        let server = self.servers.get_mut(&on.server)?;
+        server.out.iter().position(|at| *at == on.sent).map(|at| server.out.remove(at));
+        let answered = matches!(ending, Ending::Finished | Ending::Error | Ending::Full);
+        let silent = !answered && server.heard <= on.sent;
+        if answered {
+            (server.heard, server.turned) = (now, false);
+        }
+        Some((server.listing.zone, silent))
+    }
+
+    /// Keeps a sample at its server and for its profile.
+    pub fn sampled(&mut self, server: ServerId, profile: ProfileId, sample: Sample, most: [usize; 2]) {
+        if let Some(server) = self.servers.get_mut(&server) {
+            keep(&mut server.samples, sample, most[0]);
+        }
+        keep(self.times.entry(profile).or_default(), sample, most[1]);
     }
 
     /// Notes the newest build that answered a key; no more than `most` keys stay.
@@ -227,6 +318,8 @@
     pub span: Micros,
     /// How long a server may say nothing while a trip is out.
     pub silence: Micros,
+    /// Each profile's usual time, of those that have one.
+    pub usuals: BTreeMap<ProfileId, Micros>,
     pub cold: Micros,
     pub cold_from: f64,
     /// The gateway's own zone.
@@ -235,3 +328,9 @@
     /// The mean strain of each zone's servers.
     pub zones: BTreeMap<ZoneId, f64>,
 }
+
+impl View {
+    pub fn usual(&self, profile: ProfileId) -> Option<Micros> {
+        self.usuals.get(&profile).copied()
+    }
+}
