--- a/src/balance.rs
+++ b/src/balance.rs
@@ -111,7 +111,7 @@
             let usual = self.seen.usual(profile, now - self.span());
             let stretch = took as f64 / usual.unwrap_or(took).max(1) as f64;
             let sample = Sample { at: now, ending, took, zone, silent, stretch, beside: on.beside };
-            self.seen.sampled(on.server, profile, sample, [SAMPLES, NORMAL_KEPT]);
+            self.seen.sampled(on.server, profile, sample, [SAMPLES, NORMAL_KEPT], now - FRESH_MOST);
         }
         if ending == Ending::Finished {
             self.seen.finished.add(now, (), now - self.kept);
@@ -178,6 +178,7 @@
                 if self.stood_still() {
                     self.seen.stalled = now;
                 }
+                self.seen.forget_times(now - FRESH_MOST);
                 self.seen.beat = now + BEAT;
                 self.host.wake_at(self.seen.beat, Wake::Beat);
             }
--- a/src/seen.rs
+++ b/src/seen.rs
@@ -279,12 +279,21 @@
         Some((server.listing.zone, silent))
     }
 
-    /// Keeps a sample at its server and for its profile.
-    pub fn sampled(&mut self, server: ServerId, profile: ProfileId, sample: Sample, most: [usize; 2]) {
+    /// Keeps a sample at its server and for its profile, and none of the profile's from before `since`.
+    pub fn sampled(
+        &mut self, server: ServerId, profile: ProfileId, sample: Sample, most: [usize; 2], since: Micros,
+    ) {
         if let Some(server) = self.servers.get_mut(&server) {
             keep(&mut server.samples, sample, most[0]);
         }
-        keep(self.times.entry(profile).or_default(), sample, most[1]);
+        let times = self.times.entry(profile).or_default();
+        times.drain(..times.partition_point(|sample| sample.at <= since));
+        keep(times, sample, most[1]);
+    }
+
+    /// Forgets the profiles that nothing is known of since then: they come and go for weeks.
+    pub fn forget_times(&mut self, since: Micros) {
+        self.times.retain(|_, times| times.back().is_some_and(|last| last.at > since));
     }
 
     /// Notes the newest build that answered a key; no more than `most` keys stay.
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -1,6 +1,7 @@
 //! One short story for each failure met.
 
 mod fake;
+mod system;
 
 use fake::{MS, S, Story, news, server};
 use garnetdoor::host::*;
