--- a/crates/playhouse/src/foyer/desk.rs
+++ b/crates/playhouse/src/foyer/desk.rs
@@ -15,7 +15,7 @@
 };
 use indexmap::IndexMap;
 use props::{MS, Micros, SECOND};
-use script::{Rollout, Voice};
+use script::{Rollout, Tally, Voice};
 
 use crate::house::{Clock, chance};
 use crate::settings::Settings;
@@ -31,9 +31,13 @@
     Wake { at: Micros, wake: Wake },
 }
 
+/// Outcomes that were judged, and how many of them failed, by build and profile.
+type Judged = IndexMap<(BuildNo, ProfileId), (u32, u32)>;
+
 /// The host as the decisions see it.
 pub struct Hand {
     clock: Clock,
+    judged: Rc<RefCell<Judged>>,
     asked: Rc<RefCell<VecDeque<Do>>>,
 }
 
@@ -71,6 +75,11 @@
     fn ask_list(&mut self) {}
     fn follow_list(&mut self, _on: bool) {}
     fn close_idle(&mut self, _server: ServerId) {}
+    fn judged(&mut self, build: BuildNo, profile: ProfileId, failed: bool) {
+        let mut judged = self.judged.borrow_mut();
+        let entry = judged.entry((build, profile)).or_default();
+        *entry = (entry.0.saturating_add(1), entry.1.saturating_add(u32::from(failed)));
+    }
     fn note(&mut self, text: &str) {
         log::info!("{text}");
     }
@@ -85,6 +94,8 @@
 
 /// A vote back that is not renewed for so long stands no more: as `domain.vote_life` below.
 const VOTE_LIFE: Micros = 3 * SECOND;
+/// Routes told of in one vote.
+const ROUTES_MOST: usize = 16;
 
 pub struct Desk {
     clock: Clock,
@@ -98,8 +109,8 @@
     /// The trial that is known, since when, and the last vote on it, with its moment.
     trial: Option<(u32, Micros)>,
     voted: Option<(u32, Vote, Micros)>,
-    /// Outcomes that were judged, by build: how many, and how many failed.
-    judged: IndexMap<u32, (u32, u32)>,
+    /// Outcomes that were judged, by build and profile: how many, and how many failed.
+    judged: Rc<RefCell<Judged>>,
     zones: Vec<String>,
 }
 
@@ -115,7 +126,8 @@
 impl Desk {
     pub fn start(service: &str, clock: Clock, settings: &Settings, bill: &Bill, fleet: Fleet) -> Desk {
         let asked = Rc::new(RefCell::new(VecDeque::new()));
-        let hand = Hand { clock, asked: asked.clone() };
+        let judged: Rc<RefCell<Judged>> = Rc::default();
+        let hand = Hand { clock, judged: judged.clone(), asked: asked.clone() };
         let zones: Vec<String> = settings.zones.keys().cloned().collect();
         let mut profiles = IndexMap::new();
         let given = given(service, settings, bill, fleet, &mut profiles);
@@ -130,7 +142,7 @@
             told: None,
             trial: None,
             voted: None,
-            judged: IndexMap::new(),
+            judged,
             zones,
         }
     }
@@ -140,7 +152,7 @@
         let given = given(&self.service, settings, bill, fleet, &mut self.profiles);
         if given != self.given {
             self.given = given.clone();
-            // self.balance.settings_changed(given);
+            self.balance.settings_changed(given);
         }
     }
 
@@ -188,6 +200,8 @@
         };
         self.trial = rollout.in_progress().then_some((rollout.number, rollout.since));
         if self.told != Some((rollout.number, phase)) {
+            // Older builds than the last say nothing of any to come.
+            self.judged.borrow_mut().retain(|(build, _), _| build.0 + 2 >= rollout.number);
             self.told = Some((rollout.number, phase));
             self.balance.news_came(News {
                 build: BuildNo(rollout.number),
@@ -212,15 +226,47 @@
         let back = self
             .voted
             .is_some_and(|(build, vote, at)| build == number && vote == Vote::Back && now - at <= VOTE_LIFE);
-        let (trial, failed) = self.judged.get(&number).copied().unwrap_or_default();
-        let others = self.judged.iter().filter(|(build, _)| **build < number);
-        let (base, base_failed) = others.fold((0, 0), |sum, (_, of)| (sum.0 + of.0, sum.1 + of.1));
-        let voice = if back { Voice::Back } else { Voice::On };
-        let (service, age, routes) = (self.service.to_string(), now - since, Vec::new());
-        Some(script::Vote { service, number, voice, trial, failed, base, base_failed, age, routes })
+        let on = self.voted.is_some_and(|(build, vote, _)| build == number && vote == Vote::On);
+        let voice = match (back, on) {
+            (true, _) => Voice::Back,
+            (_, true) => Voice::On,
+            _ => Voice::Wait,
+        };
+        let (service, age) = (self.service.to_string(), now - since);
+        let mut vote = script::Vote {
+            service,
+            number,
+            voice,
+            trial: 0,
+            failed: 0,
+            base: 0,
+            base_failed: 0,
+            age,
+            routes: Vec::new(),
+        };
+        let mut routes: IndexMap<usize, Tally> = IndexMap::new();
+        for ((build, profile), (count, failed)) in self.judged.borrow().iter() {
+            let Some((name, ())) = self.profiles.get_index(profile.0) else { continue };
+            let fresh = || Tally { route: named(name), ..Tally::default() };
+            let tally = routes.entry(profile.0).or_insert_with(fresh);
+            if build.0 == number {
+                (tally.trial, tally.failed) = (tally.trial + count, tally.failed + failed);
+                (vote.trial, vote.failed) = (vote.trial + count, vote.failed + failed);
+            } else if build.0 < number {
+                (tally.base, tally.base_failed) = (tally.base + count, tally.base_failed + failed);
+                (vote.base, vote.base_failed) = (vote.base + count, vote.base_failed + failed);
+            }
+        }
+        vote.routes = routes.into_values().filter(|tally| tally.trial > 0).take(ROUTES_MOST).collect();
+        Some(vote)
     }
 }
 
+/// A route's name as all foyers number it alike (FNV-1a, 32 bits).
+fn named(route: &str) -> u32 {
+    route.bytes().fold(0x811c_9dc5, |hash, byte| (hash ^ u32::from(byte)).wrapping_mul(0x0100_0193))
+}
+
 /// The decisions' settings for one service: its routes as profiles, by numbers that stay.
 fn given(
     service: &str, settings: &Settings, bill: &Bill, fleet: Fleet, profiles: &mut IndexMap<String, ()>,
--- a/crates/playhouse/src/house.rs
+++ b/crates/playhouse/src/house.rs
@@ -233,6 +233,8 @@
             let event = callboard::Event::Peers { hubs: hubs.clone(), others: others.clone() };
             let effects = self.board.step(now, event);
             self.board_did(now, effects);
+            let own = (self.own.part == Part::Prompter).then_some(self.own.place);
+            let hubs = own.into_iter().chain(hubs).collect();
             let effects = self.cast.step(now, cast::Event::Peers { hubs, others });
             self.cast_did(effects);
             self.happened.push_back(Happened::Peers);
--- a/crates/playhouse/src/main.rs
+++ b/crates/playhouse/src/main.rs
@@ -11,6 +11,9 @@
 #[derive(Parser)]
 #[command(version)]
 struct Line {
+    /// What is logged: error, warn, info or debug.
+    #[arg(long, global = true, default_value = "warn")]
+    log: log::LevelFilter,
     #[command(subcommand)]
     verb: Verb,
 }
@@ -26,8 +29,8 @@
 }
 
 fn main() -> ExitCode {
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("warn")).init();
     let line = Line::parse();
+    env_logger::Builder::new().filter_level(line.log).parse_default_env().init();
     match run(line.verb) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
--- a/crates/playhouse/src/prompter.rs
+++ b/crates/playhouse/src/prompter.rs
@@ -309,12 +309,12 @@
 /// Has a command ordered, or tells why it is not. A refusal, too, waits for proof of leadership: one that
 /// was deposed knows only an old version.
 async fn order(shared: &Shared, command: Command, head: &hyper::http::request::Parts) -> Answer {
-    let checked = shared.borrow().control.house.script.check(&command);
+    let checked = check(shared, &command);
     if checked.is_err() {
         if let Err(answer) = proved(shared, head).await {
             return answer;
         }
-        let checked = shared.borrow().control.house.script.check(&command);
+        let checked = check(shared, &command);
         if let Err(outcome) = checked {
             return ordered(outcome);
         }
@@ -327,6 +327,11 @@
     }
 }
 
+fn check(shared: &Shared, command: &Command) -> Result<(), Outcome> {
+    let prompter = shared.borrow();
+    prompter.control.house.script.check_at(prompter.clock.now(), command)
+}
+
 fn ordered(outcome: Outcome) -> Answer {
     let status = StatusCode::from_u16(outcome.status()).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
     if status.is_success() {
--- a/src/balance/evidence.rs
+++ b/src/balance/evidence.rs
@@ -43,6 +43,7 @@
         if compared || errs || finished {
             let failed = errs || (on.near && late && compared);
             self.weigh(build, Sign::Failed(profile), f64::from(u8::from(failed)), 1.0);
+            self.host.judged(build, profile, failed);
         }
         // The present against the seconds before the trial began, whichever build answered.
         let before = self.seen.before.get(&profile).filter(|_| on.near && !errs);
--- a/src/host.rs
+++ b/src/host.rs
@@ -215,6 +215,8 @@
     fn follow_list(&mut self, on: bool);
     /// Closes the idle connections to a server.
     fn close_idle(&mut self, server: ServerId);
+    /// An outcome has been judged as evidence on a build, for hosts that tell others of it.
+    fn judged(&mut self, _build: BuildNo, _profile: ProfileId, _failed: bool) {}
     /// Writes a line to the log.
     fn note(&mut self, text: &str);
 }
