--- a/crates/promptbook/src/book.rs
+++ b/crates/promptbook/src/book.rs
@@ -29,6 +29,10 @@
 }
 
 /// One seat's part in the ordered log (a Raft server).
+///
+/// The driver carries effects out in order, one at a time. After each step it asks `due()` again. What has arrived is
+/// handed over before a tick that is due, so that a slow machine doesn't look for a leader whose word
+/// waits in its socket. It hands over `Event::Kept` often enough: entries since the last one stay in memory.
 pub struct Promptbook {
     pub(crate) own: Seat,
     pub(crate) timing: Timing,
--- a/crates/promptbook/src/follow.rs
+++ b/crates/promptbook/src/follow.rs
@@ -64,7 +64,7 @@
             };
             return self.say(leader, Word::Gap { prev, hint: hint.max(self.commit), round });
         }
-        let upto = Index(prev.0 + entries.len() as u64);
+        let upto = Index(prev.0.saturating_add(entries.len() as u64));
         for entry in entries {
             if entry.index <= self.commit || self.log.term_at(entry.index) == Some(entry.term) {
                 continue;
--- a/crates/promptbook/src/lead.rs
+++ b/crates/promptbook/src/lead.rs
@@ -400,7 +400,7 @@
     pub(crate) fn gap(&mut self, from: Seat, prev: Index, hint: Index, round: u64) {
         let Some(peer) = self.peer_spoke(from, round) else { return };
         let asked = match peer.mode {
-            Mode::Probe { .. } => prev.0 + 1 == peer.next.0,
+            Mode::Probe { .. } => prev.0 == peer.next.0 - 1,
             Mode::Flow { .. } => prev < peer.next,
             Mode::Pieces { .. } => false,
         };
