--- a/src/balance.rs
+++ b/src/balance.rs
@@ -83,7 +83,7 @@
 
     pub fn ticket_came(&mut self, id: TicketId, arrival: Arrival) {
         let came = self.host.now();
-        self.seen.taken.add(came, arrival.profile, came - self.kept);
+        self.seen.took(arrival.profile, came, came - self.kept);
         self.seen.tickets.insert(id, Ticket { arrival, came, trips: Vec::new(), over: false });
         if !self.send(id) {
             self.give_up(id);
@@ -153,8 +153,7 @@
             // What is older than the last build but one says nothing of any build to come.
             self.seen.forget_before(BuildNo(news.build.0.saturating_sub(2)));
         }
-        self.seen.news = Some(news);
-        self.seen.news_at = self.host.now();
+        self.seen.told_news(news, self.host.now());
         self.speak();
     }
 
--- a/src/balance/choice.rs
+++ b/src/balance/choice.rs
@@ -151,7 +151,8 @@
             return false;
         }
         if self.cap(build).is_some() {
-            self.seen.exposed.add(now, (build, profile), now - self.kept);
+            let since = (!self.terms.exposure_since_order).then_some(now - self.kept);
+            self.seen.exposes(build, profile, now, since);
         }
         if further {
             self.seen.further.add(now, (), now - self.kept);
--- a/src/balance/exposure.rs
+++ b/src/balance/exposure.rs
@@ -4,7 +4,8 @@
 
 impl<H: Host> Balance<H> {
     /// Whether the rules let this ticket go to this build now: keys, effects, exposure. A lower cap is taken
-    /// at once, and what went before still counts against it, which is stricter than the rule.
+    /// at once, and what went before still counts against it, which is stricter than the rule. Where all since
+    /// the order counts, a build that no order names gets nothing.
     pub(super) fn build_allows(&self, ticket: &Ticket, build: BuildNo) -> bool {
         // A key stays with a newer build until that build goes back.
         let kept = |build| self.seen.news.is_none_or(|n| n.build != build || !n.phase.goes_back());
@@ -19,7 +20,11 @@
         let since = self.host.now() - self.terms.exposure_window.unwrap_or(0);
         let taken = self.seen.taken.since(since).filter(|p| counts(**p)).count();
         let sent = self.seen.exposed.since(since - 1).filter(|(to, p)| *to == build && counts(*p)).count();
-        let room = (sent + 1) as f64 <= self.terms.free + cap * taken as f64;
+        let room = |taken: u64, sent: u64| (sent + 1) as f64 <= self.terms.free + cap * taken as f64;
+        let room = match self.seen.order.filter(|order| order.build == build) {
+            _ if !self.terms.exposure_since_order => room(taken as u64, sent as u64),
+            order => order.is_some_and(|order| room(order.taken, order.sent)),
+        };
         let safe = self.terms.class(profile).repeat == Repeat::Safe;
         (safe || stage >= self.terms.shielded) && cap > 0.0 && room
     }
--- a/src/seen.rs
+++ b/src/seen.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use crate::host::{
-    Arrival, BuildNo, Condition, Ending, GatewayId, KeyId, Listing, Micros, News, ProfileId, ServerId,
+    Arrival, BuildNo, Condition, Ending, GatewayId, KeyId, Listing, Micros, News, Phase, ProfileId, ServerId,
     StageNo, Tally, TicketId, Vote, ZoneId,
 };
 
@@ -167,6 +167,16 @@
     }
 }
 
+/// What has been counted since the order to try a build, as far as this gateway knows of it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Order {
+    pub build: BuildNo,
+    /// Tickets taken.
+    pub taken: u64,
+    /// Trips sent to the build.
+    pub sent: u64,
+}
+
 /// All of it.
 #[derive(Default)]
 pub struct Seen {
@@ -199,6 +209,7 @@
     pub worse: Option<Micros>,
     pub taken: Recent<ProfileId>,
     pub finished: Recent<()>,
+    pub order: Option<Order>,
     /// Trips sent lately to builds on trial.
     pub exposed: Recent<(BuildNo, ProfileId)>,
     pub further: Recent<()>,
@@ -227,6 +238,30 @@
         })
     }
 
+    /// Takes news in; an order to try a build begins with the first news of it, or of it once more.
+    pub fn told_news(&mut self, news: News, now: Micros) {
+        let goes_on = |old: News| old.build == news.build && old.phase == Phase::OnTrial;
+        if news.phase == Phase::OnTrial && !self.news.is_some_and(goes_on) {
+            self.order = Some(Order { build: news.build, ..Order::default() });
+        }
+        (self.news, self.news_at) = (Some(news), now);
+    }
+
+    /// Counts a ticket that came.
+    pub fn took(&mut self, profile: ProfileId, now: Micros, since: Micros) {
+        self.taken.add(now, profile, since);
+        self.order.iter_mut().for_each(|order| order.taken += 1);
+    }
+
+    /// Counts a trip to a build on trial; one by one since then, if that is needed.
+    pub fn exposes(&mut self, build: BuildNo, profile: ProfileId, now: Micros, since: Option<Micros>) {
+        if let Some(since) = since {
+            self.exposed.add(now, (build, profile), since);
+        }
+        let order = self.order.iter_mut().filter(|order| order.build == build);
+        order.for_each(|order| order.sent += 1);
+    }
+
     /// Takes what the list says of some servers; one that starts anew is another process, of which what the
     /// last one did says nothing. Those that are gone are forgotten once no trip is out there.
     pub fn listed(&mut self, list: Vec<Listing>) {
--- a/tests/system/mod.rs
+++ b/tests/system/mod.rs
@@ -2,7 +2,7 @@
 
 use garnetdoor::host::*;
 
-use crate::fake::{MS, S, Story, server};
+use crate::fake::{MS, S, Story, news, server};
 
 fn fleet(count: u32) -> Vec<Listing> {
     (0..count).map(|id| server(id, 1)).collect()
@@ -28,3 +28,34 @@
     story.ends(stray, 0, 10 * MS, Ending::Error);
     assert_eq!(story.answers(stray), ["forfeited"], "of a profile that is not listed nothing is promised");
 }
+
+/// Servers 0 to 4 of build 1, 100 to 109 of build 2 and 200 of build 3.
+fn builds() -> Vec<Listing> {
+    let of = |id| server(id, id / 100 + 1);
+    (0..5).chain(100..110).chain([200]).map(of).collect()
+}
+
+const ORDER: &[(&str, &str)] = &[("domain.exposure_since", "order"), ("domain.exposure_caps", "0")];
+
+#[test]
+fn all_since_the_order_counts_against_the_cap_and_a_new_order_begins_anew() {
+    let mut story = Story::new(ORDER, builds());
+    let trial = |story: &Story| (100..110).map(|id| story.sent_to(id)).sum::<usize>();
+    story.run(50, 0, &[], 0, Ending::Finished);
+    assert_eq!(trial(&story), 0, "no order yet: what came before it gives no room");
+    story.gate.news_came(news(2, 1, Phase::OnTrial, 0.1));
+    for quiet in [0, 60 * S, 600 * S] {
+        story.pass(quiet);
+        story.gate.news_came(news(2, 1, Phase::OnTrial, 0.1));
+        story.run(100, 0, &[], 0, Ending::Finished);
+    }
+    // 3 are free for the whole trial, not for each while.
+    assert!((28..=33).contains(&trial(&story)), "{}", trial(&story));
+    story.gate.news_came(news(2, 1, Phase::Withdrawn, 0.0));
+    story.run(50, 0, &[], 0, Ending::Finished);
+    assert!(trial(&story) <= 33, "nothing goes to a build that is withdrawn");
+    story.gate.news_came(news(2, 1, Phase::OnTrial, 0.1));
+    story.run(100, 0, &[], 0, Ending::Finished);
+    assert!((38..=46).contains(&trial(&story)), "{}", trial(&story));
+    assert_eq!(story.sent_to(200), 0, "nor to one that no order ever named");
+}
