--- a/src/balance.rs
+++ b/src/balance.rs
@@ -11,7 +11,7 @@
     SECOND, ServerId, Settings, Taken, Tally, TicketId, TripNo, Vote, Wake, ZoneId,
 };
 use crate::seen::{Record, Sample, Seen, Server, Sign, Ticket, Told, Trip, View, keep};
-use crate::terms::{Repeat, Scope, Terms};
+use crate::terms::{Budget, Repeat, Scope, Terms};
 
 mod choice;
 mod evidence;
@@ -61,7 +61,8 @@
     /// is no longer listed gets no tickets, and its memory goes with time.
     pub fn settings_changed(&mut self, settings: Settings) {
         self.terms = Terms::new(&settings);
-        let counted = self.terms.exposure_window.max(self.terms.fall);
+        let window = self.terms.budget.map(|budget| budget.window);
+        let counted = self.terms.exposure_window.max(self.terms.fall).max(window);
         self.kept = counted.unwrap_or(0).max(FRESH_MOST);
     }
 
--- a/src/balance/choice.rs
+++ b/src/balance/choice.rs
@@ -57,8 +57,10 @@
         let ticket = &self.seen.tickets[&id];
         let profile = ticket.arrival.profile;
         let further = !ticket.trips.is_empty();
-        let again = !further || (self.effect_allows(ticket, None) && self.retry_room());
-        if ticket.trips.len() >= self.terms.try_limit || !again {
+        let draws = self.draws(ticket);
+        let again = self.effect_allows(ticket, None) && (!draws || self.retry_room());
+        let most = self.terms.class(profile).try_limit.unwrap_or(self.terms.try_limit);
+        if ticket.trips.len() >= most || !again {
             return false;
         }
         // The build on trial by its share of the listed machines, cold ones by what they can do, and capped.
@@ -154,7 +156,7 @@
             let since = (!self.terms.exposure_since_order).then_some(now - self.kept);
             self.seen.exposes(build, profile, now, since);
         }
-        if further {
+        if draws {
             self.seen.further.add(now, (), now - self.kept);
         }
         let server = self.seen.servers.get_mut(&chosen).expect("just chosen");
--- a/src/balance/exposure.rs
+++ b/src/balance/exposure.rs
@@ -4,8 +4,8 @@
 
 impl<H: Host> Balance<H> {
     /// Whether the rules let this ticket go to this build now: keys, effects, exposure. A lower cap is taken
-    /// at once, and what went before still counts against it, which is stricter than the rule. Where all since
-    /// the order counts, a build that no order names gets nothing.
+    /// at once, and what went before still counts against it, which is stricter than the rule. Where all that
+    /// came since the order counts, a build that no order names gets nothing.
     pub(super) fn build_allows(&self, ticket: &Ticket, build: BuildNo) -> bool {
         // A key stays with a newer build until that build goes back.
         let kept = |build| self.seen.news.is_none_or(|n| n.build != build || !n.phase.goes_back());
--- a/src/balance/further.rs
+++ b/src/balance/further.rs
@@ -47,8 +47,22 @@
         class.repeat == Repeat::Safe || (class.repeat == Repeat::Keyed && remembered && within)
     }
 
+    /// Whether a further trip keeps to the budget: the platform's where there is one, of all gateways' this
+    /// one's part, over the window that ends now; else one and `RETRY_SHARE` of the tickets.
     pub(super) fn retry_room(&self) -> bool {
-        let (since, seen) = (self.host.now() - RETRY_OVER, &self.seen);
+        let (now, seen) = (self.host.now(), &self.seen);
+        if let Some(Budget { ratio, slack, window }) = self.terms.budget {
+            let further = seen.further.count_since(now - window - 1) + 1;
+            return further as f64 <= ratio * seen.taken.count_since(now - window) as f64 + slack;
+        }
+        let since = now - RETRY_OVER;
         seen.further.count_since(since) <= (RETRY_SHARE * seen.taken.count_since(since) as f64) as usize
     }
+
+    /// Whether the ticket's next trip draws on the budget. The platform counts what reaches a server beyond
+    /// the first: where only trips that never got there went before, the next is no further one.
+    pub(super) fn draws(&self, ticket: &Ticket) -> bool {
+        let met = |trip: &Trip| self.terms.budget.is_none() || trip.may_have_arrived();
+        ticket.trips.iter().any(met)
+    }
 }
--- a/src/seen.rs
+++ b/src/seen.rs
@@ -54,6 +54,11 @@
 }
 
 impl Trip {
+    /// Whether the server may have seen it, or may still.
+    pub fn may_have_arrived(&self) -> bool {
+        !matches!(self.ended, Some(Ending::ConnectFailed | Ending::NeverSent))
+    }
+
     /// Whether it may have run, or may still.
     pub fn may_have_run(&self) -> bool {
         !matches!(self.ended, Some(Ending::Full | Ending::ConnectFailed | Ending::NeverSent))
--- a/tests/system/mod.rs
+++ b/tests/system/mod.rs
@@ -2,6 +2,8 @@
 
 use garnetdoor::host::*;
 
+use test_case::test_case;
+
 use crate::fake::{MS, S, Story, news, server};
 
 fn fleet(count: u32) -> Vec<Listing> {
@@ -59,3 +61,64 @@
     assert!((38..=46).contains(&trial(&story)), "{}", trial(&story));
     assert_eq!(story.sent_to(200), 0, "nor to one that no order ever named");
 }
+
+const BUDGET: &[(&str, &str)] = &[
+    ("policy_limits.retry_ratio", "0.1"),
+    ("policy_limits.retry_slack", "1.5"),
+    ("policy_limits.retry_window", "30"),
+];
+
+/// The times of tickets taken and of trips after a ticket's first, in `count` tickets whose trips end so.
+fn asked(ending: Ending, pause: impl Fn(usize) -> Micros, count: usize) -> [Vec<Micros>; 2] {
+    let mut story = Story::new(BUDGET, fleet(8));
+    let [mut taken, mut further] = [Vec::new(), Vec::new()];
+    for round in 0..count {
+        story.pass(pause(round));
+        let now = story.read(|book| book.now);
+        let ticket = story.ticket(0);
+        taken.push(now);
+        (0..4).for_each(|trip| story.ends(ticket, trip, MS, ending));
+        let again = story.trips(ticket).len().saturating_sub(1);
+        further.extend(std::iter::repeat_n(now, again));
+        story.gate.client_left(TicketId(ticket));
+    }
+    [taken, further]
+}
+
+#[test_case(|_| 100 * MS; "an even stream")]
+#[test_case(|n| if n % 40 == 0 { 20 * S } else { 20 * MS }; "bursts")]
+fn further_trips_in_a_window_keep_to_the_platforms_budget(pause: fn(usize) -> Micros) {
+    let [taken, further] = asked(Ending::Error, pause, 600);
+    let within =
+        |times: &[Micros], end: Micros| times.iter().filter(|t| (end - 30 * S..=end).contains(t)).count();
+    for end in &further {
+        let (more, all) = (within(&further, *end), within(&taken, *end));
+        assert!(more as f64 <= 0.1 * all as f64 + 1.5, "{more} beside {all}");
+    }
+    assert!(further.len() >= 55, "it is used: {}", further.len());
+}
+
+#[test]
+fn a_trip_that_never_reached_a_server_leaves_the_budget_as_it_is() {
+    let [_, further] = asked(Ending::ConnectFailed, |_| 100 * MS, 50);
+    assert!(further.len() >= 50, "each ticket goes to another server: {}", further.len());
+}
+
+#[test]
+fn each_profile_has_its_own_limit_of_trips_and_an_upload_never_runs_twice() {
+    let mine = [("classes.0.try_limit", "2"), ("classes.1.repeat", "upload"), ("classes.1.try_limit", "3")];
+    let mut story = Story::new(&mine, fleet(8));
+    story.run(30, 2, &[], 0, Ending::Finished);
+    let mut trips = |profile, ending| {
+        let ticket = story.ticket(profile);
+        for trip in 0..4 {
+            story.ends(ticket, trip, MS, ending);
+        }
+        (story.trips(ticket).len(), story.answers(ticket)[0])
+    };
+    assert_eq!(trips(0, Ending::Error), (2, "turned back"));
+    assert_eq!(trips(1, Ending::Full), (3, "turned back"));
+    for may_have_run in [Ending::Reset, Ending::TimedOut, Ending::Error, Ending::Stopped] {
+        assert_eq!(trips(1, may_have_run), (1, "forfeited"), "{may_have_run:?}");
+    }
+}
