--- a/src/balance/scarcity.rs
+++ b/src/balance/scarcity.rs
@@ -28,11 +28,10 @@
         let long = out.filter(|(_, part)| *part >= LONG_OUT);
         let parts: Vec<_> = ended.chain(long.map(|(zone, part)| (zone, part.min(JAMMED), false))).collect();
         let mean = move |zone: Option<ZoneId>| {
-            let of = |answers: bool| {
-                let here = parts
-                    .iter()
-                    .filter(move |(there, ..)| there.is_none() || zone.is_none_or(|z| *there == Some(z)));
-                here.filter(move |(.., answered)| *answered == answers).map(|(_, part, _)| *part)
+            let here = |there: &Option<ZoneId>| there.is_none() || zone.is_none() || *there == zone;
+            let of = |answers| {
+                let chosen = parts.iter().filter(move |part| here(&part.0) && part.2 == answers);
+                chosen.map(|(_, part, _)| *part)
             };
             let (sum, quick) = (of(true).sum::<f64>(), of(true).count());
             let most = if quick < SAMPLES { JAMMED } else { LOST * sum / quick as f64 };
@@ -54,10 +53,16 @@
     }
 
     /// The part of the time left that the expected time may fill before a ticket is turned back: most for the
-    /// profile with most benefit for its time, or its work where that counts; overload falls on the others.
+    /// profile with most benefit for its time, or its work where that counts, or for the first in rank of those
+    /// seen lately where ranks are given; overload falls on the others.
     pub(super) fn patience(&self, view: &View, profile: ProfileId) -> f64 {
         let worth = |profile: ProfileId| self.terms.class(profile).worth;
-        let part = if self.terms.worth_by_work {
+        let rank = |profile: &ProfileId| self.terms.class(*profile).rank;
+        let part = if let Some(own) = rank(&profile) {
+            let widen = |(least, most): (f64, f64), rank: f64| (least.min(rank), most.max(rank));
+            let (first, last) = self.seen.times.keys().filter_map(rank).fold((own, own), widen);
+            Some(1.0 - (own - first) / (last - first).max(f64::MIN_POSITIVE))
+        } else if self.terms.worth_by_work {
             Some(worth(profile) / self.terms.most_worth)
         } else {
             let densities = view.usuals.iter().map(|(p, usual)| worth(*p) / (*usual).max(1) as f64);
--- a/tests/system/mod.rs
+++ b/tests/system/mod.rs
@@ -122,3 +122,19 @@
         assert_eq!(trips(1, may_have_run), (1, "forfeited"), "{may_have_run:?}");
     }
 }
+
+#[test]
+fn in_scarcity_the_lower_rank_is_turned_back_first_whatever_it_is_worth() {
+    let ranks = [("classes.0.rank", "2"), ("classes.1.rank", "0"), ("classes.1.worth", "0.01")];
+    let mut story = Story::new(&ranks, fleet(4));
+    let everyone: Vec<u32> = (0..4).collect();
+    // Answers take half of the agreed time: between what the last and the first in rank will wait.
+    let turned_back = |story: &mut Story, profile| {
+        let before = story.read(|book| book.answers.len());
+        story.run(40, profile, &everyone, 260 * MS, Ending::Finished);
+        story.read(|book| book.answers.len()) - before
+    };
+    assert_eq!(turned_back(&mut story, 0), 0, "alone it competes with nobody");
+    assert_eq!(turned_back(&mut story, 1), 0, "the first in rank waits");
+    assert!(turned_back(&mut story, 0) >= 20, "beside it the last in rank does not");
+}
