--- a/src/balance.rs
+++ b/src/balance.rs
@@ -61,9 +61,7 @@
     /// is no longer listed gets no tickets, and its memory goes with time.
     pub fn settings_changed(&mut self, settings: Settings) {
         self.terms = Terms::new(&settings);
-        let window = self.terms.budget.map(|budget| budget.window);
-        let counted = self.terms.exposure_window.max(self.terms.fall).max(window);
-        self.kept = counted.unwrap_or(0).max(FRESH_MOST);
+        self.kept = self.terms.longest_window().max(FRESH_MOST);
     }
 
     pub fn list_came(&mut self, list: Vec<Listing>) {
--- a/src/balance/further.rs
+++ b/src/balance/further.rs
@@ -62,7 +62,6 @@
     /// Whether the ticket's next trip draws on the budget. The platform counts what reaches a server beyond
     /// the first: where only trips that never got there went before, the next is no further one.
     pub(super) fn draws(&self, ticket: &Ticket) -> bool {
-        let met = |trip: &Trip| self.terms.budget.is_none() || trip.may_have_arrived();
-        ticket.trips.iter().any(met)
+        ticket.trips.iter().any(|trip| self.terms.budget.is_none() || trip.may_have_arrived())
     }
 }
--- a/src/balance/scarcity.rs
+++ b/src/balance/scarcity.rs
@@ -3,6 +3,7 @@
 use super::*;
 
 const JAMMED: f64 = 1.5; // agreed times that a trip without an answer counts for in the pressure
+const COME_BACK_SPARE: Micros = 20 * MS; // of the time left: an answer is on its way for a while
 const LOST: f64 = 4.0; // of what many answers take, the most that a trip without one counts for as pressure
 
 impl<H: Host> Balance<H> {
@@ -72,7 +73,8 @@
         0.4 + 0.3 * part.unwrap_or(1.0)
     }
 
-    /// The final answer of a ticket that gets no further trip: turned back where that promises no lie.
+    /// The final answer of a ticket that gets no further trip: turned back where that promises no lie, with a
+    /// time to come back that its client will keep to.
     pub(super) fn give_up(&mut self, id: TicketId) {
         let ticket = &self.seen.tickets[&id];
         let ran = ticket.trips.iter().any(Trip::may_have_run);
@@ -80,7 +82,11 @@
         let drops_all = class.repeat == Repeat::Keyed && class.scope == Scope::All;
         let harmless = !ran || class.repeat == Repeat::Safe || drops_all;
         if harmless {
-            let wait = self.terms.come_back.map(|most| self.between(most / 2, most));
+            let left = ticket.came + ticket.arrival.left - self.host.now();
+            let heeded = |share: f64| (share * left as f64) as Micros - COME_BACK_SPARE;
+            let heeded = self.terms.come_back_share.map_or(Micros::MAX, heeded);
+            let most = self.terms.come_back.map(|most| most.min(heeded)).filter(|most| *most > 0);
+            let wait = most.map(|most| self.between(most / 2, most));
             self.host.turn_back(id, wait);
         } else {
             self.host.forfeit(id);
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -174,6 +174,13 @@
         self.classes.get(profile.0).unwrap_or(&UNSAID)
     }
 
+    /// The longest that anything is counted over by settings.
+    pub fn longest_window(&self) -> Micros {
+        let budget = self.budget.map(|budget| budget.window);
+        self.exposure_window.max(self.fall).max(budget).unwrap_or(0)
+    }
+
+    /// How many gateways there are.
     pub fn fleet(&self) -> f64 {
         self.fleet_size.unwrap_or(1.0)
     }
--- a/tests/system/mod.rs
+++ b/tests/system/mod.rs
@@ -138,3 +138,20 @@
     assert_eq!(turned_back(&mut story, 1), 0, "the first in rank waits");
     assert!(turned_back(&mut story, 0) >= 20, "beside it the last in rank does not");
 }
+
+#[test]
+fn a_time_to_come_back_is_one_that_the_client_keeps_to() {
+    let share = [("policy_limits.retry_after_share", "0.33"), ("policy_limits.max_retry_after", "5")];
+    let mut story = Story::new(&share, vec![]);
+    let advised = |story: &Story| story.read(|book| *book.advised.last().expect("turned back"));
+    for _ in 0..20 {
+        story.ticket(0);
+        let wait = advised(&story).expect("2 s are left");
+        assert!((320 * MS..=640 * MS).contains(&wait), "{wait}");
+    }
+    story.gate.list_came(fleet(1));
+    let ticket = story.ticket(0);
+    story.pass(1950 * MS);
+    story.ends(ticket, 0, 1950 * MS, Ending::Full);
+    assert_eq!(advised(&story), None, "with nothing left no time is told");
+}
