--- a/src/balance.rs
+++ b/src/balance.rs
@@ -11,7 +11,7 @@
     SECOND, ServerId, Settings, Taken, Tally, TicketId, TripNo, Vote, Wake, ZoneId,
 };
 use crate::seen::{Record, Sample, Seen, Server, Sign, Ticket, Told, Trip, View, keep};
-use crate::terms::{Repeat, Scope, Terms};
+use crate::terms::{Budget, Repeat, Scope, Terms};
 
 mod choice;
 mod evidence;
@@ -61,8 +61,7 @@
     /// is no longer listed gets no tickets, and its memory goes with time.
     pub fn settings_changed(&mut self, settings: Settings) {
         self.terms = Terms::new(&settings);
-        let counted = self.terms.exposure_window.max(self.terms.fall);
-        self.kept = counted.unwrap_or(0).max(FRESH_MOST);
+        self.kept = self.terms.longest_window().max(FRESH_MOST);
     }
 
     pub fn list_came(&mut self, list: Vec<Listing>) {
@@ -83,7 +82,7 @@
 
     pub fn ticket_came(&mut self, id: TicketId, arrival: Arrival) {
         let came = self.host.now();
-        self.seen.taken.add(came, arrival.profile, came - self.kept);
+        self.seen.took(arrival.profile, came, came - self.kept);
         self.seen.tickets.insert(id, Ticket { arrival, came, trips: Vec::new(), over: false });
         if !self.send(id) {
             self.give_up(id);
@@ -153,8 +152,7 @@
             // What is older than the last build but one says nothing of any build to come.
             self.seen.forget_before(BuildNo(news.build.0.saturating_sub(2)));
         }
-        self.seen.news = Some(news);
-        self.seen.news_at = self.host.now();
+        self.seen.told_news(news, self.host.now());
         self.speak();
     }
 
