--- a/crates/playhouse/src/control.rs
+++ b/crates/playhouse/src/control.rs
@@ -135,6 +135,7 @@
     fn lead(&mut self, now: Micros) {
         let foyers = self.house.up(Part::Foyer).len();
         for command in self.count.verdicts(now, &self.house.script, foyers) {
+            log::info!("from the votes: {command:?}");
             self.propose(now, &command);
         }
         let rollouts = &self.house.script.rollouts;
--- a/crates/playhouse/src/foyer/desk.rs
+++ b/crates/playhouse/src/foyer/desk.rs
@@ -312,6 +312,8 @@
     set("domain.noes_needed", (foyers / 4.0).ceil().to_string());
     set("domain.exposure_caps", "0".to_owned());
     set("domain.exposure_since", "order".to_owned());
+    set("domain.zones_near", "true".to_owned());
+    set("domain.young_err", "true".to_owned());
     set("domain.exposure_window", "60".to_owned());
     set("domain.free", (bounds.exposure_slack / 4.0 / foyers).to_string());
     set("domain.vote_wait", "0.4".to_owned());
--- a/crates/playhouse/src/house.rs
+++ b/crates/playhouse/src/house.rs
@@ -221,9 +221,11 @@
             match effect {
                 company::Effect::Send { to, message } => self.send(to, Word::Company(message)),
                 company::Effect::Changed { member, standing } => {
-                    if standing != Standing::Suspect {
-                        log::info!("{} ({}) is {standing:?}", member.name, member.place);
-                    }
+                    let level = match standing {
+                        Standing::Dead | Standing::Left => log::Level::Info,
+                        Standing::Alive | Standing::Suspect => log::Level::Debug,
+                    };
+                    log::log!(level, "{} ({}) is {standing:?}", member.name, member.place);
                     changed = true;
                 }
             }
--- a/src/balance/choice.rs
+++ b/src/balance/choice.rs
@@ -136,7 +136,8 @@
         let server = &self.seen.servers[&chosen];
         let Listing { build, started, zone, .. } = server.listing;
         let young = started.is_some_and(|at| now - at < YOUNG);
-        let (near, beside) = (view.zone.is_none_or(|own| own == zone), server.out.len() as f64);
+        let near = self.terms.zones_near || view.zone.is_none_or(|own| own == zone);
+        let beside = server.out.len() as f64;
         let trip = Trip { server: chosen, build, sent: now, beside, young, near, ended: None };
         let usual = view.usual(profile);
         if too_late {
--- a/src/balance/evidence.rs
+++ b/src/balance/evidence.rs
@@ -30,7 +30,9 @@
         let errs = ending == Ending::Error || (compared && ending == Ending::Reset);
         let timed_out = matches!(ending, Ending::TimedOut | Ending::Stopped) && late;
         let told = !self.stood_still() && (on.near || finished);
-        if !(errs || (told && (finished || timed_out))) || (judged && on.young) {
+        if !(errs || (told && (finished || timed_out)))
+            || (judged && on.young && !(errs && self.terms.young_err))
+        {
             return;
         }
         if self.may_tell() && took < Micros::MAX {
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -95,6 +95,10 @@
     pub exposure_window: Option<Micros>,
     /// Exposure counts from when the news first named the build, not over a window.
     pub exposure_since_order: bool,
+    /// Zones lie so near each other that times tell of builds across them as well.
+    pub zones_near: bool,
+    /// Errors of machines on trial that are young count; only their times don't.
+    pub young_err: bool,
     /// The first stage's cap.
     pub first_cap: f64,
     pub free: f64,
@@ -150,6 +154,8 @@
             fall: time("safety.fall"),
             exposure_window: time("domain.exposure_window"),
             exposure_since_order: is("domain.exposure_since", "order"),
+            zones_near: on("domain.zones_near"),
+            young_err: on("domain.young_err"),
             first_cap: settings
                 .items("domain.exposure_caps")
                 .first()
