--- a/crates/playhouse/src/foyer/desk.rs
+++ b/crates/playhouse/src/floor/desk.rs
@@ -1,7 +1,7 @@
 //! Desk (one service at one foyer): hosts the decisions of `garnetdoor` for one service: names to numbers,
 //! settings handed on, and what the decisions ask for kept until it is carried out. It decides nothing.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
@@ -17,12 +17,11 @@
 use props::{MS, Micros, SECOND};
 use script::{Rollout, Tally, Voice};
 
-use crate::house::{Clock, chance};
 use crate::settings::Settings;
 
 /// What the decisions have asked for.
 #[derive(Debug)]
-pub enum Do {
+pub(super) enum Do {
     Send { ticket: TicketId, server: ServerId, until: Option<Micros> },
     Stop { ticket: TicketId, trip: TripNo },
     TurnBack { ticket: TicketId, wait: Option<Micros> },
@@ -36,7 +35,7 @@
 
 /// The host as the decisions see it.
 pub struct Hand {
-    clock: Clock,
+    now: Rc<Cell<Micros>>,
     judged: Rc<RefCell<Judged>>,
     asked: Rc<RefCell<VecDeque<Do>>>,
 }
@@ -49,7 +48,7 @@
 
 impl Host for Hand {
     fn now(&self) -> Micros {
-        self.clock.now()
+        self.now.get()
     }
     fn send_trip(&mut self, ticket: TicketId, server: ServerId, until: Option<Micros>) {
         self.ask(Do::Send { ticket, server, until });
@@ -98,9 +97,9 @@
 const ROUTES_MOST: usize = 16;
 
 pub struct Desk {
-    clock: Clock,
+    now: Rc<Cell<Micros>>,
     pub balance: Balance<Hand>,
-    pub asked: Rc<RefCell<VecDeque<Do>>>,
+    pub(super) asked: Rc<RefCell<VecDeque<Do>>>,
     pub service: Rc<str>,
     given: Given,
     servers: IndexMap<InstanceId, Seen>,
@@ -124,16 +123,19 @@
 }
 
 impl Desk {
-    pub fn start(service: &str, clock: Clock, settings: &Settings, bill: &Bill, fleet: Fleet) -> Desk {
+    /// `now` is the time, set by whoever drives the desk; `seed` moves what the decisions leave to chance.
+    pub fn start(
+        service: &str, now: Rc<Cell<Micros>>, settings: &Settings, bill: &Bill, fleet: Fleet, seed: u64,
+    ) -> Desk {
         let asked = Rc::new(RefCell::new(VecDeque::new()));
         let judged: Rc<RefCell<Judged>> = Rc::default();
-        let hand = Hand { clock, judged: judged.clone(), asked: asked.clone() };
+        let hand = Hand { now: now.clone(), judged: judged.clone(), asked: asked.clone() };
         let zones: Vec<String> = settings.zones.keys().cloned().collect();
         let mut profiles = IndexMap::new();
         let given = given(service, settings, bill, fleet, &mut profiles);
         Desk {
-            clock,
-            balance: Balance::start(hand, chance(), given.clone()),
+            now,
+            balance: Balance::start(hand, seed, given.clone()),
             asked,
             service: service.into(),
             given,
@@ -217,7 +219,7 @@
 impl Desk {
     /// The decisions have voted.
     pub fn voted(&mut self, build: BuildNo, vote: Vote) {
-        self.voted = Some((build.0, vote, self.clock.now()));
+        self.voted = Some((build.0, vote, self.now.get()));
     }
 
     /// This foyer's word on the trial of the service, if there is one.
--- /dev/null
+++ b/crates/playhouse/src/floor/mod.rs
@@ -0,0 +1,364 @@
+//! Floor (a foyer's core): the common part, a desk for each service, and the tickets that are open, joined
+//! without I/O: time and events in, effects out. What is decided is decided in `garnetdoor` and the rooms.
+
+pub mod desk;
+
+use std::cell::Cell;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, HashMap};
+use std::rc::Rc;
+use std::sync::Arc;
+
+use bill::{Bill, Kind};
+use company::Part;
+use garnetdoor::host::{Arrival, Ending, ServerId, Taken, TicketId, TripNo, Vote, Wake};
+use indexmap::IndexMap;
+use props::{Micros, Place, SECOND};
+
+use crate::house::{Happened, House, Word};
+use crate::settings::Settings;
+use desk::{Desk, Do, Fleet, Seen};
+
+const VOTES_EVERY: Micros = SECOND;
+/// Connections to one instance where its service says nothing of how many it takes.
+const CONNECTIONS_UNTOLD: usize = 8;
+
+/// What a foyer is told.
+#[derive(Debug)]
+pub enum In<'a> {
+    Tick,
+    Mail {
+        from: Place,
+        bytes: &'a [u8],
+    },
+    /// A ticket that goes to one of its route's services; `left` is the client's time.
+    Came {
+        ticket: TicketId,
+        service: &'a str,
+        route: &'a str,
+        kind: Kind,
+        left: Micros,
+    },
+    /// A trip has ended; `over`: the ticket has its answer.
+    Ended {
+        ticket: TicketId,
+        trip: TripNo,
+        took: Micros,
+        ending: Ending,
+        over: bool,
+    },
+    /// The client has its answer, or has gone.
+    Left {
+        ticket: TicketId,
+    },
+    Seeds {
+        places: Vec<Place>,
+    },
+    Leave,
+    /// The process ends: every open ticket gets its final answer.
+    Stops,
+}
+
+/// What a foyer asks of its driver.
+#[derive(Debug)]
+pub enum Out {
+    Send {
+        to: Place,
+        word: Word,
+    },
+    /// Send the ticket to an instance, over `connections` to it at most.
+    Trip {
+        ticket: TicketId,
+        trip: TripNo,
+        to: Seen,
+        until: Option<Micros>,
+        connections: usize,
+    },
+    Stop {
+        ticket: TicketId,
+        trip: TripNo,
+    },
+    /// Final answers: not run and never will be, with a time to come back; or nothing promised.
+    TurnBack {
+        ticket: TicketId,
+        wait: Option<Micros>,
+    },
+    Forfeit {
+        ticket: TicketId,
+    },
+}
+
+/// A ticket that is open: its service, and which of its trips have ended.
+struct Open {
+    service: Rc<str>,
+    ended: Vec<bool>,
+}
+
+pub struct Floor {
+    pub house: House,
+    now: Rc<Cell<Micros>>,
+    settings: Rc<Settings>,
+    bill: Option<Arc<Bill>>,
+    desks: IndexMap<Rc<str>, Desk>,
+    wakes: BinaryHeap<Reverse<(Micros, u64)>>,
+    waking: HashMap<u64, (Rc<str>, Wake)>,
+    next_wake: u64,
+    open: BTreeMap<TicketId, Open>,
+    fleet: Fleet,
+    votes_due: Micros,
+    seed: u64,
+    leaving: bool,
+    out: Vec<Out>,
+}
+
+impl Floor {
+    pub fn start(house: House, settings: Rc<Settings>, seed: u64, now: Micros) -> Floor {
+        Floor {
+            house,
+            now: Rc::new(Cell::new(now)),
+            settings,
+            bill: None,
+            desks: IndexMap::new(),
+            wakes: BinaryHeap::new(),
+            waking: HashMap::new(),
+            next_wake: 0,
+            open: BTreeMap::new(),
+            fleet: Fleet { foyers: 1, index: 0, warmup: 0 },
+            votes_due: now,
+            seed,
+            leaving: false,
+            out: Vec::new(),
+        }
+    }
+
+    pub fn bill(&self) -> Option<&Arc<Bill>> {
+        self.bill.as_ref()
+    }
+
+    /// Whether clients may be sent here: a configuration is there, and instances of some service.
+    pub fn ready(&self) -> bool {
+        !self.leaving
+            && self.bill.is_some()
+            && self.house.cast.records().any(|known| known.state == cast::State::InService)
+    }
+
+    pub fn leaving(&self) -> bool {
+        self.leaving
+    }
+
+    pub fn due(&self) -> Micros {
+        let woken = self.wakes.peek().map_or(Micros::MAX, |Reverse((at, _))| *at);
+        self.house.due().min(woken).min(self.votes_due)
+    }
+
+    pub fn step(&mut self, now: Micros, event: In<'_>) -> Vec<Out> {
+        self.now.set(now);
+        match event {
+            In::Tick => self.tick(now),
+            In::Mail { from, bytes } => self.house.received(now, from, bytes),
+            In::Came { ticket, service, route, kind, left } => self.came(ticket, service, route, kind, left),
+            In::Ended { ticket, trip, took, ending, over } => self.ended(ticket, trip, took, ending, over),
+            In::Left { ticket } => self.left(ticket),
+            In::Seeds { places } => self.house.seeds_changed(now, places),
+            In::Leave => {
+                self.leaving = true;
+                self.house.leave(now);
+            }
+            In::Stops => {
+                for service in self.desks.keys().cloned().collect::<Vec<_>>() {
+                    self.decide(&service, |desk| desk.balance.stops());
+                }
+            }
+        }
+        self.settle(now);
+        let words = self.house.out().into_iter().map(|(to, word)| Out::Send { to, word });
+        let mut out: Vec<Out> = words.collect();
+        out.append(&mut self.out);
+        out
+    }
+
+    fn tick(&mut self, now: Micros) {
+        self.house.tick(now);
+        while let Some(Reverse((at, number))) = self.wakes.peek().copied()
+            && at <= now
+        {
+            self.wakes.pop();
+            if let Some((service, wake)) = self.waking.remove(&number) {
+                self.decide(&service, |desk| desk.balance.woke(wake));
+            }
+        }
+        if self.votes_due <= now {
+            self.tell_votes(now);
+        }
+    }
+
+    /// Carries on what has happened in the common part.
+    fn settle(&mut self, now: Micros) {
+        let mut changed = false;
+        while let Some(happened) = self.house.happened() {
+            match happened {
+                Happened::Applied { .. } | Happened::Restored | Happened::Peers => changed = true,
+                Happened::Instance(id) => self.instance(&id),
+                // What is for prompters only.
+                Happened::BeatTaken { .. }
+                | Happened::BeatNotTaken { .. }
+                | Happened::Book { .. }
+                | Happened::Vote { .. } => {}
+            }
+        }
+        if changed {
+            self.script_changed(now);
+        }
+    }
+
+    /// The configuration, a roll-out or the number of foyers is another.
+    fn script_changed(&mut self, now: Micros) {
+        let mut foyers = self.house.up(Part::Foyer);
+        foyers.push(self.house.own.place);
+        foyers.sort_unstable();
+        let index = foyers.iter().position(|place| *place == self.house.own.place).unwrap_or(0);
+        self.fleet = Fleet { foyers: foyers.len(), index, warmup: self.fleet.warmup };
+        self.bill = self.house.script.bill().cloned();
+        let Some(bill) = self.bill.clone() else { return };
+        let cap = self.settings.timer_bounds.exposure_share;
+        for service in bill.services.keys() {
+            if !self.desks.contains_key(&**service) {
+                self.seed = self.seed.wrapping_add(0x9e37_79b9_7f4a_7c15);
+                let desk =
+                    Desk::start(service, self.now.clone(), &self.settings, &bill, self.fleet, self.seed);
+                self.desks.insert((&**service).into(), desk);
+            }
+        }
+        for service in self.desks.keys().cloned().collect::<Vec<_>>() {
+            let Some(desk) = self.desks.get_mut(&service) else { continue };
+            desk.bill_changed(&self.settings, &bill, self.fleet);
+            let rollout = self.house.script.rollouts.get(&*service);
+            for known in self.house.cast.records().filter(|known| *known.service == *service) {
+                desk.instance(known, rollout);
+            }
+            if let Some(rollout) = rollout {
+                desk.rollout(now, cap, rollout);
+            }
+            self.decide(&service, |_| {});
+        }
+    }
+
+    fn instance(&mut self, id: &cast::InstanceId) {
+        let Some(known) = self.house.cast.get(id) else { return };
+        let warmup = known.slow_until - known.first_seen;
+        if warmup > self.fleet.warmup {
+            self.fleet.warmup = warmup.min(60 * SECOND);
+        }
+        let Some(desk) = self.desks.get_mut(known.service.as_str()) else { return };
+        desk.instance(known, self.house.script.rollouts.get(&known.service));
+        let service = desk.service.clone();
+        self.decide(&service, |_| {});
+    }
+
+    /// A ticket of a service or route that is not here any more is turned back: it has not run.
+    fn came(&mut self, ticket: TicketId, service: &str, route: &str, kind: Kind, left: Micros) {
+        let found =
+            self.desks.get(service).and_then(|desk| Some((desk.service.clone(), desk.profile(route)?)));
+        let Some((service, profile)) = found else {
+            return self.out.push(Out::TurnBack { ticket, wait: None });
+        };
+        self.open.insert(ticket, Open { service: service.clone(), ended: Vec::new() });
+        let arrival = Arrival {
+            profile,
+            cost: None,
+            key: None,
+            left,
+            writes: kind != Kind::Safe,
+            repeat: false,
+            party: None,
+        };
+        self.decide(&service, |desk| desk.balance.ticket_came(ticket, arrival));
+    }
+
+    fn ended(&mut self, ticket: TicketId, trip: TripNo, took: Micros, ending: Ending, over: bool) {
+        let Some(open) = self.open.get_mut(&ticket) else { return };
+        match open.ended.get_mut(trip.0 as usize) {
+            Some(ended) if !*ended => *ended = true,
+            _ => return,
+        }
+        let service = open.service.clone();
+        self.decide(&service, |desk| desk.balance.trip_ended(ticket, trip, took, ending, over, &[]));
+    }
+
+    fn left(&mut self, ticket: TicketId) {
+        let Some(open) = self.open.remove(&ticket) else { return };
+        self.decide(&open.service, |desk| desk.balance.client_left(ticket));
+        for (number, _) in open.ended.iter().enumerate().filter(|(_, ended)| !**ended) {
+            let trip = TripNo(number as u32);
+            self.out.push(Out::Stop { ticket, trip });
+            self.decide(&open.service, |desk| {
+                desk.balance.trip_ended(ticket, trip, 0, Ending::Stopped, true, &[]);
+            });
+        }
+    }
+
+    /// Lets the decisions act on something, and carries out what they ask for.
+    fn decide(&mut self, service: &Rc<str>, act: impl FnOnce(&mut Desk)) {
+        let Some(desk) = self.desks.get_mut(service) else { return };
+        act(desk);
+        loop {
+            let asked = self.desks.get(service).and_then(|desk| desk.asked.borrow_mut().pop_front());
+            let Some(what) = asked else { break };
+            self.carry(service, what);
+        }
+    }
+
+    fn carry(&mut self, service: &Rc<str>, what: Do) {
+        match what {
+            Do::Send { ticket, server, until } => self.send(service, ticket, server, until),
+            Do::Stop { ticket, trip } => {
+                let open = self.open.get(&ticket);
+                if open.is_some_and(|open| open.ended.get(trip.0 as usize) == Some(&false)) {
+                    self.out.push(Out::Stop { ticket, trip });
+                    self.ended(ticket, trip, 0, Ending::Stopped, false);
+                }
+            }
+            Do::TurnBack { ticket, wait } => self.out.push(Out::TurnBack { ticket, wait }),
+            Do::Forfeit { ticket } => self.out.push(Out::Forfeit { ticket }),
+            Do::Vote { build, vote } => {
+                self.decide(service, |desk| {
+                    desk.voted(build, vote);
+                    desk.balance.vote_answered(Taken::Counted);
+                });
+                if vote == Vote::Back {
+                    self.tell_votes(self.now.get());
+                }
+            }
+            Do::Wake { at, wake } => {
+                self.next_wake += 1;
+                self.wakes.push(Reverse((at, self.next_wake)));
+                self.waking.insert(self.next_wake, (service.clone(), wake));
+            }
+        }
+    }
+
+    fn send(&mut self, service: &Rc<str>, ticket: TicketId, server: ServerId, until: Option<Micros>) {
+        let Some(to) = self.desks.get(service).and_then(|desk| desk.server(server)).cloned() else { return };
+        let Some(open) = self.open.get_mut(&ticket) else { return };
+        let most = self.bill.as_ref().and_then(|bill| bill.services.get(&**service));
+        let share = |most: u32| (most as usize / (self.fleet.foyers + 1)).max(1);
+        let connections = most.map_or(CONNECTIONS_UNTOLD, |service| share(service.max_connections));
+        let trip = TripNo(open.ended.len() as u32);
+        open.ended.push(false);
+        self.out.push(Out::Trip { ticket, trip, to, until, connections });
+    }
+
+    /// Tells the prompters how each trial looks from here.
+    fn tell_votes(&mut self, now: Micros) {
+        self.votes_due = now + VOTES_EVERY;
+        let votes: Vec<script::Vote> = self.desks.values().filter_map(|desk| desk.vote(now)).collect();
+        if votes.is_empty() {
+            return;
+        }
+        for place in self.house.up(Part::Prompter) {
+            for vote in &votes {
+                self.house.send(place, Word::Vote(vote.clone()));
+            }
+        }
+    }
+}
--- a/crates/playhouse/src/foyer/front.rs
+++ b/crates/playhouse/src/foyer/front.rs
@@ -40,8 +40,8 @@
         count.set(count.get() + 1);
         let (shared, count, mut stopping) = (shared.clone(), count.clone(), stopping.clone());
         tokio::task::spawn_local(async move {
-            let idle = shared.borrow().bill.as_ref().map_or(IDLE_UNTOLD, |bill| bill.limits.idle_time);
-            let header_bytes = shared.borrow().bill.as_ref().map_or(16384, |bill| bill.limits.header_bytes);
+            let idle = shared.borrow().floor.bill().map_or(IDLE_UNTOLD, |bill| bill.limits.idle_time);
+            let header_bytes = shared.borrow().floor.bill().map_or(16384, |bill| bill.limits.header_bytes);
             let service = hyper::service::service_fn(|request| {
                 let shared = shared.clone();
                 async move { Ok::<_, std::convert::Infallible>(answer(shared, request).await) }
@@ -75,7 +75,7 @@
         tokio::task::spawn_local(async move {
             let service = hyper::service::service_fn(|request: Request<Incoming>| {
                 let status = match request.uri().path() {
-                    "/api/readiness" if shared.borrow().ready() => StatusCode::OK,
+                    "/api/readiness" if shared.borrow().floor.ready() => StatusCode::OK,
                     "/api/readiness" => StatusCode::SERVICE_UNAVAILABLE,
                     _ => StatusCode::NOT_FOUND,
                 };
@@ -127,7 +127,7 @@
 
 async fn answer(shared: Shared, request: Request<Incoming>) -> Response<Body> {
     let mut answer = respond(&shared, request).await;
-    if shared.borrow().draining.get() {
+    if shared.borrow().floor.leaving() {
         answer.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
     answer
@@ -136,7 +136,7 @@
 async fn respond(shared: &Shared, request: Request<Incoming>) -> Response<Body> {
     let (came, bill) = {
         let foyer = shared.borrow();
-        (foyer.clock.now(), foyer.bill.clone())
+        (foyer.clock.now(), foyer.floor.bill().cloned())
     };
     let Some(bill) = bill else { return turned_back(None) };
     let (mut head, mut body) = request.into_parts();
@@ -186,10 +186,10 @@
         body: taken.freeze(),
         rest: RefCell::new(streams.then_some(body)),
         streams,
+        repeats: route.kind.may_repeat(),
     };
     let Some(service) = pick(route) else { return turned_back(None) };
-    let begun = shared.borrow_mut().came(shared, service, route, asked, until);
-    let Some((id, told)) = begun else { return turned_back(None) };
+    let (id, told) = shared.borrow_mut().came(shared, service, route, asked, until);
     let _here = Here { shared: shared.clone(), id };
     match told.await {
         Ok(Reply::Answer(response)) => response,
--- a/crates/playhouse/src/foyer/trip.rs
+++ b/crates/playhouse/src/foyer/trip.rs
@@ -13,8 +13,8 @@
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use props::{Micros, SECOND};
 
-use super::desk::Seen;
 use super::pool::{self, Body, Failed, Pool, Sender};
+use crate::floor::desk::Seen;
 use crate::house::Clock;
 
 pub const ATTEMPT_ID: HeaderName = HeaderName::from_static("attempt-id");
@@ -55,6 +55,8 @@
     pub rest: RefCell<Option<Incoming>>,
     /// There is, or was, such a rest.
     pub streams: bool,
+    /// Its route says that it may run more than once.
+    pub repeats: bool,
 }
 
 /// What became of a trip.
--- a/crates/playhouse/src/lib.rs
+++ b/crates/playhouse/src/lib.rs
@@ -1,8 +1,9 @@
 //! Playhouse (the system's programs): foyers carry the traffic, prompters serve control. Thin drivers over the
-//! rooms; `house` and `control` join those without I/O.
+//! rooms; `house`, `control` and `floor` join those without I/O.
 
 pub mod calls;
 pub mod control;
+pub mod floor;
 pub mod foyer;
 pub mod house;
 mod listen;
