--- a/src/balance.rs
+++ b/src/balance.rs
@@ -10,7 +10,7 @@
     Arrival, BuildNo, Condition, Ending, GatewayId, Host, Listing, MS, Micros, News, Phase, ProfileId,
     SECOND, ServerId, Settings, Taken, Tally, TicketId, TripNo, Vote, Wake, ZoneId,
 };
-use crate::seen::{Record, Sample, Seen, Server, Sign, Ticket, Told, Trip, View, keep};
+use crate::seen::{Record, Sample, Seen, Server, Sign, Ticket, Told, Trip, View, from, keep};
 use crate::terms::{Budget, Repeat, Scope, Terms};
 
 mod choice;
@@ -57,10 +57,11 @@
         balance
     }
 
-    /// Other settings hold from now on. What was seen stays: a profile's number keeps its meaning, one that
-    /// is no longer listed gets no tickets, and its memory goes with time.
+    /// Other settings hold from now on. A profile's number keeps its meaning, so what was seen stays; of one
+    /// that is no longer listed it is forgotten. A route that changes its kind wants a new number.
     pub fn settings_changed(&mut self, settings: Settings) {
         self.terms = Terms::new(&settings);
+        self.seen.forget_profiles(|profile| self.terms.class(profile).listed);
         self.kept = self.terms.longest_window().max(FRESH_MOST);
     }
 
--- a/src/balance/evidence.rs
+++ b/src/balance/evidence.rs
@@ -9,6 +9,7 @@
 const TAIL_P0: f64 = 0.25; // p0 of trips slower than nine in ten, with room for a small pool
 const PRESENT: Micros = 3 * SECOND; // the earlier build's rate over this long counts where it is higher
 const EARLIER_KEPT: usize = 200; // outcomes a build and sign: seconds at a big gateway, else minutes
+const BUILDS_MOST: usize = 16; // whose outcomes are kept, where news never forgets any
 const TELL_POINTS: f64 = 0.008; // what messages may cost of the result while a build is on trial
 const TELL_MOST: f64 = 64.0; // peers told of an outcome, for the time that it takes them
 const HEARD_MOST: [usize; 2] = [30, 3]; // successes and failures of a peer on one build: half of h each
@@ -55,7 +56,7 @@
     fn weigh(&mut self, build: BuildNo, sign: Sign, failed: f64, count: f64) {
         let (p0, ..) = self.past(build, sign);
         let p1 = (P1_TIMES * p0).min((1.0 + p0) / 2.0);
-        let record = self.seen.records.entry(build).or_default().entry(sign).or_default();
+        let record = self.seen.record(build, sign, BUILDS_MOST);
         let step = failed * (p1 / p0).ln() + (count - failed) * ((1.0 - p1) / (1.0 - p0)).ln();
         let most = if sign == Sign::Worse { 2.0 * H } else { f64::INFINITY }; // so that it can soon be over
         record.y = (record.y + step).max(0.0).min(most);
@@ -152,15 +153,8 @@
         let peers = self.terms.fleet_size.unwrap_or(0.0) as usize;
         let own = self.terms.index.unwrap_or(0.0) as usize;
         let zone = self.terms.zone.unwrap_or(0) as u8;
-        let told = Told {
-            build: build.0 as u8,
-            number: self.seen.told,
-            zone,
-            profile: profile.0 as u8,
-            judged,
-            failed,
-        };
-        let bytes = told.bytes();
+        let (build, number, profile) = (build.0 as u8, self.seen.told, profile.0 as u8);
+        let bytes = Told { build, number, zone, profile, judged, failed }.bytes();
         let full = self.terms.price_peer * bytes.len() as f64 / 256.0;
         let many = (TELL_POINTS / full.max(f64::MIN_POSITIVE)).min(TELL_MOST) as usize;
         let first = (self.chance.rand_float() * peers as f64) as usize;
--- a/src/balance/scarcity.rs
+++ b/src/balance/scarcity.rs
@@ -14,7 +14,7 @@
     pub(super) fn pressure(&self) -> impl Fn(ZoneId) -> Option<f64> + use<H> {
         let (now, aim) = (self.host.now(), |profile| self.terms.class(profile).on_time as f64);
         let ended = self.seen.times.iter().flat_map(|(profile, kept)| {
-            let (fresh, aim) = (kept.iter().filter(|s| now - s.at < FRESH), aim(*profile));
+            let (fresh, aim) = (from(kept, now - FRESH), aim(*profile));
             fresh.filter_map(move |s| match s.ending {
                 Ending::Finished => Some((Some(s.zone), s.took as f64 / aim, true)),
                 Ending::Full => Some((Some(s.zone), JAMMED, true)),
@@ -54,8 +54,8 @@
     }
 
     /// The part of the time left that the expected time may fill before a ticket is turned back: most for the
-    /// profile with most benefit for its time, or its work where that counts, or for the first in rank of those
-    /// seen lately where ranks are given; overload falls on the others.
+    /// profile with most benefit for its time, or its work where that counts, or for the first in rank of
+    /// those seen lately where ranks are given; overload falls on the others.
     pub(super) fn patience(&self, view: &View, profile: ProfileId) -> f64 {
         let worth = |profile: ProfileId| self.terms.class(profile).worth;
         let rank = |profile: &ProfileId| self.terms.class(*profile).rank;
--- a/src/balance/verdict.rs
+++ b/src/balance/verdict.rs
@@ -15,7 +15,7 @@
         // Any statistic may rise by chance: the more there are, the higher they stand, less so where many
         // must rise together. Disputes come one by one: the more gateways must alarm, the less each need see.
         let alone = H - self.terms.noes_needed.ln();
-        let statistics = self.terms.fleet().max(1.0) * self.terms.classes.len().max(1) as f64;
+        let statistics = self.terms.fleet().max(1.0) * self.terms.listed.max(1) as f64;
         let any = H + statistics.ln() / self.terms.noes_needed;
         let up = |(sign, record): &(&Sign, &Record)| {
             let own = if **sign == Sign::Disputed { alone.max(H / 4.0) } else { any };
--- a/src/seen.rs
+++ b/src/seen.rs
@@ -134,6 +134,16 @@
     Broke(ProfileId),
 }
 
+impl Sign {
+    /// The profile that it is about, where it is about one.
+    pub fn profile(self) -> Option<ProfileId> {
+        match self {
+            Sign::Failed(profile) | Sign::Counted(profile) | Sign::Broke(profile) => Some(profile),
+            Sign::Disputed | Sign::Worse => None,
+        }
+    }
+}
+
 /// Some outcomes: when they came, how many failed, and how many there were.
 pub type Outcomes = (Micros, f64, f64);
 
@@ -222,6 +232,11 @@
     pub answered: BTreeMap<KeyId, BuildNo>,
 }
 
+/// The samples from after `since`, oldest first.
+pub fn from(kept: &VecDeque<Sample>, since: Micros) -> impl Iterator<Item = &Sample> {
+    kept.range(kept.partition_point(|sample| sample.at <= since)..)
+}
+
 /// Adds an entry and keeps the last `most`.
 pub fn keep<T>(kept: &mut VecDeque<T>, entry: T, most: usize) {
     kept.push_back(entry);
@@ -282,12 +297,15 @@
 
     /// What a profile's last answers took.
     pub fn answers(&self, profile: ProfileId, since: Micros) -> impl Iterator<Item = Micros> {
-        let kept = self.times.get(&profile).into_iter().flatten();
-        kept.filter(move |s| s.at > since && s.ending == Ending::Finished).map(|s| s.took)
+        let kept = self.times.get(&profile).into_iter().flat_map(move |kept| from(kept, since));
+        kept.filter(|sample| sample.ending == Ending::Finished).map(|sample| sample.took)
     }
 
     /// A profile's usual time; unknown while it rests on less than 5 answers.
     pub fn usual(&self, profile: ProfileId, since: Micros) -> Option<Micros> {
+        if self.times.get(&profile)?.len() < 5 {
+            return None;
+        }
         let (sum, count) = self.answers(profile, since).fold((0, 0), |(sum, n), took| (sum + took, n + 1));
         (count >= 5).then(|| sum / count)
     }
@@ -319,6 +337,24 @@
         Some((server.listing.zone, silent))
     }
 
+    /// What is known of a build by one sign; of so many builds at most, the newest.
+    pub fn record(&mut self, build: BuildNo, sign: Sign, most: usize) -> &mut Record {
+        if self.records.len() >= most && !self.records.contains_key(&build) {
+            self.records.pop_first();
+        }
+        self.records.entry(build).or_default().entry(sign).or_default()
+    }
+
+    /// Forgets all but the profiles that there are.
+    pub fn forget_profiles(&mut self, there: impl Fn(ProfileId) -> bool) {
+        self.times.retain(|profile, _| there(*profile));
+        self.before.retain(|profile, _| there(*profile));
+        self.tallied.retain(|(_, profile), _| there(*profile));
+        self.records
+            .values_mut()
+            .for_each(|records| records.retain(|sign, _| sign.profile().is_none_or(&there)));
+    }
+
     /// Keeps a sample at its server and for its profile, and none of the profile's from before `since`.
     pub fn sampled(
         &mut self, server: ServerId, profile: ProfileId, sample: Sample, most: [usize; 2], since: Micros,
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -30,6 +30,8 @@
 /// One profile's settings, `classes.N`.
 #[derive(Clone, Debug)]
 pub struct Class {
+    /// Settings name it; numbers of profiles that are gone stay unused.
+    pub listed: bool,
     /// The agreed time.
     pub on_time: Micros,
     pub repeat: Repeat,
@@ -45,6 +47,7 @@
 
 /// What holds where nothing is said of a profile.
 const UNSAID: Class = Class {
+    listed: false,
     on_time: SECOND,
     repeat: Repeat::Never,
     scope: Scope::Server,
@@ -68,6 +71,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Terms {
     pub classes: Vec<Class>,
+    /// How many of them settings name.
+    pub listed: usize,
     /// The most benefit that a profile has.
     pub most_worth: f64,
     pub worth_by_work: bool,
@@ -129,6 +134,7 @@
         let most_wait = time("policy_limits.max_retry_after").filter(|most| *most > 0);
         Terms {
             most_worth: classes.iter().map(|class| class.worth).fold(f64::MIN_POSITIVE, f64::max),
+            listed: classes.iter().filter(|class| class.listed).count(),
             classes,
             worth_by_work: is("worth_by", "work"),
             try_limit: number("policy_limits.try_limit").unwrap_or(1.0) as usize,
@@ -189,6 +195,7 @@
 fn class(settings: &Settings, profile: ProfileId) -> Class {
     let name = |what| profile.setting(what);
     Class {
+        listed: ["on_time", "repeat"].iter().any(|what| settings.text(&name(what)).is_some()),
         on_time: settings.micros(&name("on_time")).unwrap_or(UNSAID.on_time),
         repeat: match settings.text(&name("repeat")) {
             Some("safe") => Repeat::Safe,
