--- /dev/null
+++ b/crates/playhouse/src/control.rs
@@ -0,0 +1,222 @@
+//! Control (a prompter's core): the ordered log, the common part, the votes and the callers who wait, joined
+//! without I/O: time and events in, effects out. What is decided, is decided in the rooms.
+
+use std::collections::HashMap;
+
+use cast::{Beat, InstanceId};
+use company::Part;
+use promptbook::{Effect, Event, Members, Promptbook, Saved, Timing, Write, WriteNo};
+use props::{Ask, MS, Micros, Place, SECOND, Seat};
+use script::count::{Count, CountSettings};
+use script::{Command, Outcome};
+
+use crate::house::{Happened, House, Word};
+
+/// Bytes of commands applied after which the log is cut by a snapshot.
+const KEEP_AFTER: usize = 512 << 10;
+const COUNT_EVERY: Micros = 200 * MS;
+/// A service's first version is proposed again after this, if it has not come to be ordered.
+const SEEN_AGAIN: Micros = SECOND;
+
+/// The spans of the log: an election within two seconds, so that calls are answered well within `AckS` after
+/// a loss; eight seconds of silence, well over a cut or a restart, before a member is let go.
+pub const TIMING: Timing =
+    Timing { beat: 150 * MS, election: 700 * MS, dismiss: 8 * SECOND, piece: 256 << 10 };
+
+/// What a prompter is told.
+#[derive(Debug)]
+pub enum In {
+    Tick,
+    Mail { from: Place, bytes: Vec<u8> },
+    Written { no: WriteNo, ok: bool },
+    Order { ask: Ask, command: Command },
+    Read { ask: Ask },
+    Beat { ask: Ask, beat: Beat },
+    Detach { ask: Ask, id: InstanceId },
+    Seeds { places: Vec<Place> },
+    Leave,
+}
+
+/// How a call that waited is answered.
+#[derive(Debug)]
+pub enum Told {
+    Applied(Outcome),
+    ReadAt,
+    Refused { leader: Option<Place> },
+    Beat { target: Option<Place> },
+    BeatNotTaken,
+}
+
+/// What a prompter asks of its driver.
+#[derive(Debug)]
+pub enum Out {
+    Send { to: Place, word: Word },
+    Write(Write),
+    Tell { ask: Ask, told: Told },
+}
+
+pub struct Control {
+    pub house: House,
+    book: Promptbook,
+    seat: Seat,
+    count: Count,
+    count_due: Micros,
+    /// Bytes applied since the last snapshot.
+    applied: usize,
+    seen: HashMap<String, Micros>,
+    /// Commands of this node's own, which nobody waits for, have asks from here on.
+    own_ask: u64,
+    out: Vec<Out>,
+}
+
+impl Control {
+    /// A prompter's start. `first` are the first voters, on the first start of the whole system only.
+    pub fn start(
+        house: House, seat: Seat, first: Option<Members>, saved: Saved, seed: u64, now: Micros,
+    ) -> (Control, Vec<Out>) {
+        let (book, effects) = Promptbook::start(seat, first, saved, TIMING, seed, now);
+        let mut control = Control {
+            house,
+            book,
+            seat,
+            count: Count::new(CountSettings::default()),
+            count_due: now,
+            applied: 0,
+            seen: HashMap::new(),
+            own_ask: u64::MAX / 2,
+            out: Vec::new(),
+        };
+        control.did(now, effects);
+        let out = control.settle(now);
+        (control, out)
+    }
+
+    pub fn due(&self) -> Micros {
+        self.house.due().min(self.book.due()).min(self.count_due)
+    }
+
+    pub fn seat(&self) -> Seat {
+        self.seat
+    }
+
+    pub fn book(&self) -> &Promptbook {
+        &self.book
+    }
+
+    pub fn step(&mut self, now: Micros, event: In) -> Vec<Out> {
+        match event {
+            In::Tick => self.tick(now),
+            In::Mail { from, bytes } => self.house.received(now, from, &bytes),
+            In::Written { no, ok: true } => self.log(now, Event::Synced { write: no }),
+            In::Written { no, ok: false } => self.log(now, Event::WriteFailed { write: no }),
+            In::Order { ask, command } => self.log(now, Event::Propose { ask, data: command.to_bytes() }),
+            In::Read { ask } => self.log(now, Event::Read { ask }),
+            In::Beat { ask, beat } => self.house.beat(now, ask, beat),
+            In::Detach { ask, id } => self.house.detach(now, ask, id),
+            In::Seeds { places } => self.house.seeds_changed(now, places),
+            In::Leave => self.house.leave(now),
+        }
+        self.settle(now)
+    }
+
+    fn tick(&mut self, now: Micros) {
+        self.house.tick(now);
+        if self.book.due() <= now {
+            self.log(now, Event::Tick);
+        }
+        if self.count_due <= now {
+            self.count_due = now + COUNT_EVERY;
+            if self.book.leads() {
+                self.lead(now);
+            }
+        }
+    }
+
+    /// What a leader adds to the log of its own accord: verdicts, and the first version of a service.
+    fn lead(&mut self, now: Micros) {
+        let foyers = self.house.up(Part::Foyer).len();
+        for command in self.count.verdicts(now, &self.house.script, foyers) {
+            self.propose(now, &command);
+        }
+        let rollouts = &self.house.script.rollouts;
+        let known = |service: &str| rollouts.get(service).is_some_and(|rollout| rollout.current.is_some());
+        let records = self.house.cast.records();
+        let unknown: Vec<(String, String)> = records
+            .filter(|record| record.state == cast::State::InService && !known(&record.service))
+            .map(|record| (record.service.clone(), record.version.clone()))
+            .collect();
+        for (service, version) in unknown {
+            if self.seen.get(&service).is_none_or(|at| now - at >= SEEN_AGAIN) {
+                self.seen.insert(service.clone(), now);
+                self.propose(now, &Command::Seen { service, version });
+            }
+        }
+    }
+
+    fn propose(&mut self, now: Micros, command: &Command) {
+        self.own_ask += 1;
+        self.log(now, Event::Propose { ask: Ask(self.own_ask), data: command.to_bytes() });
+    }
+
+    fn log(&mut self, now: Micros, event: Event) {
+        let effects = self.book.step(now, event);
+        self.did(now, effects);
+    }
+
+    fn did(&mut self, now: Micros, effects: Vec<Effect>) {
+        for effect in effects {
+            match effect {
+                Effect::Send { to, message } => {
+                    self.out.push(Out::Send { to, word: Word::Book { from: self.seat, message } });
+                }
+                Effect::Write(write) => self.out.push(Out::Write(write)),
+                Effect::Apply { index, data, ask } => {
+                    self.applied += data.len() + 64;
+                    self.house.committed(now, index, data, ask);
+                }
+                Effect::Restore { index, data } => self.house.restored(now, index, data),
+                Effect::ReadAt { ask, .. } => self.out.push(Out::Tell { ask, told: Told::ReadAt }),
+                Effect::Refused { ask, leader, .. } => {
+                    self.out.push(Out::Tell { ask, told: Told::Refused { leader } });
+                }
+                Effect::Leader { leader, term } => {
+                    let name = leader.map_or("nobody".to_owned(), |seat| seat.to_string());
+                    log::info!("{name} leads in term {}", term.0);
+                }
+            }
+        }
+        if self.applied >= KEEP_AFTER {
+            self.applied = 0;
+            let (index, data) = (self.house.script.index(), self.house.script.snapshot());
+            self.log(now, Event::Kept { index, data });
+        }
+    }
+
+    /// Carries on what has happened in the common part, and hands over what is to be done.
+    fn settle(&mut self, now: Micros) -> Vec<Out> {
+        while let Some(happened) = self.house.happened() {
+            match happened {
+                Happened::Applied { outcome, ask: Some(ask), .. } => {
+                    self.out.push(Out::Tell { ask, told: Told::Applied(outcome) });
+                }
+                Happened::BeatTaken { ask, target } => {
+                    self.out.push(Out::Tell { ask, told: Told::Beat { target } });
+                }
+                Happened::BeatNotTaken { ask } => {
+                    self.out.push(Out::Tell { ask, told: Told::BeatNotTaken });
+                }
+                Happened::Peers => {
+                    let places = self.house.up(Part::Prompter);
+                    self.log(now, Event::Peers { places });
+                }
+                Happened::Book { from, message } => self.log(now, Event::Received { from, message }),
+                Happened::Vote { from, vote } => self.count.cast(now, from, vote),
+                Happened::Applied { .. } | Happened::Instance(_) | Happened::Restored => {}
+            }
+        }
+        let words = self.house.out().into_iter().map(|(to, word)| Out::Send { to, word });
+        let mut out: Vec<Out> = words.collect();
+        out.append(&mut self.out);
+        out
+    }
+}
--- /dev/null
+++ b/crates/playhouse/src/house.rs
@@ -0,0 +1,254 @@
+//! House (one node's common part): what foyers and prompters share: who is there, the ordered news, the
+//! instances. It moves words and time between the rooms and decides nothing; no I/O, so that rehearsals
+//! drive the same code as the sockets do.
+
+use std::collections::VecDeque;
+use std::time::Instant;
+
+use callboard::Callboard;
+use cast::Cast;
+use company::{Company, Member, Part, Standing};
+use props::{Ask, Index, Life, Micros, Place, Seat};
+use script::{Outcome, Script};
+use serde::{Deserialize, Serialize};
+
+/// What nodes say to each other, each word of one room.
+#[derive(Debug, Serialize, Deserialize)]
+pub enum Word {
+    Company(company::Message),
+    Board(callboard::Message),
+    Cast(cast::Message),
+    Book { from: Seat, message: promptbook::Message },
+    Vote(script::count::Vote),
+}
+
+/// What has happened here, for the part that this node plays.
+#[derive(Debug)]
+pub enum Happened {
+    /// A command was applied; the outcome is everywhere the same.
+    Applied { index: Index, outcome: Outcome, ask: Option<Ask> },
+    /// The state was replaced by a whole newer one.
+    Restored,
+    Instance(cast::InstanceId),
+    BeatTaken { ask: Ask, target: Option<Place> },
+    BeatNotTaken { ask: Ask },
+    Peers,
+    Book { from: Seat, message: promptbook::Message },
+    Vote { from: Place, vote: script::count::Vote },
+}
+
+/// The steady clock of this process, in microseconds since it began.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock(Instant);
+
+impl Clock {
+    pub fn start() -> Clock {
+        Clock(Instant::now())
+    }
+
+    pub fn now(&self) -> Micros {
+        self.0.elapsed().as_micros() as Micros
+    }
+
+    pub fn at(&self, at: Micros) -> tokio::time::Instant {
+        tokio::time::Instant::from_std(self.0 + std::time::Duration::from_micros(at.max(0) as u64))
+    }
+}
+
+/// A number by chance, from the system's source of it: seeds and lives.
+pub fn chance() -> u64 {
+    use std::hash::{BuildHasher, Hasher};
+    std::collections::hash_map::RandomState::new().build_hasher().finish()
+}
+
+pub struct House {
+    pub own: Member,
+    pub company: Company,
+    pub board: Callboard,
+    pub cast: Cast,
+    pub script: Script,
+    happened: VecDeque<Happened>,
+    out: Vec<(Place, Word)>,
+}
+
+impl House {
+    /// Begins to look for the others. `own.life` is the process's, or the disk's where there is one; `beat`
+    /// is what instances let pass between beats; `seed` moves all that is left to chance.
+    pub fn start(own: Member, seeds: Vec<Place>, beat: Micros, seed: u64, now: Micros) -> House {
+        let mode = match own.part {
+            Part::Prompter => callboard::Mode::Source,
+            Part::Foyer => callboard::Mode::Follower,
+        };
+        let (company, effects) = Company::start(own.clone(), seeds, company::Timing::usual(), seed, now);
+        let board = Callboard::start(own.place, mode, seed ^ 1, now);
+        let cast = Cast::start(own.place, cast::Timing::usual(beat), seed ^ 2, now);
+        let script = Script::new();
+        let (happened, out) = (VecDeque::new(), Vec::new());
+        let mut house = House { own, company, board, cast, script, happened, out };
+        house.company_did(now, effects);
+        house
+    }
+
+    /// What has happened since this was asked last, oldest first.
+    pub fn happened(&mut self) -> Option<Happened> {
+        self.happened.pop_front()
+    }
+
+    /// The nodes of one part that are up, without this one.
+    pub fn up(&self, part: Part) -> Vec<Place> {
+        self.company.up(part).map(|member| member.place).filter(|place| *place != self.own.place).collect()
+    }
+
+    pub fn send(&mut self, to: Place, word: Word) {
+        self.out.push((to, word));
+    }
+
+    /// What is to be sent since this was asked last.
+    pub fn out(&mut self) -> Vec<(Place, Word)> {
+        std::mem::take(&mut self.out)
+    }
+
+    /// When the rooms next want to be woken.
+    pub fn due(&self) -> Micros {
+        self.company.due().min(self.board.due()).min(self.cast.due())
+    }
+
+    /// Wakes the rooms whose time has come.
+    pub fn tick(&mut self, now: Micros) {
+        if self.company.due() <= now {
+            let effects = self.company.step(now, company::Event::Tick);
+            self.company_did(now, effects);
+        }
+        if self.board.due() <= now {
+            let effects = self.board.step(now, callboard::Event::Tick);
+            self.board_did(now, effects);
+        }
+        if self.cast.due() <= now {
+            let effects = self.cast.step(now, cast::Event::Tick);
+            self.cast_did(now, effects);
+        }
+    }
+
+    /// Takes what another node sent; what can't be read is dropped, as a lost datagram would be.
+    pub fn received(&mut self, now: Micros, from: Place, bytes: &[u8]) {
+        let word = match postcard::from_bytes(bytes) {
+            Ok(word) => word,
+            Err(error) => return log::warn!("a word from {from} can't be read: {error}"),
+        };
+        match word {
+            Word::Company(message) => {
+                let effects = self.company.step(now, company::Event::Received { from, message });
+                self.company_did(now, effects);
+            }
+            Word::Board(message) => {
+                let effects = self.board.step(now, callboard::Event::Received { from, message });
+                self.board_did(now, effects);
+            }
+            Word::Cast(message) => {
+                let effects = self.cast.step(now, cast::Event::Received { from, message });
+                self.cast_did(now, effects);
+            }
+            Word::Book { from, message } => self.happened.push_back(Happened::Book { from, message }),
+            Word::Vote(vote) => self.happened.push_back(Happened::Vote { from, vote }),
+        }
+    }
+
+    /// The settings name other machines that may know others.
+    pub fn seeds_changed(&mut self, now: Micros, seeds: Vec<Place>) {
+        let effects = self.company.step(now, company::Event::Seeds { places: seeds });
+        self.company_did(now, effects);
+    }
+
+    pub fn leave(&mut self, now: Micros) {
+        let effects = self.company.step(now, company::Event::Leave);
+        self.company_did(now, effects);
+    }
+
+    pub fn beat(&mut self, now: Micros, ask: Ask, beat: cast::Beat) {
+        let effects = self.cast.step(now, cast::Event::Beat { ask, beat });
+        self.cast_did(now, effects);
+    }
+
+    pub fn detach(&mut self, now: Micros, ask: Ask, id: cast::InstanceId) {
+        let effects = self.cast.step(now, cast::Event::Detach { ask, id });
+        self.cast_did(now, effects);
+    }
+
+    /// A command that this node's own log has committed.
+    pub fn committed(&mut self, now: Micros, index: Index, data: Vec<u8>, ask: Option<Ask>) {
+        self.apply(now, index, &data, ask);
+        let effects = self.board.step(now, callboard::Event::Committed { index, data });
+        self.board_did(now, effects);
+    }
+
+    /// A state that this node's own log holds.
+    pub fn restored(&mut self, now: Micros, index: Index, data: Vec<u8>) {
+        self.restore(now, index, &data);
+        let effects = self.board.step(now, callboard::Event::Kept { index, data });
+        self.board_did(now, effects);
+    }
+
+    fn apply(&mut self, now: Micros, index: Index, data: &[u8], ask: Option<Ask>) {
+        let outcome = self.script.apply(now, index, data);
+        self.happened.push_back(Happened::Applied { index, outcome, ask });
+    }
+
+    fn restore(&mut self, now: Micros, index: Index, data: &[u8]) {
+        match self.script.restore(now, index, data) {
+            Ok(()) => self.happened.push_back(Happened::Restored),
+            Err(error) => log::error!("the state at {} can't be read: {error}", index.0),
+        }
+    }
+
+    fn company_did(&mut self, now: Micros, effects: Vec<company::Effect>) {
+        let mut changed = false;
+        for effect in effects {
+            match effect {
+                company::Effect::Send { to, message } => self.send(to, Word::Company(message)),
+                company::Effect::Changed { member, standing } => {
+                    if standing != Standing::Suspect {
+                        log::info!("{} ({}) is {standing:?}", member.name, member.place);
+                    }
+                    changed = true;
+                }
+            }
+        }
+        if changed {
+            let (hubs, others) = (self.up(Part::Prompter), self.up(Part::Foyer));
+            let event = callboard::Event::Peers { hubs: hubs.clone(), others: others.clone() };
+            let effects = self.board.step(now, event);
+            self.board_did(now, effects);
+            let effects = self.cast.step(now, cast::Event::Peers { hubs, others });
+            self.cast_did(now, effects);
+            self.happened.push_back(Happened::Peers);
+        }
+    }
+
+    fn board_did(&mut self, now: Micros, effects: Vec<callboard::Effect>) {
+        for effect in effects {
+            match effect {
+                callboard::Effect::Send { to, message } => self.send(to, Word::Board(message)),
+                callboard::Effect::Apply { index, data } => self.apply(now, index, &data, None),
+                callboard::Effect::Restore { index, data } => self.restore(now, index, &data),
+                callboard::Effect::NeedWhole => {
+                    let (index, data) = (self.script.index(), self.script.snapshot());
+                    let effects = self.board.step(now, callboard::Event::Kept { index, data });
+                    self.board_did(now, effects);
+                }
+            }
+        }
+    }
+
+    fn cast_did(&mut self, now: Micros, effects: Vec<cast::Effect>) {
+        for effect in effects {
+            match effect {
+                cast::Effect::Send { to, message } => self.send(to, Word::Cast(message)),
+                cast::Effect::Taken { ask, target } => {
+                    self.happened.push_back(Happened::BeatTaken { ask, target });
+                }
+                cast::Effect::NotTaken { ask } => self.happened.push_back(Happened::BeatNotTaken { ask }),
+                cast::Effect::Changed { record } => self.happened.push_back(Happened::Instance(record.id)),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/playhouse/src/lib.rs
@@ -0,0 +1,12 @@
+//! Playhouse (the system's programs): foyers carry the traffic, prompters serve control. Thin drivers over the
+//! rooms; `house` and `control` join those without I/O.
+
+pub mod calls;
+pub mod control;
+pub mod foyer;
+pub mod house;
+mod listen;
+mod post;
+pub mod prompter;
+pub mod settings;
+mod signals;
--- /dev/null
+++ b/crates/playhouse/src/post.rs
@@ -0,0 +1,14 @@
+//! Words to bytes on their way out.
+
+use props::Place;
+use wings::Post;
+
+use crate::house::Word;
+
+/// Sends a word; like a datagram it may be lost.
+pub fn send(post: &Post, to: Place, word: &Word) {
+    match postcard::to_stdvec(word) {
+        Ok(bytes) => post.send(to.0, bytes),
+        Err(error) => log::error!("a word to {to} can't be written: {error}"),
+    }
+}
--- /dev/null
+++ b/crates/playhouse/src/prompter.rs
@@ -0,0 +1,338 @@
+//! Prompter (control plane): serves the operators' and the instances' calls, keeps the ordered log with the
+//! other prompters, and counts votes while it leads. A driver: sockets, timers, disk; it decides nothing.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use company::Part;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::{Request, Response, StatusCode, header};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use promptbook::Members;
+use props::{Ask, Life, Place, Seat};
+use script::{Command, Outcome};
+use tokio::sync::oneshot;
+use wings::{DiskHand, DiskStore, Post};
+
+use crate::calls::{self, Call, Wrong};
+use crate::control::{Control, In, Out, Told};
+use crate::house::{Clock, House, chance};
+use crate::post::send;
+use crate::settings::{Settings, micros};
+use crate::signals::{Signals, Told as Signal};
+
+/// Bytes of a call's body at most.
+const BODY_MOST: usize = 8 << 20;
+/// A call that has waited so long is answered 503, so that nothing waits for ever.
+const CALL_WAIT: Duration = Duration::from_millis(3_000);
+/// Callers that wait at once; more are answered 503.
+const ASKS_MOST: usize = 4096;
+
+pub struct Prompter {
+    control: Control,
+    clock: Clock,
+    settings: Rc<Settings>,
+    post: Rc<Post>,
+    disk: DiskHand,
+    asks: HashMap<Ask, oneshot::Sender<Told>>,
+    next_ask: u64,
+    changed: Rc<tokio::sync::Notify>,
+}
+
+type Shared = Rc<RefCell<Prompter>>;
+type Answer = Response<Full<Bytes>>;
+type Failed = Box<dyn std::error::Error>;
+
+/// Runs until the process is told to end.
+pub async fn run(settings: Rc<Settings>) -> Result<(), Failed> {
+    let clock = Clock::start();
+    let at = settings.listen_addresses.control.ok_or("ListenAddresses.Control is missing")?;
+    let dir = settings.data_directory.clone().ok_or("DataDirectory is missing")?;
+    let own = settings.place();
+    let first = settings.initial_start && settings.seeds().contains(&own);
+    let fresh = if first { Life(0) } else { Life(chance() | 1) };
+    let (ledger, opened) = ledger::Ledger::open(DiskStore::open(&dir)?, fresh)?;
+    let (disk, mut done) = DiskHand::start(ledger);
+    let seat = Seat { place: own, life: opened.life };
+    let voters = || settings.seeds().into_iter().map(|place| Seat { place, life: Life(0) });
+    let first = (first && opened.fresh).then(|| Members(voters().collect()));
+    let (post, mut mail) =
+        Post::bind(settings.ip_address, settings.internal_port(), wings::PostLimits::default())?;
+    let now = clock.now();
+    let member = settings.member(Part::Prompter, seat.life);
+    let house = House::start(member, settings.seeds(), micros(settings.heartbeat_s), chance(), now);
+    let (control, out) = Control::start(house, seat, first, opened.saved, chance(), now);
+    let changed = Rc::new(tokio::sync::Notify::new());
+    let mut prompter = Prompter {
+        control,
+        clock,
+        settings: settings.clone(),
+        post: Rc::new(post),
+        disk,
+        asks: HashMap::new(),
+        next_ask: 0,
+        changed: changed.clone(),
+    };
+    prompter.carry(out);
+    let shared: Shared = Rc::new(RefCell::new(prompter));
+    tokio::task::spawn_local(serve(crate::listen::bind(at, 512)?, shared.clone()));
+    let mut signals = Signals::start()?;
+    log::info!("prompter {seat} at {at}");
+    loop {
+        let due = clock.at(shared.borrow().control.due());
+        tokio::select! {
+            word = mail.recv() => {
+                let Some((from, bytes)) = word else { return Err("the post has gone".into()) };
+                let mut prompter = shared.borrow_mut();
+                prompter.step(In::Mail { from: Place(from), bytes });
+                while let Ok((from, bytes)) = mail.try_recv() {
+                    prompter.step(In::Mail { from: Place(from), bytes });
+                }
+            }
+            done = done.recv() => {
+                let Some(done) = done else { return Err("the disk's hand has gone".into()) };
+                shared.borrow_mut().step(In::Written { no: done.no, ok: done.ok });
+            }
+            _ = tokio::time::sleep_until(due) => shared.borrow_mut().step(In::Tick),
+            _ = changed.notified() => {}
+            signal = signals.next() => match signal {
+                Signal::End => break,
+                Signal::Reload => match Settings::path().and_then(|path| Settings::read(&path)) {
+                    Ok(settings) => shared.borrow_mut().step(In::Seeds { places: settings.seeds() }),
+                    Err(error) => log::warn!("settings stay as they were: {error}"),
+                },
+            },
+        }
+    }
+    log::info!("prompter ends");
+    shared.borrow_mut().step(In::Leave);
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    Ok(())
+}
+
+impl Prompter {
+    fn step(&mut self, event: In) {
+        let out = self.control.step(self.clock.now(), event);
+        self.carry(out);
+    }
+
+    fn carry(&mut self, out: Vec<Out>) {
+        for what in out {
+            match what {
+                Out::Send { to, word } => send(&self.post, to, &word),
+                Out::Write(write) => {
+                    let no = write.no;
+                    if !self.disk.write(write) {
+                        self.step(In::Written { no, ok: false });
+                    }
+                }
+                Out::Tell { ask, told } => {
+                    if let Some(reply) = self.asks.remove(&ask) {
+                        let _ = reply.send(told);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Begins a call that waits; more than `ASKS_MOST` are not kept.
+    fn begin(&mut self, event: impl FnOnce(Ask) -> In) -> oneshot::Receiver<Told> {
+        let (reply, told) = oneshot::channel();
+        self.next_ask += 1;
+        let ask = Ask(self.next_ask);
+        if self.asks.len() >= ASKS_MOST {
+            self.asks.retain(|_, reply| !reply.is_closed());
+        }
+        if self.asks.len() < ASKS_MOST {
+            self.asks.insert(ask, reply);
+            self.step(event(ask));
+            // The loop waits for what was due before.
+            self.changed.notify_one();
+        }
+        told
+    }
+}
+
+async fn serve(listener: tokio::net::TcpListener, shared: Shared) {
+    loop {
+        let stream = crate::listen::accept(&listener).await;
+        let shared = shared.clone();
+        tokio::task::spawn_local(async move {
+            let service = hyper::service::service_fn(move |request| {
+                let shared = shared.clone();
+                async move { Ok::<_, std::convert::Infallible>(answer(shared, request).await) }
+            });
+            let served = hyper::server::conn::http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(Duration::from_secs(10))
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
+            if let Err(error) = served {
+                log::debug!("a control connection ended: {error}");
+            }
+        });
+    }
+}
+
+fn reply(status: StatusCode, body: impl Into<Bytes>) -> Answer {
+    let mut answer = Response::new(Full::new(body.into()));
+    *answer.status_mut() = status;
+    answer.headers_mut().insert(header::CONTENT_TYPE, header::HeaderValue::from_static("application/json"));
+    answer
+}
+
+fn fault(status: StatusCode, text: &str) -> Answer {
+    let value = simd_json::json!({ "Error": text });
+    reply(status, simd_json::to_vec(&value).unwrap_or_default())
+}
+
+fn unavailable(text: &str) -> Answer {
+    fault(StatusCode::SERVICE_UNAVAILABLE, text)
+}
+
+async fn answer(shared: Shared, request: Request<Incoming>) -> Answer {
+    let (head, body) = request.into_parts();
+    let call = match Call::of(&head.method, head.uri.path()) {
+        Ok(call) => call,
+        Err(wrong) => return fault(StatusCode::NOT_FOUND, &wrong.to_string()),
+    };
+    let body = match Limited::new(body, BODY_MOST).collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(error) => return fault(StatusCode::BAD_REQUEST, &format!("body: {error}")),
+    };
+    match take(&shared, call, &head, &body).await {
+        Ok(answer) => answer,
+        Err(wrong) => fault(StatusCode::BAD_REQUEST, &wrong.to_string()),
+    }
+}
+
+async fn take(
+    shared: &Shared, call: Call, head: &hyper::http::request::Parts, body: &Bytes,
+) -> Result<Answer, Wrong> {
+    Ok(match call {
+        Call::Replace => {
+            let base = calls::base(&head.headers)?;
+            order(shared, Command::Replace { base, text: body.to_vec() }, head).await
+        }
+        Call::Modify => {
+            let base = calls::base(&head.headers)?;
+            order(shared, Command::Modify { base, text: body.to_vec() }, head).await
+        }
+        Call::Initiate => {
+            let (service, target, period) = calls::initiate(body)?;
+            order(shared, Command::Rollout { service, target, period }, head).await
+        }
+        Call::Retrieve => match proved(shared, head).await {
+            Ok(()) => match shared.borrow().control.house.script.bill() {
+                Some(bill) => reply(StatusCode::OK, bill.text()),
+                None => fault(StatusCode::NOT_FOUND, "no configuration has been taken yet"),
+            },
+            Err(answer) => answer,
+        },
+        Call::Rollout(service) => match proved(shared, head).await {
+            Ok(()) => rollout(&shared.borrow().control.house.script, &service),
+            Err(answer) => answer,
+        },
+        Call::Heartbeat(id) => {
+            let beat = calls::beat(id, body)?;
+            let told = shared.borrow_mut().begin(|ask| In::Beat { ask, beat });
+            beaten(shared, told).await
+        }
+        Call::Detach(id) => {
+            let told = shared.borrow_mut().begin(|ask| In::Detach { ask, id });
+            beaten(shared, told).await
+        }
+    })
+}
+
+fn rollout(script: &script::Script, service: &str) -> Answer {
+    let found = script.rollouts.get(service).and_then(|rollout| Some((rollout, rollout.state?)));
+    let Some((rollout, state)) = found else {
+        return fault(StatusCode::NOT_FOUND, "no roll-out of this service");
+    };
+    let state = match state {
+        script::State::InProgress => "in_progress",
+        script::State::Completed => "completed",
+        script::State::Reverted => "reverted",
+    };
+    let value = simd_json::json!({ "State": state, "TargetVersion": rollout.target.clone() });
+    reply(StatusCode::OK, simd_json::to_vec(&value).unwrap_or_default())
+}
+
+/// Waits for what a call was told; `None` after `CALL_WAIT`, or where the call was not kept.
+async fn wait(told: oneshot::Receiver<Told>) -> Option<Told> {
+    tokio::time::timeout(CALL_WAIT, told).await.ok()?.ok()
+}
+
+async fn beaten(shared: &Shared, told: oneshot::Receiver<Told>) -> Answer {
+    match wait(told).await {
+        Some(Told::Beat { target }) => {
+            let port = shared.borrow().settings.control_port();
+            let text = target.map_or("{}".to_owned(), |place| {
+                format!("{{\"HeartbeatTarget\":\"{place}:{port}\"}}")
+            });
+            reply(StatusCode::OK, text)
+        }
+        _ => unavailable("not known to others in time"),
+    }
+}
+
+/// Sends a caller on to the leader, or away for now.
+fn elsewhere(shared: &Shared, leader: Option<Place>, head: &hyper::http::request::Parts) -> Answer {
+    let (own, port) = {
+        let prompter = shared.borrow();
+        (prompter.control.seat().place, prompter.settings.control_port())
+    };
+    let Some(leader) = leader.filter(|leader| *leader != own) else {
+        return unavailable("nobody is known to lead");
+    };
+    let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
+    let mut answer = fault(StatusCode::TEMPORARY_REDIRECT, "another machine leads");
+    if let Ok(value) = header::HeaderValue::from_str(&format!("http://{leader}:{port}{path}")) {
+        answer.headers_mut().insert(header::LOCATION, value);
+    }
+    answer
+}
+
+/// Waits until this node has proved that it leads and has applied all that was acknowledged before.
+async fn proved(shared: &Shared, head: &hyper::http::request::Parts) -> Result<(), Answer> {
+    let told = shared.borrow_mut().begin(|ask| In::Read { ask });
+    match wait(told).await {
+        Some(Told::ReadAt) => Ok(()),
+        Some(Told::Refused { leader }) => Err(elsewhere(shared, leader, head)),
+        _ => Err(unavailable("leadership could not be proved in time")),
+    }
+}
+
+/// Has a command ordered, or tells why it is not. A refusal, too, waits for proof of leadership: one that
+/// was deposed knows only an old version.
+async fn order(shared: &Shared, command: Command, head: &hyper::http::request::Parts) -> Answer {
+    let checked = shared.borrow().control.house.script.check(&command);
+    if checked.is_err() {
+        if let Err(answer) = proved(shared, head).await {
+            return answer;
+        }
+        let checked = shared.borrow().control.house.script.check(&command);
+        if let Err(outcome) = checked {
+            return ordered(outcome);
+        }
+    }
+    let told = shared.borrow_mut().begin(|ask| In::Order { ask, command });
+    match wait(told).await {
+        Some(Told::Applied(outcome)) => ordered(outcome),
+        Some(Told::Refused { leader }) => elsewhere(shared, leader, head),
+        _ => unavailable("not ordered in time"),
+    }
+}
+
+fn ordered(outcome: Outcome) -> Answer {
+    let status = StatusCode::from_u16(outcome.status()).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    if status.is_success() {
+        return reply(status, "{}");
+    }
+    fault(status, &outcome.to_string())
+}
