--- /dev/null
+++ b/crates/playhouse/src/demo/mod.rs
@@ -0,0 +1,391 @@
+//! Matinee (demonstration): one command that shows the whole system at work on loopback. Real foyers and prompters
+//! are started as processes; instances, clients and the operator are played in this one. A configuration is taken and
+//! changed, a good version is rolled out, the leader is killed, a bad version is turned back; a row a second.
+
+pub mod client;
+pub mod instance;
+pub mod operator;
+pub mod stage;
+
+use std::collections::BTreeMap;
+use std::fmt::Write as _;
+use std::io::Write;
+use std::net::SocketAddrV4;
+use std::path::PathBuf;
+use std::pin::pin;
+use std::time::{Duration, Instant};
+
+use client::{Counts, Crowd, Kind, Platform};
+use company::Part;
+use hyper::{Method, StatusCode};
+use instance::{Instance, Plan, Record};
+use operator::{Operator, Route, change, items, whole};
+use stage::{NodeNo, Stage};
+
+use crate::signals::Signals;
+
+const HOST: &str = "matinee.example";
+/// The service that gets a good version, and the one that gets a bad one.
+const SERVICES: [&str; 2] = ["playbill", "boxoffice"];
+const INSTANCES: usize = 3;
+/// Requests a second of each service.
+const RATES: [f64; 2] = [40.0, 20.0];
+/// Nothing here may take so long unless something is wrong.
+const LONG: Duration = Duration::from_secs(20);
+/// After the seconds asked for, roll-outs under way are waited for this long.
+const LAST_WAIT: Duration = Duration::from_secs(20);
+/// Of its answers, a bad version fails this share.
+const BAD: f64 = 0.6;
+const AFTER_REVERT: Duration = Duration::from_secs(2);
+
+type Error = Box<dyn std::error::Error>;
+
+/// What the demonstration is told.
+#[derive(Clone, Debug, clap::Args)]
+pub struct Line {
+    /// Prompters (control plane), 1 to 9.
+    #[arg(long, default_value_t = 3)]
+    pub prompters: usize,
+    /// Foyers (data plane), 1 to 9.
+    #[arg(long, default_value_t = 2)]
+    pub foyers: usize,
+    /// Seconds of traffic; roll-outs under way at the end are waited for.
+    #[arg(long, default_value_t = 10)]
+    pub seconds: u64,
+    /// Where settings, disks and logs are kept; without it they go when the demonstration ends.
+    #[arg(long)]
+    pub folder: Option<PathBuf>,
+}
+
+/// Runs the demonstration in a runtime of its own; an error if it did not go as it should.
+pub fn run(line: Line) -> Result<(), Error> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    runtime.block_on(async {
+        let mut signals = Signals::start()?;
+        let mut out = std::io::stdout();
+        let mut show = pin!(perform(line, &mut out));
+        // Told to end, it goes through here, so that the stage takes its processes along.
+        tokio::select! {
+            done = show.as_mut() => done,
+            _ = signals.next() => Err("ended before its time".into()),
+        }
+    })
+}
+
+/// Plays the whole show and writes what happens.
+pub async fn perform(line: Line, to: &mut impl Write) -> Result<(), Error> {
+    let plan = stage::Plan {
+        program: std::env::current_exe()?,
+        prompters: line.prompters,
+        foyers: line.foyers,
+        folder: line.folder.clone(),
+        log: "info".to_owned(),
+    };
+    let mut stage = Stage::set(plan)?;
+    writeln!(
+        to,
+        "{} prompters and {} foyers on loopback; their files are in {}.\n\
+         Instances, clients and the operator are played by this process.\n",
+        line.prompters,
+        line.foyers,
+        stage.folder().display()
+    )?;
+    let done = Show::open(&mut stage, to).await;
+    let done = match done {
+        Ok(show) => show.play(&line).await,
+        Err(error) => Err(error),
+    };
+    if done.is_err() {
+        write!(to, "\nThe last lines of each node's log:\n{}", stage.logs(8))?;
+    }
+    done
+}
+
+/// Asks again and again until there is an answer, for `LONG` at most.
+pub async fn until<T, F: Future<Output = Option<T>>>(
+    what: &str, mut ask: impl FnMut() -> F,
+) -> Result<T, Error> {
+    let began = Instant::now();
+    loop {
+        if let Some(found) = ask().await {
+            return Ok(found);
+        }
+        if began.elapsed() > LONG {
+            return Err(format!("{what}: not after {LONG:?}").into());
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+struct Show<'a, W: Write> {
+    stage: &'a mut Stage,
+    to: &'a mut W,
+    operator: Operator,
+    platform: std::sync::Arc<Platform>,
+    record: Record,
+    cast: Vec<Instance>,
+    version: u32,
+    routes: Vec<Route>,
+    began: Instant,
+    rows: u32,
+    all: Counts,
+    last_state: [String; 2],
+}
+
+impl<'a, W: Write> Show<'a, W> {
+    /// Starts nodes and instances, and has the first configuration taken.
+    async fn open(stage: &'a mut Stage, to: &'a mut W) -> Result<Self, Error> {
+        stage.start_all()?;
+        let operator = Operator::new(stage.controls());
+        let leader = until("a leader", || operator.leader()).await?;
+        let name = stage.at(*leader.ip()).map(|node| stage.name(node).to_owned()).unwrap_or_default();
+        writeln!(to, "{name} was elected to lead.")?;
+        let foyers = stage.nodes(Part::Foyer);
+        let doors = foyers.iter().map(|foyer| (stage.frontend(*foyer), stage.readiness(*foyer))).collect();
+        let routes = vec![
+            Route::new("view", HOST, "/view/", "safe", SERVICES[0]),
+            Route::new("book", HOST, "/book/", "unsafe", SERVICES[1]),
+        ];
+        let mut show = Show {
+            stage,
+            to,
+            operator,
+            platform: Platform::new(doors),
+            record: Record::default(),
+            cast: Vec::new(),
+            version: 1,
+            routes,
+            began: Instant::now(),
+            rows: 0,
+            all: Counts::default(),
+            last_state: [String::new(), String::new()],
+        };
+        let text = whole(show.version, &show.routes, &SERVICES);
+        let answer = show.operator.replace(0, 0, &text).await?;
+        expect(answer.status, "the first configuration")?;
+        for service in SERVICES {
+            show.enter(service, "v1", 0.0).await?;
+        }
+        let (platform, all) = (show.platform.clone(), foyers.len());
+        until("foyers that call themselves ready", || async {
+            platform.probe().await;
+            (platform.ready() == all).then_some(())
+        })
+        .await?;
+        writeln!(show.to, "Configuration 1 is in force, instances are known, all foyers are ready.\n")?;
+        Ok(show)
+    }
+
+    /// Starts instances of a version.
+    async fn enter(&mut self, service: &str, version: &str, fails: f64) -> Result<(), Error> {
+        for number in 0..INSTANCES {
+            let address = self.stage.instance_address().ok_or("no address is left for an instance")?;
+            let mut plan = Plan::new(&format!("i-{service}-{version}-{number}"), service, version);
+            plan.fails = fails;
+            plan.zone = stage::ZONES[number % stage::ZONES.len()].to_owned();
+            let address = SocketAddrV4::new(address, 8080);
+            let prompters = self.stage.controls();
+            self.cast.push(Instance::start(plan, address, prompters, self.record.clone()).await?);
+        }
+        let new = |one: &&Instance| one.plan().service == service && one.plan().version == version;
+        let cast = &self.cast;
+        until("instances whose beats are taken", || async {
+            cast.iter().filter(new).all(|one| one.acknowledged() > 0).then_some(())
+        })
+        .await
+    }
+
+    async fn play(mut self, line: &Line) -> Result<(), Error> {
+        let kinds = [(Method::GET, "/view/", true, 0), (Method::POST, "/book/", false, 400)];
+        let kinds = kinds.into_iter().zip(RATES).map(|((method, path, safe, bytes), rate)| Kind {
+            host: HOST.to_owned(),
+            path: path.to_owned(),
+            method,
+            safe,
+            wait: Duration::from_secs(2),
+            bytes,
+            rate,
+        });
+        let crowd = Crowd::start(self.platform.clone(), kinds.collect());
+        self.began = Instant::now();
+        let all = Duration::from_secs(line.seconds.max(4));
+        writeln!(
+            self.to,
+            "   s  served  back  failed  p50 ms  p99 ms  leads       config    {:12}  {:12}  what happens",
+            SERVICES[0], SERVICES[1]
+        )?;
+        self.rows_until(&crowd, all / 10, "").await?;
+        self.modify().await?;
+        self.rows_until(&crowd, all * 2 / 10, "a route was added").await?;
+        self.roll_out(0, "v2", 0.0).await?;
+        self.rows_until(&crowd, all * 4 / 10, "good v2 of playbill on trial").await?;
+        let killed = self.kill_leader().await?;
+        self.rows_until(&crowd, all * 6 / 10, &format!("{} was killed", self.stage.name(killed))).await?;
+        self.roll_out(1, "v2", BAD).await?;
+        self.rows_until(&crowd, all * 8 / 10, "bad v2 of boxoffice on trial").await?;
+        self.stage.start(killed)?;
+        let back = format!("{} is back", self.stage.name(killed));
+        self.rows_until(&crowd, all, &back).await?;
+        let last = self.began.elapsed() + LAST_WAIT;
+        while self.last_state.iter().any(|state| state.starts_with("in_progress") || state.is_empty())
+            && self.began.elapsed() < last
+        {
+            let next = self.began.elapsed() + Duration::from_secs(1);
+            self.rows_until(&crowd, next, "roll-outs are waited for").await?;
+        }
+        drop(crowd);
+        self.judge().await
+    }
+
+    /// Writes a row for each second up to a time since the traffic's start.
+    async fn rows_until(&mut self, crowd: &Crowd, at: Duration, what: &str) -> Result<(), Error> {
+        let mut what = what;
+        while self.began.elapsed() < at {
+            let due = Duration::from_secs(u64::from(self.rows) + 1);
+            tokio::time::sleep_until((self.began + due.min(at)).into()).await;
+            if self.began.elapsed() >= due {
+                // Where a second was long, its row holds all of it.
+                self.rows = self.began.elapsed().as_secs() as u32;
+                self.row(crowd.counts(), what).await?;
+                what = "";
+            }
+        }
+        Ok(())
+    }
+
+    async fn row(&mut self, counts: Counts, what: &str) -> Result<(), Error> {
+        let impatient = Operator { patience: Duration::from_millis(300), ..self.operator.clone() };
+        let leader = impatient.leader().await.and_then(|at| self.stage.at(*at.ip()));
+        let leader = leader.map_or("nobody", |node| self.stage.name(node)).to_owned();
+        let read = impatient.retrieve(0).await.ok().and_then(|answer| items(&answer.body));
+        let version = read.map_or("?".to_owned(), |read| read.version);
+        for (number, service) in SERVICES.into_iter().enumerate() {
+            if let Some((state, target)) = impatient.rollout(service).await {
+                self.changed(number, &state, &target).await;
+                self.last_state[number] = format!("{state} {target}");
+            }
+        }
+        let ms = |share| {
+            let took = counts.quantile(share);
+            took.map_or("-".to_owned(), |took| format!("{:.1}", took.as_secs_f64() * 1e3))
+        };
+        let states: Vec<String> = self.last_state.iter().map(|state| short(state)).collect();
+        writeln!(
+            self.to,
+            "{:4}  {:6}  {:4}  {:6}  {:>6}  {:>6}  {leader:10}  {version:8}  {:12}  {:12}  {what}",
+            self.rows,
+            counts.served,
+            counts.turned_back,
+            counts.failed,
+            ms(0.5),
+            ms(0.99),
+            states[0],
+            states[1],
+        )?;
+        self.to.flush()?;
+        self.all.served += counts.served;
+        self.all.turned_back += counts.turned_back;
+        self.all.failed += counts.failed;
+        for (fault, count) in counts.faults {
+            *self.all.faults.entry(fault).or_default() += count;
+        }
+        Ok(())
+    }
+
+    /// What the platform does once a roll-out is over: old instances stop at once, or new ones leave in order.
+    async fn changed(&mut self, number: usize, state: &str, target: &str) {
+        let service = SERVICES[number];
+        let of = |one: &Instance, new: bool| {
+            one.plan().service == service && (one.plan().version == target) == new
+        };
+        match state {
+            "completed" => self.cast.retain(|one| !of(one, false)),
+            "reverted" if self.last_state[number].starts_with("in_progress") => {
+                let (leave, stay) = std::mem::take(&mut self.cast).into_iter().partition(|one| of(one, true));
+                self.cast = stay;
+                let leave: Vec<Instance> = leave;
+                tokio::spawn(async move {
+                    tokio::time::sleep(AFTER_REVERT).await;
+                    for one in leave {
+                        let _ = one.drain(Duration::from_secs(3)).await;
+                        let _ = one.detach().await;
+                    }
+                });
+            }
+            _ => {}
+        }
+    }
+
+    async fn modify(&mut self) -> Result<(), Error> {
+        let route = Route::new("help", HOST, "/view/help/", "safe", SERVICES[1]);
+        let text = change(self.version + 2, std::slice::from_ref(&route), &[]);
+        let answer = self.operator.modify(0, self.version, &text).await?;
+        expect(answer.status, "the change")?;
+        self.version += 2;
+        self.routes.push(route);
+        Ok(())
+    }
+
+    async fn roll_out(&mut self, number: usize, version: &str, fails: f64) -> Result<(), Error> {
+        let answer = self.operator.roll_out(SERVICES[number], version, Duration::from_secs(30)).await?;
+        expect(answer.status, "the roll-out")?;
+        self.last_state[number] = format!("in_progress {version}");
+        self.enter(SERVICES[number], version, fails).await
+    }
+
+    async fn kill_leader(&mut self) -> Result<NodeNo, Error> {
+        let operator = self.operator.clone();
+        let leader = until("a leader", || operator.leader()).await?;
+        let node = self.stage.at(*leader.ip()).ok_or("the leader is no node of this stage")?;
+        self.stage.kill(node)?;
+        Ok(node)
+    }
+
+    /// What came of it, for a person and for the exit code.
+    async fn judge(self) -> Result<(), Error> {
+        let answer = self.operator.retrieve(0).await?;
+        let held = items(&answer.body) == items(whole(self.version, &self.routes, &SERVICES).as_bytes());
+        let good = self.last_state[0] == "completed v2";
+        let bad = self.last_state[1] == "reverted v2";
+        let all = self.all.all().max(1);
+        let mut text = String::new();
+        let said = |yes: bool| if yes { "yes" } else { "NO" };
+        writeln!(text, "\nthe configuration read back is the one acknowledged: {}", said(held))?;
+        writeln!(text, "the good version of playbill was taken into service:  {}", said(good))?;
+        writeln!(text, "the bad version of boxoffice was turned back:         {}", said(bad))?;
+        writeln!(
+            text,
+            "{all} requests: {} served, {} turned back, {} failed",
+            self.all.served, self.all.turned_back, self.all.failed
+        )?;
+        let faults: BTreeMap<_, _> = self.all.faults.iter().collect();
+        for (fault, count) in faults.into_iter().take(8) {
+            writeln!(text, "  {count} x {fault}")?;
+        }
+        let mut twice: BTreeMap<String, usize> = BTreeMap::new();
+        for seen in self.record.find(|seen| seen.ran && seen.method == Method::POST) {
+            *twice.entry(seen.attempt).or_default() += 1;
+        }
+        let twice = twice.values().filter(|ran| **ran > 1).count();
+        writeln!(text, "requests run more than once that may not be: {twice}")?;
+        self.to.write_all(text.as_bytes())?;
+        // A bad version's own failures, and the second after a loss, are no more than this.
+        let served = self.all.served * 10 >= all * 9;
+        if held && good && bad && served && twice == 0 {
+            return Ok(());
+        }
+        Err("the demonstration did not go as it should".into())
+    }
+}
+
+fn expect(status: StatusCode, what: &str) -> Result<(), Error> {
+    if status == StatusCode::OK { Ok(()) } else { Err(format!("{what} was answered {status}").into()) }
+}
+
+/// A roll-out's state in few letters.
+fn short(state: &str) -> String {
+    match state.split_once(' ') {
+        None => "-".to_owned(),
+        Some((state, version)) => format!("{version} {}", state.replace("in_progress", "on trial")),
+    }
+}
--- a/crates/playhouse/src/lib.rs
+++ b/crates/playhouse/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod calls;
 pub mod control;
+pub mod demo;
 pub mod foyer;
 pub mod house;
 mod listen;
--- a/crates/playhouse/src/main.rs
+++ b/crates/playhouse/src/main.rs
@@ -23,6 +23,8 @@
     Prompter,
     /// Read the settings file and print what holds, or each fault.
     Check,
+    /// Show the whole system at work on loopback, with stand-ins of all that is around it.
+    Demo(playhouse::demo::Line),
 }
 
 fn main() -> ExitCode {
@@ -39,13 +41,16 @@
 }
 
 fn run(verb: Verb) -> Result<(), Box<dyn std::error::Error>> {
+    if let Verb::Demo(line) = verb {
+        return playhouse::demo::run(line);
+    }
     let settings = Rc::new(Settings::read(&Settings::path()?)?);
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let local = tokio::task::LocalSet::new();
     match verb {
         Verb::Foyer => local.block_on(&runtime, foyer::run(settings)),
         Verb::Prompter => local.block_on(&runtime, prompter::run(settings)),
-        Verb::Check => {
+        Verb::Check | Verb::Demo(_) => {
             println!("{settings:#?}");
             Ok(())
         }
