--- a/crates/playhouse/src/demo/mod.rs
+++ b/crates/playhouse/src/demo/mod.rs
@@ -29,11 +29,13 @@
 const SERVICES: [&str; 2] = ["playbill", "boxoffice"];
 const INSTANCES: usize = 3;
 /// Requests a second of each service.
-const RATES: [f64; 2] = [40.0, 20.0];
+const RATES: [f64; 2] = [50.0, 60.0];
 /// Nothing here may take so long unless something is wrong.
 const LONG: Duration = Duration::from_secs(20);
 /// After the seconds asked for, roll-outs under way are waited for this long.
 const LAST_WAIT: Duration = Duration::from_secs(20);
+/// Of the traffic's time, what a roll-out may take.
+const PERIOD: f64 = 0.6;
 /// Of its answers, a bad version fails this share.
 const BAD: f64 = 0.6;
 const AFTER_REVERT: Duration = Duration::from_secs(2);
@@ -128,6 +130,7 @@
     routes: Vec<Route>,
     began: Instant,
     rows: u32,
+    period: Duration,
     all: Counts,
     last_state: [String; 2],
 }
@@ -157,6 +160,7 @@
             routes,
             began: Instant::now(),
             rows: 0,
+            period: Duration::ZERO,
             all: Counts::default(),
             last_state: [String::new(), String::new()],
         };
@@ -209,6 +213,7 @@
         let crowd = Crowd::start(self.platform.clone(), kinds.collect());
         self.began = Instant::now();
         let all = Duration::from_secs(line.seconds.max(4));
+        self.period = all.mul_f64(PERIOD);
         writeln!(
             self.to,
             "   s  served  back  failed  p50 ms  p99 ms  leads       config    {:12}  {:12}  what happens",
@@ -327,7 +332,7 @@
     }
 
     async fn roll_out(&mut self, number: usize, version: &str, fails: f64) -> Result<(), Error> {
-        let answer = self.operator.roll_out(SERVICES[number], version, Duration::from_secs(30)).await?;
+        let answer = self.operator.roll_out(SERVICES[number], version, self.period).await?;
         expect(answer.status, "the roll-out")?;
         self.last_state[number] = format!("in_progress {version}");
         self.enter(SERVICES[number], version, fails).await
--- a/crates/playhouse/tests/loopback.rs
+++ b/crates/playhouse/tests/loopback.rs
@@ -53,6 +53,17 @@
             }
         }
         house.ready(2).await;
+        // A foyer is ready as soon as it knows an instance of some service.
+        for foyer in [0, 1] {
+            for (method, uri) in [(Method::GET, "/view/0"), (Method::POST, "/book/0")] {
+                house.wait("each service is served by each foyer", async |house| {
+                    let (ask, _) = house.request(method.clone(), uri, Vec::new());
+                    let to = house.foyer(foyer);
+                    house.through(to, &ask).await.is_ok_and(|answer| answer.status == StatusCode::OK)
+                })
+                .await;
+            }
+        }
         house
     }
 
@@ -172,6 +183,7 @@
                 ask.chunks = chunks;
                 let to = house.foyer(foyer);
                 let answer = house.through(to, &ask).await;
+                let answer = answer.map_err(|error| format!("{method} {uri}: {error}"));
                 let answer = house.ok(answer);
                 let seen = only_run(&house.record, &attempt);
                 assert_eq!((seen.service.as_str(), seen.uri.as_str(), &seen.method), (service, uri, &method));
