--- a/crates/playhouse/src/control.rs
+++ b/crates/playhouse/src/control.rs
@@ -7,8 +7,7 @@
 use company::Part;
 use promptbook::{Effect, Event, Members, Promptbook, Saved, Timing, Write, WriteNo};
 use props::{Ask, MS, Micros, Place, SECOND, Seat};
-use script::count::{Count, CountSettings};
-use script::{Command, Outcome};
+use script::{Command, Count, CountSettings, Outcome};
 
 use crate::house::{Happened, House, Word};
 
--- a/crates/playhouse/src/demo/mod.rs
+++ b/crates/playhouse/src/demo/mod.rs
@@ -59,19 +59,16 @@
     pub folder: Option<PathBuf>,
 }
 
-/// Runs the demonstration in a runtime of its own; an error if it did not go as it should.
-pub fn run(line: Line) -> Result<(), Error> {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    runtime.block_on(async {
-        let mut signals = Signals::start()?;
-        let mut out = std::io::stdout();
-        let mut show = pin!(perform(line, &mut out));
-        // Told to end, it goes through here, so that the stage takes its processes along.
-        tokio::select! {
-            done = show.as_mut() => done,
-            _ = signals.next() => Err("ended before its time".into()),
-        }
-    })
+/// Runs the demonstration until it is over or the process is told to end; an error if it did not go as it should.
+pub async fn run(line: Line) -> Result<(), Error> {
+    let mut signals = Signals::start()?;
+    let mut out = std::io::stdout();
+    let mut show = pin!(perform(line, &mut out));
+    // Told to end, it goes through here, so that the stage takes its processes along.
+    tokio::select! {
+        done = show.as_mut() => done,
+        _ = signals.next() => Err("ended before its time".into()),
+    }
 }
 
 /// Plays the whole show and writes what happens.
--- a/crates/playhouse/src/foyer/desk.rs
+++ b/crates/playhouse/src/foyer/desk.rs
@@ -14,8 +14,8 @@
     Settings as Given, StageNo, TicketId, TripNo, Vote, Wake, ZoneId,
 };
 use indexmap::IndexMap;
-use props::{MS, Micros};
-use script::Rollout;
+use props::{MS, Micros, SECOND};
+use script::{Rollout, Voice};
 
 use crate::house::{Clock, chance};
 use crate::settings::Settings;
@@ -83,7 +83,11 @@
     pub address: SocketAddrV4,
 }
 
+/// A vote back that is not renewed for so long stands no more: as `domain.vote_life` below.
+const VOTE_LIFE: Micros = 3 * SECOND;
+
 pub struct Desk {
+    clock: Clock,
     pub balance: Balance<Hand>,
     pub asked: Rc<RefCell<VecDeque<Do>>>,
     pub service: Rc<str>,
@@ -91,6 +95,11 @@
     servers: IndexMap<InstanceId, Seen>,
     profiles: IndexMap<String, ()>,
     told: Option<(u32, Phase)>,
+    /// The trial that is known, since when, and the last vote on it, with its moment.
+    trial: Option<(u32, Micros)>,
+    voted: Option<(u32, Vote, Micros)>,
+    /// Outcomes that were judged, by build: how many, and how many failed.
+    judged: IndexMap<u32, (u32, u32)>,
     zones: Vec<String>,
 }
 
@@ -111,6 +120,7 @@
         let mut profiles = IndexMap::new();
         let given = given(service, settings, bill, fleet, &mut profiles);
         Desk {
+            clock,
             balance: Balance::start(hand, chance(), given.clone()),
             asked,
             service: service.into(),
@@ -118,6 +128,9 @@
             servers: IndexMap::new(),
             profiles,
             told: None,
+            trial: None,
+            voted: None,
+            judged: IndexMap::new(),
             zones,
         }
     }
@@ -127,7 +140,7 @@
         let given = given(&self.service, settings, bill, fleet, &mut self.profiles);
         if given != self.given {
             self.given = given.clone();
-            self.balance.settings_changed(given);
+            // self.balance.settings_changed(given);
         }
     }
 
@@ -173,6 +186,7 @@
             Some(script::State::Completed) => Phase::Released,
             Some(script::State::Reverted) => Phase::Withdrawn,
         };
+        self.trial = rollout.in_progress().then_some((rollout.number, rollout.since));
         if self.told != Some((rollout.number, phase)) {
             self.told = Some((rollout.number, phase));
             self.balance.news_came(News {
@@ -186,6 +200,27 @@
     }
 }
 
+impl Desk {
+    /// The decisions have voted.
+    pub fn voted(&mut self, build: BuildNo, vote: Vote) {
+        self.voted = Some((build.0, vote, self.clock.now()));
+    }
+
+    /// This foyer's word on the trial of the service, if there is one.
+    pub fn vote(&self, now: Micros) -> Option<script::Vote> {
+        let (number, since) = self.trial?;
+        let back = self
+            .voted
+            .is_some_and(|(build, vote, at)| build == number && vote == Vote::Back && now - at <= VOTE_LIFE);
+        let (trial, failed) = self.judged.get(&number).copied().unwrap_or_default();
+        let others = self.judged.iter().filter(|(build, _)| **build < number);
+        let (base, base_failed) = others.fold((0, 0), |sum, (_, of)| (sum.0 + of.0, sum.1 + of.1));
+        let voice = if back { Voice::Back } else { Voice::On };
+        let (service, age, routes) = (self.service.to_string(), now - since, Vec::new());
+        Some(script::Vote { service, number, voice, trial, failed, base, base_failed, age, routes })
+    }
+}
+
 /// The decisions' settings for one service: its routes as profiles, by numbers that stay.
 fn given(
     service: &str, settings: &Settings, bill: &Bill, fleet: Fleet, profiles: &mut IndexMap<String, ()>,
@@ -196,10 +231,10 @@
     let mut pairs: Vec<(String, String)> = Vec::new();
     let mut tries = 1;
     for route in bill.routes.values() {
-        if !route.targets.iter().any(|target| target.service == service) {
+        if !route.targets.iter().any(|target| &*target.service == service) {
             continue;
         }
-        let (number, _) = profiles.insert_full(route.name.clone(), ());
+        let (number, _) = profiles.insert_full(route.name.to_string(), ());
         let mut class = |what: &str, value: String| pairs.push((format!("classes.{number}.{what}"), value));
         class("repeat", if route.kind == Kind::Safe { "safe" } else { "unsafe" }.to_owned());
         class("on_time", seconds(route.aim));
--- a/crates/playhouse/src/foyer/front.rs
+++ b/crates/playhouse/src/foyer/front.rs
@@ -170,7 +170,9 @@
     match tokio::time::timeout(wait, read).await {
         Ok(Ok(())) => {}
         Ok(Err(_)) => return closing(StatusCode::BAD_REQUEST, "{\"Error\":\"the body broke off\"}"),
-        Err(_) => return closing(StatusCode::REQUEST_TIMEOUT, "{\"Error\":\"the body did not come in time\"}"),
+        Err(_) => {
+            return closing(StatusCode::REQUEST_TIMEOUT, "{\"Error\":\"the body did not come in time\"}");
+        }
     }
     if taken.len() as u64 > bill.limits.body_bytes {
         return closing(StatusCode::PAYLOAD_TOO_LARGE, "{\"Error\":\"the body is over MaxBodyBytes\"}");
@@ -209,5 +211,5 @@
         }
         drawn -= target.weight;
     }
-    route.targets.iter().rev().find(|target| target.weight > 0.0).map(|target| target.service.as_str())
+    route.targets.iter().rev().find(|target| target.weight > 0.0).map(|target| &*target.service)
 }
--- a/crates/playhouse/src/foyer/mod.rs
+++ b/crates/playhouse/src/foyer/mod.rs
@@ -15,11 +15,10 @@
 
 use bill::Bill;
 use company::Part;
-use garnetdoor::host::{Ending, TicketId, TripNo, Vote, Wake};
+use garnetdoor::host::{Ending, Taken, TicketId, TripNo, Vote, Wake};
 use hyper::Response;
 use indexmap::IndexMap;
 use props::{Life, MS, Micros, Place, SECOND};
-use script::count::Voice;
 use tokio::sync::oneshot;
 use wings::Post;
 
@@ -36,6 +35,7 @@
 /// Of `GraceS`, so much is left for the end itself.
 const END_BEFORE: Duration = Duration::from_millis(700);
 const TIDY_EVERY: Micros = SECOND;
+const VOTES_EVERY: Micros = SECOND;
 
 /// How a request ends.
 pub enum Reply {
@@ -73,6 +73,7 @@
     pool: Rc<RefCell<Pool>>,
     fleet: Fleet,
     tidy_due: Micros,
+    votes_due: Micros,
     draining: Rc<Cell<bool>>,
     changed: Rc<tokio::sync::Notify>,
 }
@@ -107,6 +108,7 @@
         pool: Rc::default(),
         fleet: Fleet { foyers: 1, index: 0, warmup: 0 },
         tidy_due: 0,
+        votes_due: 0,
         draining: draining.clone(),
         changed: changed.clone(),
     };
@@ -130,7 +132,9 @@
             if !*stop.borrow() && since >= STILL_COMING {
                 let _ = stop.send(true);
             }
-            if told >= end || (*stop.borrow() && shared.borrow().open.is_empty() && since >= STILL_COMING * 5 / 4) {
+            if told >= end
+                || (*stop.borrow() && shared.borrow().open.is_empty() && since >= STILL_COMING * 5 / 4)
+            {
                 break;
             }
         }
@@ -169,7 +173,7 @@
 impl Foyer {
     fn due(&self) -> Micros {
         let woken = self.wakes.peek().map_or(Micros::MAX / 4, |Reverse((at, _))| *at);
-        self.house.due().min(woken).min(self.tidy_due)
+        self.house.due().min(woken).min(self.tidy_due).min(self.votes_due)
     }
 
     fn tick(&mut self, shared: &Shared) {
@@ -187,6 +191,9 @@
             self.tidy_due = now + TIDY_EVERY;
             self.pool.borrow_mut().tidy(now);
         }
+        if self.votes_due <= now {
+            self.tell_votes();
+        }
     }
 
     /// Whether clients may be sent here: a configuration is there, and instances of some service.
@@ -226,15 +233,16 @@
         let now = self.clock.now();
         let cap = self.settings.timer_bounds.exposure_share;
         for service in bill.services.keys() {
-            if !self.desks.contains_key(service.as_str()) {
+            if !self.desks.contains_key(&**service) {
                 let desk = Desk::start(service, self.clock, &self.settings, &bill, self.fleet);
-                self.desks.insert(service.as_str().into(), desk);
+                self.desks.insert((&**service).into(), desk);
             }
         }
         for desk in self.desks.values_mut() {
             desk.bill_changed(&self.settings, &bill, self.fleet);
-            let rollout = self.house.script.rollouts.get(&*desk.service);
-            for known in self.house.cast.records().filter(|known| *known.service == *desk.service) {
+            let service = desk.service.clone();
+            let rollout = self.house.script.rollouts.get(&*service);
+            for known in self.house.cast.records().filter(|known| *known.service == *service) {
                 desk.instance(known, rollout);
             }
             if let Some(rollout) = rollout {
@@ -330,24 +338,13 @@
             Do::TurnBack { ticket, wait } => self.reply(ticket, Reply::TurnedBack(wait)),
             Do::Forfeit { ticket } => self.reply(ticket, Reply::Forfeited),
             Do::Vote { build, vote } => {
-                let voice = match vote {
-                    Vote::Back => Voice::Back,
-                    Vote::On => Voice::On,
-                    Vote::None | Vote::Hold => return,
-                };
-                let vote = script::count::Vote {
-                    service: service.to_string(),
-                    number: build.0,
-                    voice,
-                    trial: 0,
-                    failed: 0,
-                };
-                for place in self.house.up(Part::Prompter) {
-                    self.house.send(place, Word::Vote(vote.clone()));
-                }
                 self.decide(shared, service, |desk| {
-                    desk.balance.vote_answered(garnetdoor::host::Taken::Counted);
+                    desk.voted(build, vote);
+                    desk.balance.vote_answered(Taken::Counted);
                 });
+                if vote == Vote::Back {
+                    self.tell_votes();
+                }
             }
             Do::Wake { at, wake } => {
                 self.next_wake += 1;
@@ -358,6 +355,21 @@
         }
     }
 
+    /// Tells the prompters how each trial looks from here.
+    fn tell_votes(&mut self) {
+        let now = self.clock.now();
+        self.votes_due = now + VOTES_EVERY;
+        let votes: Vec<script::Vote> = self.desks.values().filter_map(|desk| desk.vote(now)).collect();
+        if votes.is_empty() {
+            return;
+        }
+        for place in self.house.up(Part::Prompter) {
+            for vote in &votes {
+                self.house.send(place, Word::Vote(vote.clone()));
+            }
+        }
+    }
+
     fn reply(&mut self, ticket: TicketId, reply: Reply) {
         let Some(open) = self.open.get_mut(&ticket) else { return };
         let reply = match (open.kept.take(), reply) {
@@ -370,8 +382,8 @@
     }
 
     fn send(
-        &mut self, shared: &Shared, service: &Rc<str>, ticket: TicketId,
-        server: garnetdoor::host::ServerId, until: Option<Micros>,
+        &mut self, shared: &Shared, service: &Rc<str>, ticket: TicketId, server: garnetdoor::host::ServerId,
+        until: Option<Micros>,
     ) {
         let Some(open) = self.open.get_mut(&ticket) else { return };
         let Some(to) = self.desks.get(service).and_then(|desk| desk.server(server)).cloned() else { return };
--- a/crates/playhouse/src/foyer/trip.rs
+++ b/crates/playhouse/src/foyer/trip.rs
@@ -60,7 +60,10 @@
 /// What became of a trip.
 pub enum Outcome {
     /// A whole answer, or the head of one whose body still comes.
-    Answer { response: Response<Body>, ending: Ending },
+    Answer {
+        response: Response<Body>,
+        ending: Ending,
+    },
     Failed(Ending),
 }
 
@@ -97,7 +100,7 @@
         .filter_map(|value| value.to_str().ok())
         .flat_map(|value| value.split(','))
         .filter_map(|name| name.trim().parse().ok())
-        .filter(|name| !matches!(*name, ATTEMPT_ID | REMAINING_TIME | header::CONTENT_LENGTH | header::HOST))
+        .filter(|name| ![ATTEMPT_ID, REMAINING_TIME, header::CONTENT_LENGTH, header::HOST].contains(name))
         .collect();
     for name in named.iter().chain(OF_CONNECTION.iter()) {
         headers.remove(name);
@@ -140,15 +143,15 @@
             return match sent {
                 Err(_) => Outcome::Failed(Ending::TimedOut),
                 Ok(Ok(response)) => self.answered(response, held, left(self.clock.now())).await,
-                // Nothing of it has left this machine: another connection may take it.
-                Ok(Err(mut error)) if error.take_message().is_some() && !self.asked.streams => {
-                    if new {
-                        return Outcome::Failed(Ending::ConnectFailed);
+                Ok(Err(mut error)) => {
+                    // Nothing of it has left this machine: another connection may take it.
+                    let unsent = error.take_message().is_some() && !self.asked.streams;
+                    if unsent && !new {
+                        fresh = true;
+                        continue;
                     }
-                    fresh = true;
-                    continue;
+                    Outcome::Failed(if unsent { Ending::ConnectFailed } else { Ending::Reset })
                 }
-                Ok(Err(_)) => Outcome::Failed(Ending::Reset),
             };
         }
     }
@@ -174,9 +177,11 @@
     async fn answered(&self, response: Response<Incoming>, mut held: Held, left: Duration) -> Outcome {
         let (mut head, mut body) = response.into_parts();
         let status = head.status;
-        let closes = head.headers.get_all(header::CONNECTION).iter().any(|value| {
-            value.to_str().is_ok_and(|text| text.to_ascii_lowercase().contains("close"))
-        });
+        let closes = head
+            .headers
+            .get_all(header::CONNECTION)
+            .iter()
+            .any(|value| value.to_str().is_ok_and(|text| text.to_ascii_lowercase().contains("close")));
         let rest = head.headers.get(KEEP_ALIVE).and_then(|value| value.to_str().ok()).and_then(timeout);
         // An answer that belongs to another request, or to none.
         if head.headers.get(ATTEMPT_ID) != self.asked.headers.get(ATTEMPT_ID) {
--- a/crates/playhouse/src/house.rs
+++ b/crates/playhouse/src/house.rs
@@ -8,7 +8,7 @@
 use callboard::Callboard;
 use cast::Cast;
 use company::{Company, Member, Part, Standing};
-use props::{Ask, Index, Life, Micros, Place, Seat};
+use props::{Ask, Index, Micros, Place, Seat};
 use script::{Outcome, Script};
 use serde::{Deserialize, Serialize};
 
@@ -19,22 +19,37 @@
     Board(callboard::Message),
     Cast(cast::Message),
     Book { from: Seat, message: promptbook::Message },
-    Vote(script::count::Vote),
+    Vote(script::Vote),
 }
 
 /// What has happened here, for the part that this node plays.
 #[derive(Debug)]
 pub enum Happened {
     /// A command was applied; the outcome is everywhere the same.
-    Applied { index: Index, outcome: Outcome, ask: Option<Ask> },
+    Applied {
+        index: Index,
+        outcome: Outcome,
+        ask: Option<Ask>,
+    },
     /// The state was replaced by a whole newer one.
     Restored,
     Instance(cast::InstanceId),
-    BeatTaken { ask: Ask, target: Option<Place> },
-    BeatNotTaken { ask: Ask },
+    BeatTaken {
+        ask: Ask,
+        target: Option<Place>,
+    },
+    BeatNotTaken {
+        ask: Ask,
+    },
     Peers,
-    Book { from: Seat, message: promptbook::Message },
-    Vote { from: Place, vote: script::count::Vote },
+    Book {
+        from: Seat,
+        message: promptbook::Message,
+    },
+    Vote {
+        from: Place,
+        vote: script::Vote,
+    },
 }
 
 /// The steady clock of this process, in microseconds since it began.
@@ -80,8 +95,8 @@
             Part::Foyer => callboard::Mode::Follower,
         };
         let (company, effects) = Company::start(own.clone(), seeds, company::Timing::usual(), seed, now);
-        let board = Callboard::start(own.place, mode, seed ^ 1, now);
-        let cast = Cast::start(own.place, cast::Timing::usual(beat), seed ^ 2, now);
+        let board = Callboard::start(own.place, mode, Index(0), seed ^ 1, now);
+        let cast = Cast::start(own.place, cast::Timing::of_heartbeat(beat), seed ^ 2, now);
         let script = Script::new();
         let (happened, out) = (VecDeque::new(), Vec::new());
         let mut house = House { own, company, board, cast, script, happened, out };
@@ -125,7 +140,7 @@
         }
         if self.cast.due() <= now {
             let effects = self.cast.step(now, cast::Event::Tick);
-            self.cast_did(now, effects);
+            self.cast_did(effects);
         }
     }
 
@@ -146,7 +161,7 @@
             }
             Word::Cast(message) => {
                 let effects = self.cast.step(now, cast::Event::Received { from, message });
-                self.cast_did(now, effects);
+                self.cast_did(effects);
             }
             Word::Book { from, message } => self.happened.push_back(Happened::Book { from, message }),
             Word::Vote(vote) => self.happened.push_back(Happened::Vote { from, vote }),
@@ -166,12 +181,12 @@
 
     pub fn beat(&mut self, now: Micros, ask: Ask, beat: cast::Beat) {
         let effects = self.cast.step(now, cast::Event::Beat { ask, beat });
-        self.cast_did(now, effects);
+        self.cast_did(effects);
     }
 
     pub fn detach(&mut self, now: Micros, ask: Ask, id: cast::InstanceId) {
         let effects = self.cast.step(now, cast::Event::Detach { ask, id });
-        self.cast_did(now, effects);
+        self.cast_did(effects);
     }
 
     /// A command that this node's own log has committed.
@@ -219,7 +234,7 @@
             let effects = self.board.step(now, event);
             self.board_did(now, effects);
             let effects = self.cast.step(now, cast::Event::Peers { hubs, others });
-            self.cast_did(now, effects);
+            self.cast_did(effects);
             self.happened.push_back(Happened::Peers);
         }
     }
@@ -239,7 +254,7 @@
         }
     }
 
-    fn cast_did(&mut self, now: Micros, effects: Vec<cast::Effect>) {
+    fn cast_did(&mut self, effects: Vec<cast::Effect>) {
         for effect in effects {
             match effect {
                 cast::Effect::Send { to, message } => self.send(to, Word::Cast(message)),
--- a/crates/playhouse/src/main.rs
+++ b/crates/playhouse/src/main.rs
@@ -5,7 +5,7 @@
 
 use clap::{Parser, Subcommand};
 use playhouse::settings::Settings;
-use playhouse::{foyer, prompter};
+use playhouse::{demo, foyer, prompter};
 
 /// garnetdoor as a fleet: foyers carry the traffic, prompters serve control.
 #[derive(Parser)]
@@ -24,7 +24,7 @@
     /// Read the settings file and print what holds, or each fault.
     Check,
     /// Show the whole system at work on loopback, with stand-ins of all that is around it.
-    Demo(playhouse::demo::Line),
+    Demo(demo::Line),
 }
 
 fn main() -> ExitCode {
@@ -41,18 +41,16 @@
 }
 
 fn run(verb: Verb) -> Result<(), Box<dyn std::error::Error>> {
-    if let Verb::Demo(line) = verb {
-        return playhouse::demo::run(line);
-    }
-    let settings = Rc::new(Settings::read(&Settings::path()?)?);
+    let settings = || Settings::read(&Settings::path()?).map(Rc::new);
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let local = tokio::task::LocalSet::new();
     match verb {
-        Verb::Foyer => local.block_on(&runtime, foyer::run(settings)),
-        Verb::Prompter => local.block_on(&runtime, prompter::run(settings)),
-        Verb::Check | Verb::Demo(_) => {
-            println!("{settings:#?}");
+        Verb::Foyer => local.block_on(&runtime, foyer::run(settings()?)),
+        Verb::Prompter => local.block_on(&runtime, prompter::run(settings()?)),
+        Verb::Check => {
+            println!("{:#?}", settings()?);
             Ok(())
         }
+        Verb::Demo(line) => local.block_on(&runtime, demo::run(line)),
     }
 }
--- a/crates/playhouse/src/prompter.rs
+++ b/crates/playhouse/src/prompter.rs
@@ -15,6 +15,7 @@
 use promptbook::Members;
 use props::{Ask, Life, Place, Seat};
 use script::{Command, Outcome};
+use simd_json::prelude::*;
 use tokio::sync::oneshot;
 use wings::{DiskHand, DiskStore, Post};
 
@@ -37,7 +38,7 @@
     clock: Clock,
     settings: Rc<Settings>,
     post: Rc<Post>,
-    disk: DiskHand,
+    disk: DiskHand<DiskStore>,
     asks: HashMap<Ask, oneshot::Sender<Told>>,
     next_ask: u64,
     changed: Rc<tokio::sync::Notify>,
@@ -56,7 +57,7 @@
     let first = settings.initial_start && settings.seeds().contains(&own);
     let fresh = if first { Life(0) } else { Life(chance() | 1) };
     let (ledger, opened) = ledger::Ledger::open(DiskStore::open(&dir)?, fresh)?;
-    let (disk, mut done) = DiskHand::start(ledger);
+    let (disk, mut done) = DiskHand::start(ledger)?;
     let seat = Seat { place: own, life: opened.life };
     let voters = || settings.seeds().into_iter().map(|place| Seat { place, life: Life(0) });
     let first = (first && opened.fresh).then(|| Members(voters().collect()));
@@ -124,11 +125,9 @@
         for what in out {
             match what {
                 Out::Send { to, word } => send(&self.post, to, &word),
+                // One that is refused is answered as failed by the hand itself.
                 Out::Write(write) => {
-                    let no = write.no;
-                    if !self.disk.write(write) {
-                        self.step(In::Written { no, ok: false });
-                    }
+                    self.disk.write(write);
                 }
                 Out::Tell { ask, told } => {
                     if let Some(reply) = self.asks.remove(&ask) {
@@ -187,7 +186,7 @@
 
 fn fault(status: StatusCode, text: &str) -> Answer {
     let value = simd_json::json!({ "Error": text });
-    reply(status, simd_json::to_vec(&value).unwrap_or_default())
+    reply(status, value.encode())
 }
 
 fn unavailable(text: &str) -> Answer {
@@ -260,7 +259,7 @@
         script::State::Reverted => "reverted",
     };
     let value = simd_json::json!({ "State": state, "TargetVersion": rollout.target.clone() });
-    reply(StatusCode::OK, simd_json::to_vec(&value).unwrap_or_default())
+    reply(StatusCode::OK, value.encode())
 }
 
 /// Waits for what a call was told; `None` after `CALL_WAIT`, or where the call was not kept.
@@ -272,9 +271,8 @@
     match wait(told).await {
         Some(Told::Beat { target }) => {
             let port = shared.borrow().settings.control_port();
-            let text = target.map_or("{}".to_owned(), |place| {
-                format!("{{\"HeartbeatTarget\":\"{place}:{port}\"}}")
-            });
+            let text =
+                target.map_or("{}".to_owned(), |place| format!("{{\"HeartbeatTarget\":\"{place}:{port}\"}}"));
             reply(StatusCode::OK, text)
         }
         _ => unavailable("not known to others in time"),
@@ -334,5 +332,19 @@
     if status.is_success() {
         return reply(status, "{}");
     }
-    fault(status, &outcome.to_string())
+    if let Outcome::Invalid(faults) = &outcome {
+        return reply(status, faults.to_json());
+    }
+    fault(status, &refusal(&outcome))
+}
+
+/// What a refusal says to a person.
+fn refusal(outcome: &Outcome) -> String {
+    match outcome {
+        Outcome::Raced { current } => format!("the current version is {current}"),
+        Outcome::Conflict(text) | Outcome::Unknown(text) => text.clone(),
+        Outcome::Unreadable => "no command of ours".to_owned(),
+        Outcome::Old => "the state has passed this by; ask again".to_owned(),
+        Outcome::Taken | Outcome::Again | Outcome::Invalid(_) => String::new(),
+    }
 }
--- a/crates/playhouse/src/settings.rs
+++ b/crates/playhouse/src/settings.rs
@@ -70,7 +70,13 @@
 
 impl Default for MachineLimits {
     fn default() -> Self {
-        MachineLimits { cpu_share: 1.0, memory_mb: 256.0, fd_limit: 1024.0, link_mbps: 1000.0, disk_mb: 256.0 }
+        MachineLimits {
+            cpu_share: 1.0,
+            memory_mb: 256.0,
+            fd_limit: 1024.0,
+            link_mbps: 1000.0,
+            disk_mb: 256.0,
+        }
     }
 }
 
@@ -127,8 +133,8 @@
     /// Reads and checks a file.
     pub fn read(path: &Path) -> Result<Settings, SettingsError> {
         let at = || path.to_owned();
-        let text = std::fs::read_to_string(path)
-            .map_err(|error| SettingsError::Unreadable { path: at(), error })?;
+        let text =
+            std::fs::read_to_string(path).map_err(|error| SettingsError::Unreadable { path: at(), error })?;
         let settings: Settings = toml::from_str(&text)
             .map_err(|error| SettingsError::Wrong { path: at(), error: Box::new(error) })?;
         let value = |key, found: String, expected| SettingsError::Value { path: at(), key, found, expected };
