--- a/crates/playhouse/src/demo/mod.rs
+++ b/crates/playhouse/src/demo/mod.rs
@@ -34,8 +34,9 @@
 const LONG: Duration = Duration::from_secs(20);
 /// After the seconds asked for, roll-outs under way are waited for this long.
 const LAST_WAIT: Duration = Duration::from_secs(20);
-/// Of the traffic's time, what a roll-out may take.
-const PERIOD: f64 = 0.6;
+/// What a roll-out may take. Instances on trial are judged from 5 s after their start, so a much shorter one would be
+/// over before anything was known of them.
+const PERIOD: Duration = Duration::from_secs(12);
 /// Of its answers, a bad version fails this share.
 const BAD: f64 = 0.6;
 const AFTER_REVERT: Duration = Duration::from_secs(2);
@@ -127,7 +128,6 @@
     routes: Vec<Route>,
     began: Instant,
     rows: u32,
-    period: Duration,
     all: Counts,
     last_state: [String; 2],
 }
@@ -157,7 +157,6 @@
             routes,
             began: Instant::now(),
             rows: 0,
-            period: Duration::ZERO,
             all: Counts::default(),
             last_state: [String::new(), String::new()],
         };
@@ -210,7 +209,6 @@
         let crowd = Crowd::start(self.platform.clone(), kinds.collect());
         self.began = Instant::now();
         let all = Duration::from_secs(line.seconds.max(4));
-        self.period = all.mul_f64(PERIOD);
         writeln!(
             self.to,
             "   s  served  back  failed  p50 ms  p99 ms  leads       config    {:12}  {:12}  what happens",
@@ -329,7 +327,7 @@
     }
 
     async fn roll_out(&mut self, number: usize, version: &str, fails: f64) -> Result<(), Error> {
-        let answer = self.operator.roll_out(SERVICES[number], version, self.period).await?;
+        let answer = self.operator.roll_out(SERVICES[number], version, PERIOD).await?;
         expect(answer.status, "the roll-out")?;
         self.last_state[number] = format!("in_progress {version}");
         self.enter(SERVICES[number], version, fails).await
@@ -340,6 +338,10 @@
         let leader = until("a leader", || operator.leader()).await?;
         let node = self.stage.at(*leader.ip()).ok_or("the leader is no node of this stage")?;
         self.stage.kill(node)?;
+        if self.stage.nodes(Part::Prompter).len() < 3 {
+            // The others are no majority without it.
+            self.stage.start(node)?;
+        }
         Ok(node)
     }
 
