--- a/crates/playhouse/src/house.rs
+++ b/crates/playhouse/src/house.rs
@@ -221,9 +221,11 @@
             match effect {
                 company::Effect::Send { to, message } => self.send(to, Word::Company(message)),
                 company::Effect::Changed { member, standing } => {
-                    if standing != Standing::Suspect {
-                        log::info!("{} ({}) is {standing:?}", member.name, member.place);
-                    }
+                    let level = match standing {
+                        Standing::Dead | Standing::Left => log::Level::Info,
+                        Standing::Alive | Standing::Suspect => log::Level::Debug,
+                    };
+                    log::log!(level, "{} ({}) is {standing:?}", member.name, member.place);
                     changed = true;
                 }
             }
@@ -233,6 +235,8 @@
             let event = callboard::Event::Peers { hubs: hubs.clone(), others: others.clone() };
             let effects = self.board.step(now, event);
             self.board_did(now, effects);
+            let own = (self.own.part == Part::Prompter).then_some(self.own.place);
+            let hubs = own.into_iter().chain(hubs).collect();
             let effects = self.cast.step(now, cast::Event::Peers { hubs, others });
             self.cast_did(effects);
             self.happened.push_back(Happened::Peers);
--- /dev/null
+++ b/tests/system/mod.rs
@@ -0,0 +1,157 @@
+//! Stories of a gateway that hosts the decisions for one service of the whole system.
+
+use garnetdoor::host::*;
+
+use test_case::test_case;
+
+use crate::fake::{MS, S, Story, news, server};
+
+fn fleet(count: u32) -> Vec<Listing> {
+    (0..count).map(|id| server(id, 1)).collect()
+}
+
+/// The settings of two profiles, the second as given.
+fn two(second: &[(&str, &str)]) -> Settings {
+    let first = [("classes.count", "2"), ("classes.0.on_time", "0.5"), ("classes.0.repeat", "safe")];
+    first.iter().chain(second).copied().collect()
+}
+
+#[test]
+fn profiles_come_and_go_in_life_and_leave_no_memory() {
+    let mut story = Story::new(&[], fleet(4));
+    story.run(20, 2, &[], 0, Ending::Finished);
+    story.gate.settings_changed(two(&[("policy_limits.try_limit", "2"), ("classes.1.repeat", "safe")]));
+    let ticket = story.ticket(1);
+    story.ends(ticket, 0, 10 * MS, Ending::Error);
+    assert_eq!(story.trips(ticket).len(), 2, "what could not run twice now may");
+    story.pass(21 * S);
+    assert!(story.gate.seen.times.is_empty(), "nothing of profile 2, which is gone, nor of any silent one");
+    let stray = story.ticket(900);
+    story.ends(stray, 0, 10 * MS, Ending::Error);
+    assert_eq!(story.answers(stray), ["forfeited"], "of a profile that is not listed nothing is promised");
+}
+
+/// Servers 0 to 4 of build 1, 100 to 109 of build 2 and 200 of build 3.
+fn builds() -> Vec<Listing> {
+    let of = |id| server(id, id / 100 + 1);
+    (0..5).chain(100..110).chain([200]).map(of).collect()
+}
+
+const ORDER: &[(&str, &str)] = &[("domain.exposure_since", "order"), ("domain.exposure_caps", "0")];
+
+#[test]
+fn all_since_the_order_counts_against_the_cap_and_a_new_order_begins_anew() {
+    let mut story = Story::new(ORDER, builds());
+    let trial = |story: &Story| (100..110).map(|id| story.sent_to(id)).sum::<usize>();
+    story.run(50, 0, &[], 0, Ending::Finished);
+    assert_eq!(trial(&story), 0, "no order yet: what came before it gives no room");
+    story.gate.news_came(news(2, 1, Phase::OnTrial, 0.1));
+    for quiet in [0, 60 * S, 600 * S] {
+        story.pass(quiet);
+        story.gate.news_came(news(2, 1, Phase::OnTrial, 0.1));
+        story.run(100, 0, &[], 0, Ending::Finished);
+    }
+    // 3 are free for the whole trial, not for each while.
+    assert!((28..=33).contains(&trial(&story)), "{}", trial(&story));
+    story.gate.news_came(news(2, 1, Phase::Withdrawn, 0.0));
+    story.run(50, 0, &[], 0, Ending::Finished);
+    assert!(trial(&story) <= 33, "nothing goes to a build that is withdrawn");
+    story.gate.news_came(news(2, 1, Phase::OnTrial, 0.1));
+    story.run(100, 0, &[], 0, Ending::Finished);
+    assert!((38..=46).contains(&trial(&story)), "{}", trial(&story));
+    assert_eq!(story.sent_to(200), 0, "nor to one that no order ever named");
+}
+
+const BUDGET: &[(&str, &str)] = &[
+    ("policy_limits.retry_ratio", "0.1"),
+    ("policy_limits.retry_slack", "1.5"),
+    ("policy_limits.retry_window", "30"),
+];
+
+/// The times of tickets taken and of trips after a ticket's first, in `count` tickets whose trips end so.
+fn asked(ending: Ending, pause: impl Fn(usize) -> Micros, count: usize) -> [Vec<Micros>; 2] {
+    let mut story = Story::new(BUDGET, fleet(8));
+    let [mut taken, mut further] = [Vec::new(), Vec::new()];
+    for round in 0..count {
+        story.pass(pause(round));
+        let now = story.read(|book| book.now);
+        let ticket = story.ticket(0);
+        taken.push(now);
+        (0..4).for_each(|trip| story.ends(ticket, trip, MS, ending));
+        let again = story.trips(ticket).len().saturating_sub(1);
+        further.extend(std::iter::repeat_n(now, again));
+        story.gate.client_left(TicketId(ticket));
+    }
+    [taken, further]
+}
+
+#[test_case(|_| 100 * MS; "an even stream")]
+#[test_case(|n| if n % 40 == 0 { 20 * S } else { 20 * MS }; "bursts")]
+fn further_trips_in_a_window_keep_to_the_platforms_budget(pause: fn(usize) -> Micros) {
+    let [taken, further] = asked(Ending::Error, pause, 600);
+    let within =
+        |times: &[Micros], end: Micros| times.iter().filter(|t| (end - 30 * S..=end).contains(t)).count();
+    for end in &further {
+        let (more, all) = (within(&further, *end), within(&taken, *end));
+        assert!(more as f64 <= 0.1 * all as f64 + 1.5, "{more} beside {all}");
+    }
+    assert!(further.len() >= 55, "it is used: {}", further.len());
+}
+
+#[test]
+fn a_trip_that_never_reached_a_server_leaves_the_budget_as_it_is() {
+    let [_, further] = asked(Ending::ConnectFailed, |_| 100 * MS, 50);
+    assert!(further.len() >= 50, "each ticket goes to another server: {}", further.len());
+}
+
+#[test]
+fn each_profile_has_its_own_limit_of_trips_and_an_upload_never_runs_twice() {
+    let mine = [("classes.0.try_limit", "2"), ("classes.1.repeat", "upload"), ("classes.1.try_limit", "3")];
+    let mut story = Story::new(&mine, fleet(8));
+    story.run(30, 2, &[], 0, Ending::Finished);
+    let mut trips = |profile, ending| {
+        let ticket = story.ticket(profile);
+        for trip in 0..4 {
+            story.ends(ticket, trip, MS, ending);
+        }
+        (story.trips(ticket).len(), story.answers(ticket)[0])
+    };
+    assert_eq!(trips(0, Ending::Error), (2, "turned back"));
+    assert_eq!(trips(1, Ending::Full), (3, "turned back"));
+    for may_have_run in [Ending::Reset, Ending::TimedOut, Ending::Error, Ending::Stopped] {
+        assert_eq!(trips(1, may_have_run), (1, "forfeited"), "{may_have_run:?}");
+    }
+}
+
+#[test]
+fn in_scarcity_the_lower_rank_is_turned_back_first_whatever_it_is_worth() {
+    let ranks = [("classes.0.rank", "2"), ("classes.1.rank", "0"), ("classes.1.worth", "0.01")];
+    let mut story = Story::new(&ranks, fleet(4));
+    let everyone: Vec<u32> = (0..4).collect();
+    // Answers take half of the agreed time: between what the last and the first in rank will wait.
+    let turned_back = |story: &mut Story, profile| {
+        let before = story.read(|book| book.answers.len());
+        story.run(40, profile, &everyone, 260 * MS, Ending::Finished);
+        story.read(|book| book.answers.len()) - before
+    };
+    assert_eq!(turned_back(&mut story, 0), 0, "alone it competes with nobody");
+    assert_eq!(turned_back(&mut story, 1), 0, "the first in rank waits");
+    assert!(turned_back(&mut story, 0) >= 20, "beside it the last in rank does not");
+}
+
+#[test]
+fn a_time_to_come_back_is_one_that_the_client_keeps_to() {
+    let share = [("policy_limits.retry_after_share", "0.33"), ("policy_limits.max_retry_after", "5")];
+    let mut story = Story::new(&share, vec![]);
+    let advised = |story: &Story| story.read(|book| *book.advised.last().expect("turned back"));
+    for _ in 0..20 {
+        story.ticket(0);
+        let wait = advised(&story).expect("2 s are left");
+        assert!((320 * MS..=640 * MS).contains(&wait), "{wait}");
+    }
+    story.gate.list_came(fleet(1));
+    let ticket = story.ticket(0);
+    story.pass(1950 * MS);
+    story.ends(ticket, 0, 1950 * MS, Ending::Full);
+    assert_eq!(advised(&story), None, "with nothing left no time is told");
+}
