--- a/crates/playhouse/src/lib.rs
+++ b/crates/playhouse/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod calls;
 pub mod control;
 pub mod floor;
+pub mod demo;
 pub mod foyer;
 pub mod house;
 mod listen;
--- a/crates/playhouse/src/main.rs
+++ b/crates/playhouse/src/main.rs
@@ -5,7 +5,7 @@
 
 use clap::{Parser, Subcommand};
 use playhouse::settings::Settings;
-use playhouse::{foyer, prompter};
+use playhouse::{demo, foyer, prompter};
 
 /// garnetdoor as a fleet: foyers carry the traffic, prompters serve control.
 #[derive(Parser)]
@@ -26,6 +26,8 @@
     Prompter,
     /// Read the settings file and print what holds, or each fault.
     Check,
+    /// Show the whole system at work on loopback, with stand-ins of all that is around it.
+    Demo(demo::Line),
 }
 
 fn main() -> ExitCode {
@@ -42,15 +44,16 @@
 }
 
 fn run(verb: Verb) -> Result<(), Box<dyn std::error::Error>> {
-    let settings = Rc::new(Settings::read(&Settings::path()?)?);
+    let settings = || Settings::read(&Settings::path()?).map(Rc::new);
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let local = tokio::task::LocalSet::new();
     match verb {
-        Verb::Foyer => local.block_on(&runtime, foyer::run(settings)),
-        Verb::Prompter => local.block_on(&runtime, prompter::run(settings)),
+        Verb::Foyer => local.block_on(&runtime, foyer::run(settings()?)),
+        Verb::Prompter => local.block_on(&runtime, prompter::run(settings()?)),
         Verb::Check => {
-            println!("{settings:#?}");
+            println!("{:#?}", settings()?);
             Ok(())
         }
+        Verb::Demo(line) => local.block_on(&runtime, demo::run(line)),
     }
 }
