--- a/crates/playhouse/src/lib.rs
+++ b/crates/playhouse/src/lib.rs
@@ -3,8 +3,8 @@
 
 pub mod calls;
 pub mod control;
-pub mod floor;
 pub mod demo;
+pub mod floor;
 pub mod foyer;
 pub mod house;
 mod listen;
