--- a/crates/playhouse/src/demo/mod.rs
+++ b/crates/playhouse/src/demo/mod.rs
@@ -34,8 +34,8 @@
 const LONG: Duration = Duration::from_secs(20);
 /// After the seconds asked for, roll-outs under way are waited for this long.
 const LAST_WAIT: Duration = Duration::from_secs(20);
-/// What a roll-out may take. Instances on trial are judged from 5 s after their start, so a much shorter one would be
-/// over before anything was known of them.
+/// What a roll-out may take. Times of instances on trial are judged from 5 s after their start, so a much shorter one
+/// would be over before they were known.
 const PERIOD: Duration = Duration::from_secs(12);
 /// Of its answers, a bad version fails this share.
 const BAD: f64 = 0.6;
