--- /dev/null
+++ b/crates/cue/src/lib.rs
@@ -0,0 +1,128 @@
+//! Cue (the decisions' settings for one service): from the operators' routes, the rules' bounds and what is
+//! known of the fleet, in the words of `garnetdoor`'s settings. No I/O. Each value that is chosen here stands
+//! with its reason; the others follow from the settings file or the configuration.
+
+use bill::{Bill, Kind};
+use garnetdoor::host::{Micros, Settings};
+use indexmap::IndexMap;
+use props::{MS, SECOND};
+
+/// Clients heed a time to come back up to a third of what they have left; longer ones are cut there, and this
+/// is the longest where much is left: a few answers' time, so that those turned back come again spread.
+const COME_BACK: Micros = 300 * MS;
+/// Of the time left, as above, with a little less for the way.
+const COME_BACK_SHARE: f64 = 0.3;
+/// Of what an instance can do while it says that it is slow. Its warm-up tells for how long, not how slow; half
+/// is a middle between nothing and all, and its own answers soon tell more.
+const COLD_FROM: f64 = 0.5;
+/// Within this a cold instance gets its part of the finished work: a few answers of any service.
+const FALL: Micros = 3 * SECOND;
+/// Idle connections are kept for so long, as the pool keeps them.
+const IDLE_CLOSE: Micros = 4 * SECOND;
+/// A vote back that is not renewed for so long stands no more: three of the rounds in which foyers tell.
+pub const VOTE_LIFE: Micros = 3 * SECOND;
+/// How long the way of a vote to the prompters takes at most in calm.
+const VOTE_WAIT: Micros = 400 * MS;
+/// Of the slack for exposure, this part is spent by all foyers together; the rest is for what is under way
+/// when a verdict comes, and for foyers that began anew.
+const FREE_PART: f64 = 0.25;
+/// What a crossing of zones adds to a server's cost, over 8: half as much again. A zone near by is worth a
+/// shorter queue here, but not one twice as long there.
+const CROSSING: f64 = 0.0625;
+
+/// The rules' bounds that bind a foyer's decisions.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Bounds {
+    pub retry_ratio: f64,
+    pub retry_slack: f64,
+    pub retry_window: Micros,
+    pub exposure_slack: f64,
+}
+
+/// What is known of the fleet, and of this foyer in it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Fleet {
+    pub foyers: usize,
+    pub index: usize,
+    /// The longest warm-up that an instance has told of.
+    pub warmup: Micros,
+    /// All zones, and the number of the own one.
+    pub zones: Vec<String>,
+    pub zone: usize,
+    /// This foyer's part of a whole that all share, for 1.
+    pub part: f64,
+}
+
+/// Routes by the numbers that the decisions know them by. A number stays with a route; one whose kind has
+/// changed gets another, since what ran before was of another kind.
+#[derive(Clone, Debug, Default)]
+pub struct Profiles(IndexMap<(String, bool), ()>);
+
+impl Profiles {
+    pub fn number(&self, route: &str, kind: Kind) -> Option<usize> {
+        self.0.get_index_of(&(route.to_owned(), kind.may_repeat()))
+    }
+
+    pub fn route(&self, number: usize) -> Option<&str> {
+        self.0.get_index(number).map(|((route, _), ())| route.as_str())
+    }
+}
+
+/// The settings of one service's decisions. `settled`: this foyer was up before the trial under way began;
+/// one that began later does not know what an earlier life sent, and takes nothing of the slack.
+pub fn settings(
+    service: &str, bounds: &Bounds, bill: &Bill, fleet: &Fleet, settled: bool, profiles: &mut Profiles,
+) -> Settings {
+    let seconds = |span: Micros| format!("{:.6}", span as f64 / 1e6);
+    let mut pairs: Vec<(String, String)> = Vec::new();
+    let mut tries = 1;
+    for route in bill.routes.values() {
+        if !route.targets.iter().any(|target| &*target.service == service) {
+            continue;
+        }
+        let safe = route.kind.may_repeat();
+        let (number, _) = profiles.0.insert_full((route.name.to_string(), safe), ());
+        let mut class = |what: &str, value: String| pairs.push((format!("classes.{number}.{what}"), value));
+        class("repeat", if safe { "safe" } else { "unsafe" }.to_owned());
+        class("on_time", seconds(route.aim));
+        class("rank", route.rank.to_string());
+        class("try_limit", route.attempts.to_string());
+        tries = tries.max(route.attempts);
+    }
+    let mut set = |name: &str, value: String| pairs.push((name.to_owned(), value));
+    let foyers = fleet.foyers.max(1) as f64;
+    set("classes.count", profiles.0.len().to_string());
+    set("areas", fleet.zones.join(","));
+    set("zone", fleet.zone.to_string());
+    set("index", fleet.index.to_string());
+    set("fleet_size", foyers.to_string());
+    set("prices.cross_zone", CROSSING.to_string());
+    set("policy_limits.try_limit", tries.to_string());
+    set("policy_limits.retry_after", "true".to_owned());
+    set("policy_limits.max_retry_after", seconds(COME_BACK));
+    set("policy_limits.retry_after_share", COME_BACK_SHARE.to_string());
+    // The whole here: each foyer's part is kept by the purse, which the host asks.
+    set("policy_limits.retry_ratio", bounds.retry_ratio.to_string());
+    set("policy_limits.retry_slack", bounds.retry_slack.to_string());
+    set("policy_limits.retry_window", seconds(bounds.retry_window));
+    set("policy_limits.idle_close", seconds(IDLE_CLOSE));
+    set("safety.cold", seconds(fleet.warmup));
+    set("safety.cold_from", COLD_FROM.to_string());
+    set("safety.fall", seconds(FALL));
+    // The verdict is the control plane's; these only set how high one foyer's statistic stands.
+    set("domain.gate_mode", "share".to_owned());
+    set("domain.ayes_needed", (foyers / 2.0).ceil().to_string());
+    set("domain.noes_needed", (foyers / 4.0).ceil().to_string());
+    set("domain.exposure_caps", "0".to_owned());
+    set("domain.exposure_since", "order".to_owned());
+    set("domain.zones_near", "true".to_owned());
+    set("domain.young_err", "true".to_owned());
+    set("domain.late_counts", "true".to_owned());
+    let free = if settled { bounds.exposure_slack * FREE_PART * fleet.part } else { 0.0 };
+    set("domain.free", free.to_string());
+    set("domain.vote_wait", seconds(VOTE_WAIT));
+    set("domain.vote_life", seconds(VOTE_LIFE));
+    // Votes go by datagram, each foyer once a second: no call is scarce.
+    set("domain.votes_per_s", "1000".to_owned());
+    pairs.into_iter().collect()
+}
--- a/crates/playhouse/src/floor/desk.rs
+++ b/crates/playhouse/src/floor/desk.rs
@@ -7,6 +7,7 @@
 use std::rc::Rc;
 
 use bill::{Bill, Kind};
+use cue::{Bounds, Fleet, Profiles, VOTE_LIFE};
 use cast::{InstanceId, State};
 use garnetdoor::balance::Balance;
 use garnetdoor::host::{
@@ -14,10 +15,10 @@
     Settings as Given, StageNo, TicketId, TripNo, Vote, Wake, ZoneId,
 };
 use indexmap::IndexMap;
-use props::{MS, Micros, SECOND};
+use props::Micros;
+use purse::Purse;
 use script::{Rollout, Tally, Voice};
 
-use crate::settings::Settings;
 
 /// What the decisions have asked for.
 #[derive(Debug)]
@@ -38,6 +39,8 @@
     now: Rc<Cell<Micros>>,
     judged: Rc<RefCell<Judged>>,
     asked: Rc<RefCell<VecDeque<Do>>>,
+    purse: Rc<RefCell<Purse>>,
+    service: Rc<str>,
 }
 
 impl Hand {
@@ -74,6 +77,9 @@
     fn ask_list(&mut self) {}
     fn follow_list(&mut self, _on: bool) {}
     fn close_idle(&mut self, _server: ServerId) {}
+    fn may_go_further(&self) -> bool {
+        self.purse.borrow_mut().may_known(self.now.get(), &self.service)
+    }
     fn judged(&mut self, build: BuildNo, profile: ProfileId, failed: bool) {
         let mut judged = self.judged.borrow_mut();
         let entry = judged.entry((build, profile)).or_default();
@@ -91,8 +97,6 @@
     pub address: SocketAddrV4,
 }
 
-/// A vote back that is not renewed for so long stands no more: as `domain.vote_life` below.
-const VOTE_LIFE: Micros = 3 * SECOND;
 /// Routes told of in one vote.
 const ROUTES_MOST: usize = 16;
 
@@ -103,7 +107,8 @@
     pub service: Rc<str>,
     given: Given,
     servers: IndexMap<InstanceId, Seen>,
-    profiles: IndexMap<String, ()>,
+    profiles: Profiles,
+    bounds: Bounds,
     told: Option<(u32, Phase)>,
     /// The trial that is known, since when, and the last vote on it, with its moment.
     trial: Option<(u32, Micros)>,
@@ -113,26 +118,23 @@
     zones: Vec<String>,
 }
 
-/// What settings follow from beside the configuration.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Fleet {
-    pub foyers: usize,
-    pub index: usize,
-    /// The longest warm-up that an instance has told of.
-    pub warmup: Micros,
-}
-
 impl Desk {
     /// `now` is the time, set by whoever drives the desk; `seed` moves what the decisions leave to chance.
     pub fn start(
-        service: &str, now: Rc<Cell<Micros>>, settings: &Settings, bill: &Bill, fleet: Fleet, seed: u64,
+        service: &str, now: Rc<Cell<Micros>>, bounds: Bounds, purse: Rc<RefCell<Purse>>, bill: &Bill,
+        fleet: &Fleet, seed: u64,
     ) -> Desk {
         let asked = Rc::new(RefCell::new(VecDeque::new()));
         let judged: Rc<RefCell<Judged>> = Rc::default();
-        let hand = Hand { now: now.clone(), judged: judged.clone(), asked: asked.clone() };
-        let zones: Vec<String> = settings.zones.keys().cloned().collect();
-        let mut profiles = IndexMap::new();
-        let given = given(service, settings, bill, fleet, &mut profiles);
+        let hand = Hand {
+            now: now.clone(),
+            judged: judged.clone(),
+            asked: asked.clone(),
+            purse,
+            service: service.into(),
+        };
+        let mut profiles = Profiles::default();
+        let given = cue::settings(service, &bounds, bill, fleet, false, &mut profiles);
         Desk {
             now,
             balance: Balance::start(hand, seed, given.clone()),
@@ -141,25 +143,26 @@
             given,
             servers: IndexMap::new(),
             profiles,
+            bounds,
             told: None,
             trial: None,
             voted: None,
             judged,
-            zones,
+            zones: fleet.zones.clone(),
         }
     }
 
     /// The configuration, or what is known of the fleet, has changed.
-    pub fn bill_changed(&mut self, settings: &Settings, bill: &Bill, fleet: Fleet) {
-        let given = given(&self.service, settings, bill, fleet, &mut self.profiles);
+    pub fn bill_changed(&mut self, bill: &Bill, fleet: &Fleet, settled: bool) {
+        let given = cue::settings(&self.service, &self.bounds, bill, fleet, settled, &mut self.profiles);
         if given != self.given {
             self.given = given.clone();
             self.balance.settings_changed(given);
         }
     }
 
-    pub fn profile(&self, route: &str) -> Option<ProfileId> {
-        self.profiles.get_index_of(route).map(ProfileId)
+    pub fn profile(&self, route: &str, kind: Kind) -> Option<ProfileId> {
+        self.profiles.number(route, kind).map(ProfileId)
     }
 
     pub fn server(&self, server: ServerId) -> Option<&Seen> {
@@ -248,7 +251,7 @@
         };
         let mut routes: IndexMap<usize, Tally> = IndexMap::new();
         for ((build, profile), (count, failed)) in self.judged.borrow().iter() {
-            let Some((name, ())) = self.profiles.get_index(profile.0) else { continue };
+            let Some(name) = self.profiles.route(profile.0) else { continue };
             let fresh = || Tally { route: named(name), ..Tally::default() };
             let tally = routes.entry(profile.0).or_insert_with(fresh);
             if build.0 == number {
@@ -269,57 +272,3 @@
     route.bytes().fold(0x811c_9dc5, |hash, byte| (hash ^ u32::from(byte)).wrapping_mul(0x0100_0193))
 }
 
-/// The decisions' settings for one service: its routes as profiles, by numbers that stay.
-fn given(
-    service: &str, settings: &Settings, bill: &Bill, fleet: Fleet, profiles: &mut IndexMap<String, ()>,
-) -> Given {
-    let bounds = &settings.timer_bounds;
-    let foyers = fleet.foyers.max(1) as f64;
-    let seconds = |span: Micros| format!("{:.6}", span as f64 / 1e6);
-    let mut pairs: Vec<(String, String)> = Vec::new();
-    let mut tries = 1;
-    for route in bill.routes.values() {
-        if !route.targets.iter().any(|target| &*target.service == service) {
-            continue;
-        }
-        let (number, _) = profiles.insert_full(route.name.to_string(), ());
-        let mut class = |what: &str, value: String| pairs.push((format!("classes.{number}.{what}"), value));
-        class("repeat", if route.kind == Kind::Safe { "safe" } else { "unsafe" }.to_owned());
-        class("on_time", seconds(route.aim));
-        class("rank", route.rank.to_string());
-        class("try_limit", route.attempts.to_string());
-        class("worth", "1".to_owned());
-        tries = tries.max(route.attempts);
-    }
-    let zone = settings.zones.keys().position(|zone| *zone == settings.zone).unwrap_or(0);
-    let areas: Vec<&str> = settings.zones.keys().map(String::as_str).collect();
-    let mut set = |name: &str, value: String| pairs.push((name.to_owned(), value));
-    set("classes.count", profiles.len().to_string());
-    set("areas", areas.join(","));
-    set("zone", zone.to_string());
-    set("index", fleet.index.to_string());
-    set("fleet_size", foyers.to_string());
-    set("policy_limits.try_limit", tries.to_string());
-    set("policy_limits.retry_after", "true".to_owned());
-    set("policy_limits.max_retry_after", seconds(300 * MS));
-    set("policy_limits.retry_ratio", bounds.retry_budget_ratio.to_string());
-    set("policy_limits.retry_slack", (bounds.retry_budget_slack / 2.0 / foyers).to_string());
-    set("policy_limits.retry_window", bounds.retry_window_s.to_string());
-    set("policy_limits.idle_close", "4".to_owned());
-    set("safety.cold", seconds(fleet.warmup));
-    set("safety.cold_from", "0.5".to_owned());
-    set("safety.fall", "3".to_owned());
-    set("domain.gate_mode", "share".to_owned());
-    set("domain.ayes_needed", (foyers / 2.0).ceil().to_string());
-    set("domain.noes_needed", (foyers / 4.0).ceil().to_string());
-    set("domain.exposure_caps", "0".to_owned());
-    set("domain.exposure_since", "order".to_owned());
-    set("domain.zones_near", "true".to_owned());
-    set("domain.young_err", "true".to_owned());
-    set("domain.exposure_window", "60".to_owned());
-    set("domain.free", (bounds.exposure_slack / 4.0 / foyers).to_string());
-    set("domain.vote_wait", "0.4".to_owned());
-    set("domain.vote_life", "3".to_owned());
-    set("domain.votes_per_s", "1000".to_owned());
-    pairs.into_iter().collect()
-}
--- a/crates/playhouse/src/floor/mod.rs
+++ b/crates/playhouse/src/floor/mod.rs
@@ -3,7 +3,7 @@
 
 pub mod desk;
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, HashMap};
 use std::rc::Rc;
@@ -16,10 +16,15 @@
 use props::{Micros, Place, SECOND};
 
 use crate::house::{Happened, House, Word};
-use crate::settings::Settings;
-use desk::{Desk, Do, Fleet, Seen};
+use crate::settings::{Settings, micros};
+use cue::{Bounds, Fleet};
+use desk::{Desk, Do, Seen};
+use purse::{Party, Purse};
+
 
 const VOTES_EVERY: Micros = SECOND;
+/// A foyer that has been up for less when a roll-out comes may have had an earlier life that served in it.
+const SETTLED: Micros = 5 * SECOND;
 /// Connections to one instance where its service says nothing of how many it takes.
 const CONNECTIONS_UNTOLD: usize = 8;
 
@@ -105,6 +110,11 @@
     next_wake: u64,
     open: BTreeMap<TicketId, Open>,
     fleet: Fleet,
+    bounds: Bounds,
+    purse: Rc<RefCell<Purse>>,
+    /// How many foyers were known over time, for this one's part of what is shared.
+    party: Party,
+    began: Micros,
     votes_due: Micros,
     seed: u64,
     leaving: bool,
@@ -113,6 +123,16 @@
 
 impl Floor {
     pub fn start(house: House, settings: Rc<Settings>, seed: u64, now: Micros) -> Floor {
+        let bounds = &settings.timer_bounds;
+        let bounds = Bounds {
+            retry_ratio: bounds.retry_budget_ratio,
+            retry_slack: bounds.retry_budget_slack,
+            retry_window: micros(bounds.retry_window_s),
+            exposure_slack: bounds.exposure_slack,
+        };
+        let zones: Vec<String> = settings.zones.keys().cloned().collect();
+        let zone = zones.iter().position(|zone| *zone == settings.zone).unwrap_or(0);
+        let purse = Purse::new(bounds.retry_ratio, bounds.retry_slack, bounds.retry_window);
         Floor {
             house,
             now: Rc::new(Cell::new(now)),
@@ -123,7 +143,11 @@
             waking: HashMap::new(),
             next_wake: 0,
             open: BTreeMap::new(),
-            fleet: Fleet { foyers: 1, index: 0, warmup: 0 },
+            fleet: Fleet { foyers: 1, index: 0, warmup: 0, zones, zone, part: 0.0 },
+            bounds,
+            purse: Rc::new(RefCell::new(purse)),
+            party: Party::default(),
+            began: now,
             votes_due: now,
             seed,
             leaving: false,
@@ -217,22 +241,27 @@
         foyers.push(self.house.own.place);
         foyers.sort_unstable();
         let index = foyers.iter().position(|place| *place == self.house.own.place).unwrap_or(0);
-        self.fleet = Fleet { foyers: foyers.len(), index, warmup: self.fleet.warmup };
+        (self.fleet.foyers, self.fleet.index) = (foyers.len(), index);
+        self.party.note(now, foyers.len());
+        self.fleet.part = self.party.part(now, 1.0);
+        self.purse.borrow_mut().foyers(now, foyers.len());
         self.bill = self.house.script.bill().cloned();
         let Some(bill) = self.bill.clone() else { return };
         let cap = self.settings.timer_bounds.exposure_share;
         for service in bill.services.keys() {
             if !self.desks.contains_key(&**service) {
                 self.seed = self.seed.wrapping_add(0x9e37_79b9_7f4a_7c15);
+                let (clock, purse) = (self.now.clone(), self.purse.clone());
                 let desk =
-                    Desk::start(service, self.now.clone(), &self.settings, &bill, self.fleet, self.seed);
+                    Desk::start(service, clock, self.bounds, purse, &bill, &self.fleet, self.seed);
                 self.desks.insert((&**service).into(), desk);
             }
         }
         for service in self.desks.keys().cloned().collect::<Vec<_>>() {
             let Some(desk) = self.desks.get_mut(&service) else { continue };
-            desk.bill_changed(&self.settings, &bill, self.fleet);
             let rollout = self.house.script.rollouts.get(&*service);
+            let settled = rollout.is_some_and(|rollout| rollout.since - self.began >= SETTLED);
+            desk.bill_changed(&bill, &self.fleet, settled);
             for known in self.house.cast.records().filter(|known| *known.service == *service) {
                 desk.instance(known, rollout);
             }
@@ -258,11 +287,12 @@
     /// A ticket of a service or route that is not here any more is turned back: it has not run.
     fn came(&mut self, ticket: TicketId, service: &str, route: &str, kind: Kind, left: Micros) {
         let found =
-            self.desks.get(service).and_then(|desk| Some((desk.service.clone(), desk.profile(route)?)));
+            self.desks.get(service).and_then(|desk| Some((desk.service.clone(), desk.profile(route, kind)?)));
         let Some((service, profile)) = found else {
             return self.out.push(Out::TurnBack { ticket, wait: None });
         };
         self.open.insert(ticket, Open { service: service.clone(), ended: Vec::new() });
+        self.purse.borrow_mut().request(self.now.get(), &service);
         let arrival = Arrival {
             profile,
             cost: None,
@@ -344,6 +374,9 @@
         let share = |most: u32| (most as usize / (self.fleet.foyers + 1)).max(1);
         let connections = most.map_or(CONNECTIONS_UNTOLD, |service| share(service.max_connections));
         let trip = TripNo(open.ended.len() as u32);
+        if trip.0 > 0 {
+            self.purse.borrow_mut().spent(self.now.get(), service);
+        }
         open.ended.push(false);
         self.out.push(Out::Trip { ticket, trip, to, until, connections });
     }
--- a/crates/purse/src/lib.rs
+++ b/crates/purse/src/lib.rs
@@ -58,6 +58,11 @@
     /// nothing: `spent` does.
     pub fn may(&mut self, now: Micros, service: &str, foyers: usize) -> bool {
         self.foyers(now, foyers);
+        self.may_known(now, service)
+    }
+
+    /// The same, with as many foyers as were told last.
+    pub fn may_known(&mut self, now: Micros, service: &str) -> bool {
         let settled = self.born.is_some_and(|born| now - born >= self.span + SETTLING);
         let slack = if settled { self.party.part(now, self.slack) } else { 0.0 };
         let ratio = self.ratio;
--- a/src/balance/choice.rs
+++ b/src/balance/choice.rs
@@ -58,7 +58,8 @@
         let profile = ticket.arrival.profile;
         let further = !ticket.trips.is_empty();
         let draws = self.draws(ticket);
-        let again = self.effect_allows(ticket, None) && (!draws || self.retry_room());
+        let room = || self.host.may_go_further() && self.retry_room();
+        let again = self.effect_allows(ticket, None) && (!draws || room());
         let most = self.terms.class(profile).try_limit.unwrap_or(self.terms.try_limit);
         if ticket.trips.len() >= most || !again {
             return false;
@@ -81,7 +82,8 @@
             }
         }
         let aim = self.terms.class(profile).on_time;
-        let left = (ticket.came + aim.min(ticket.arrival.left)) - now;
+        let counts = if further && self.terms.late_counts { Micros::MAX } else { aim };
+        let left = (ticket.came + counts.min(ticket.arrival.left)) - now;
         let most = left as f64 * self.patience(&view, profile);
         let pressure = self.pressure();
         let lately = view.zones.keys().filter_map(|z| Some((*z, pressure(*z)? * aim as f64)));
--- a/src/host.rs
+++ b/src/host.rs
@@ -215,6 +215,10 @@
     fn follow_list(&mut self, on: bool);
     /// Closes the idle connections to a server.
     fn close_idle(&mut self, server: ServerId);
+    /// Whether this gateway's part of what all may spend on further trips has room for one more.
+    fn may_go_further(&self) -> bool {
+        true
+    }
     /// An outcome has been judged as evidence on a build, for hosts that tell others of it.
     fn judged(&mut self, _build: BuildNo, _profile: ProfileId, _failed: bool) {}
     /// Writes a line to the log.
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -104,6 +104,8 @@
     pub zones_near: bool,
     /// Errors of machines on trial that are young count; only their times don't.
     pub young_err: bool,
+    /// A late answer is worth something: a further trip has until the client gives up.
+    pub late_counts: bool,
     /// The first stage's cap.
     pub first_cap: f64,
     pub free: f64,
@@ -162,6 +164,7 @@
             exposure_since_order: is("domain.exposure_since", "order"),
             zones_near: on("domain.zones_near"),
             young_err: on("domain.young_err"),
+            late_counts: on("domain.late_counts"),
             first_cap: settings
                 .items("domain.exposure_caps")
                 .first()
