--- a/crates/playhouse/src/floor/desk.rs
+++ b/crates/playhouse/src/floor/desk.rs
@@ -7,8 +7,8 @@
 use std::rc::Rc;
 
 use bill::{Bill, Kind};
-use cue::{Bounds, Fleet, Profiles, VOTE_LIFE};
 use cast::{InstanceId, State};
+use cue::{Bounds, Fleet, Profiles, VOTE_LIFE};
 use garnetdoor::balance::Balance;
 use garnetdoor::host::{
     BuildNo, CellId, Condition, GatewayId, Host, KindId, Listing, News, Phase, ProfileId, ServerId,
@@ -19,7 +19,6 @@
 use purse::Purse;
 use script::{Rollout, Tally, Voice};
 
-
 /// What the decisions have asked for.
 #[derive(Debug)]
 pub(super) enum Do {
@@ -271,4 +270,3 @@
 fn named(route: &str) -> u32 {
     route.bytes().fold(0x811c_9dc5, |hash, byte| (hash ^ u32::from(byte)).wrapping_mul(0x0100_0193))
 }
-
--- a/crates/playhouse/src/floor/mod.rs
+++ b/crates/playhouse/src/floor/mod.rs
@@ -21,7 +21,6 @@
 use desk::{Desk, Do, Seen};
 use purse::{Party, Purse};
 
-
 const VOTES_EVERY: Micros = SECOND;
 /// A foyer that has been up for less when a roll-out comes may have had an earlier life that served in it.
 const SETTLED: Micros = 5 * SECOND;
@@ -252,8 +251,7 @@
             if !self.desks.contains_key(&**service) {
                 self.seed = self.seed.wrapping_add(0x9e37_79b9_7f4a_7c15);
                 let (clock, purse) = (self.now.clone(), self.purse.clone());
-                let desk =
-                    Desk::start(service, clock, self.bounds, purse, &bill, &self.fleet, self.seed);
+                let desk = Desk::start(service, clock, self.bounds, purse, &bill, &self.fleet, self.seed);
                 self.desks.insert((&**service).into(), desk);
             }
         }
--- a/src/balance/choice.rs
+++ b/src/balance/choice.rs
@@ -132,9 +132,8 @@
         }
         self.chance = chance;
         let Some(((.., too_late), _, chosen)) = cheapest else { return false };
-        // A ticket that can't be in time only delays others. It is a failure of the build, else a slow one
-        // would hide behind its turn-backs; but once between two answers, since they come in runs, and only
-        // where the server has answered lately and is not the build's only one.
+        // A ticket that can't be in time only delays others. It is a failure of the build, else a slow one hides
+        // behind turn-backs; once between two answers, where it answers and is not the build's only server.
         let server = &self.seen.servers[&chosen];
         let Listing { build, started, zone, .. } = server.listing;
         let young = started.is_some_and(|at| now - at < YOUNG);
@@ -172,10 +171,9 @@
         true
     }
 
-    /// Where a gateway's own part of each zone's and build's servers begins, and how large it is: as many as
-    /// its tickets keep a connection to, each gateway's beginning elsewhere, by its number. Guards against a
-    /// handshake for nearly every ticket where hundreds of gateways meet each server seldom. Harm: less even
-    /// loads; a server outside is drawn seldom, but as soon as those inside are slow, out or tried.
+    /// Where a gateway's own part of each zone's and build's servers begins, by its number, and how large it is:
+    /// as many as its tickets keep a connection to. Guards against a handshake for nearly every ticket where
+    /// hundreds of gateways meet each server seldom. Harm: less even loads; those outside are drawn seldom.
     fn own_part(&self, servers: usize) -> (f64, f64) {
         let (Some(index), Some(fleet)) = (self.terms.index, self.terms.fleet_size) else { return (0.0, 1.0) };
         let rests = self.terms.idle_close.unwrap_or(Micros::MAX / 2);
--- a/src/balance/scarcity.rs
+++ b/src/balance/scarcity.rs
@@ -3,6 +3,7 @@
 use super::*;
 
 const JAMMED: f64 = 1.5; // agreed times that a trip without an answer counts for in the pressure
+const RANKED: f64 = 2.0; // times as much is let wait where ranks decide
 const COME_BACK_SPARE: Micros = 20 * MS; // of the time left: an answer is on its way for a while
 const LOST: f64 = 4.0; // of what many answers take, the most that a trip without one counts for as pressure
 
@@ -54,8 +55,8 @@
     }
 
     /// The part of the time left that the expected time may fill before a ticket is turned back: most for the
-    /// profile with most benefit for its time, or its work where that counts, or for the first in rank of
-    /// those seen lately where ranks are given; overload falls on the others.
+    /// profile with most benefit for its time, or its work where that counts, or for the first of the ranks seen
+    /// lately. With ranks a late answer has its worth too, and servers' queues are short: more is let wait.
     pub(super) fn patience(&self, view: &View, profile: ProfileId) -> f64 {
         let worth = |profile: ProfileId| self.terms.class(profile).worth;
         let rank = |profile: &ProfileId| self.terms.class(*profile).rank;
@@ -70,7 +71,7 @@
             let most = densities.fold(f64::MIN_POSITIVE, f64::max);
             view.usual(profile).map(|usual| worth(profile) / usual.max(1) as f64 / most)
         };
-        0.4 + 0.3 * part.unwrap_or(1.0)
+        (0.4 + 0.3 * part.unwrap_or(1.0)) * if rank(&profile).is_some() { RANKED } else { 1.0 }
     }
 
     /// The final answer of a ticket that gets no further trip: turned back where that promises no lie, with a
