--- a/crates/cue/src/lib.rs
+++ b/crates/cue/src/lib.rs
@@ -30,6 +30,12 @@
 /// shorter queue here, but not one twice as long there.
 const CROSSING: f64 = 0.0625;
 
+/// When a client may come again whose request can't be sent anywhere yet: as late as it heeds, so that its few
+/// tries last until something is known here. Guards against clients that use them up while a fleet starts.
+pub fn come_back(left: Micros) -> Micros {
+    (COME_BACK_SHARE * left.max(0) as f64) as Micros
+}
+
 /// The rules' bounds that bind a foyer's decisions.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Bounds {
--- a/crates/playhouse/src/floor/mod.rs
+++ b/crates/playhouse/src/floor/mod.rs
@@ -287,7 +287,8 @@
         let found =
             self.desks.get(service).and_then(|desk| Some((desk.service.clone(), desk.profile(route, kind)?)));
         let Some((service, profile)) = found else {
-            return self.out.push(Out::TurnBack { ticket, wait: None });
+            let wait = Some(cue::come_back(left));
+            return self.out.push(Out::TurnBack { ticket, wait });
         };
         self.open.insert(ticket, Open { service: service.clone(), ended: Vec::new() });
         self.purse.borrow_mut().request(self.now.get(), &service);
--- a/crates/playhouse/src/foyer/front.rs
+++ b/crates/playhouse/src/foyer/front.rs
@@ -138,16 +138,17 @@
         let foyer = shared.borrow();
         (foyer.clock.now(), foyer.floor.bill().cloned())
     };
-    let Some(bill) = bill else { return turned_back(None) };
     let (mut head, mut body) = request.into_parts();
+    let told = head.headers.get(REMAINING_TIME).and_then(|value| value.to_str().ok());
+    let told = told.and_then(|text| text.trim().parse::<f64>().ok()).filter(|left| left.is_finite());
+    let told = told.map(|ms| (ms.clamp(0.0, 1e9) * 1e3) as Micros);
+    let Some(bill) = bill else { return turned_back(Some(cue::come_back(told.unwrap_or(SECOND)))) };
     let host = head.headers.get(header::HOST).and_then(|host| host.to_str().ok());
     let host = host.or_else(|| head.uri.host()).unwrap_or("");
     let Some(route) = bill.route(host, head.uri.path()) else {
         return plain(StatusCode::NOT_FOUND, "{\"Error\":\"no route\"}");
     };
-    let told = head.headers.get(REMAINING_TIME).and_then(|value| value.to_str().ok());
-    let told = told.and_then(|text| text.trim().parse::<f64>().ok()).filter(|left| left.is_finite());
-    let left = told.map_or(route.timeout, |ms| ((ms.clamp(0.0, 1e9)) * 1e3) as Micros).min(route.timeout);
+    let left = told.unwrap_or(route.timeout).min(route.timeout);
     let until = came + left;
     if body.size_hint().lower() > bill.limits.body_bytes {
         return closing(StatusCode::PAYLOAD_TOO_LARGE, "{\"Error\":\"the body is over MaxBodyBytes\"}");
@@ -188,7 +189,7 @@
         streams,
         repeats: route.kind.may_repeat(),
     };
-    let Some(service) = pick(route) else { return turned_back(None) };
+    let Some(service) = pick(route) else { return turned_back(Some(cue::come_back(left))) };
     let (id, told) = shared.borrow_mut().came(shared, service, route, asked, until);
     let _here = Here { shared: shared.clone(), id };
     match told.await {
