--- a/crates/cue/src/lib.rs
+++ b/crates/cue/src/lib.rs
@@ -2,11 +2,15 @@
 //! known of the fleet, in the words of `garnetdoor`'s settings. No I/O. Each value that is chosen here stands
 //! with its reason; the others follow from the settings file or the configuration.
 
+mod part;
+
 use bill::{Bill, Kind};
 use garnetdoor::host::{Micros, Settings};
 use indexmap::IndexMap;
 use props::{MS, SECOND};
 
+pub use part::Share;
+
 /// Clients heed a time to come back up to a third of what they have left; longer ones are cut there, and this
 /// is the longest where much is left: a few answers' time, so that those turned back come again spread.
 const COME_BACK: Micros = 300 * MS;
--- /dev/null
+++ b/crates/cue/src/part.rs
@@ -0,0 +1,44 @@
+//! Part (of the instances): which foyers may hold connections to which instances, where there are not enough for
+//! all. Every foyer works it out alike, from the list of foyers; no messages.
+
+use props::Place;
+
+/// Of the connections that an instance accepts, what foyers use: the rest is for lists that differ between
+/// foyers for a moment, for machines that lost power and for what instances refuse while their queue is long.
+const USED: f64 = 0.85;
+
+/// How many foyers may use one instance, and how many connections each of them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Share {
+    pub foyers: usize,
+    pub connections: usize,
+}
+
+impl Share {
+    /// For an instance that accepts `accepts` connections from all callers together.
+    pub fn of(accepts: u32, foyers: usize) -> Share {
+        let used = ((f64::from(accepts) * USED) as usize).max(1);
+        let foyers = foyers.max(1);
+        Share { foyers: foyers.min(used), connections: (used / foyers).max(1) }
+    }
+
+    /// Whether `own` is among the foyers that may use the instance: those that a hash of both names ranks first.
+    /// A foyer more or less moves only its own places.
+    pub fn mine(&self, own: Place, foyers: &[Place], instance: &str) -> bool {
+        if self.foyers >= foyers.len() {
+            return true;
+        }
+        let rank = |place: Place| (mix(instance, place), place);
+        let first = rank(own);
+        foyers.iter().filter(|place| rank(**place) > first).count() < self.foyers
+    }
+}
+
+/// FNV-1a over both names, with a last stir so that near addresses differ in all bits.
+fn mix(instance: &str, place: Place) -> u64 {
+    let bytes = instance.bytes().chain(place.0.octets());
+    let hash = bytes
+        .fold(0xcbf2_9ce4_8422_2325u64, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3));
+    let hash = (hash ^ (hash >> 33)).wrapping_mul(0xff51_afd7_ed55_8ccd);
+    hash ^ (hash >> 29)
+}
--- a/crates/playhouse/src/floor/desk.rs
+++ b/crates/playhouse/src/floor/desk.rs
@@ -40,6 +40,15 @@
     asked: Rc<RefCell<VecDeque<Do>>>,
     purse: Rc<RefCell<Purse>>,
     service: Rc<str>,
+    room: Rc<RefCell<Room>>,
+}
+
+/// How much may go to each instance from here.
+#[derive(Default)]
+struct Room {
+    /// By the instances' numbers: whether this foyer may use it, and trips that are out there.
+    at: Vec<(bool, usize)>,
+    connections: usize,
 }
 
 impl Hand {
@@ -76,6 +85,10 @@
     fn ask_list(&mut self) {}
     fn follow_list(&mut self, _on: bool) {}
     fn close_idle(&mut self, _server: ServerId) {}
+    fn has_room(&self, _ticket: TicketId, server: ServerId, _build: BuildNo) -> bool {
+        let room = self.room.borrow();
+        room.at.get(server.0 as usize).is_some_and(|(mine, out)| *mine && *out < room.connections)
+    }
     fn may_go_further(&self) -> bool {
         self.purse.borrow_mut().may_known(self.now.get(), &self.service)
     }
@@ -114,6 +127,7 @@
     voted: Option<(u32, Vote, Micros)>,
     /// Outcomes that were judged, by build and profile: how many, and how many failed.
     judged: Rc<RefCell<Judged>>,
+    room: Rc<RefCell<Room>>,
     zones: Vec<String>,
 }
 
@@ -125,12 +139,14 @@
     ) -> Desk {
         let asked = Rc::new(RefCell::new(VecDeque::new()));
         let judged: Rc<RefCell<Judged>> = Rc::default();
+        let room: Rc<RefCell<Room>> = Rc::default();
         let hand = Hand {
             now: now.clone(),
             judged: judged.clone(),
             asked: asked.clone(),
             purse,
             service: service.into(),
+            room: room.clone(),
         };
         let mut profiles = Profiles::default();
         let given = cue::settings(service, &bounds, bill, fleet, false, &mut profiles);
@@ -147,6 +163,7 @@
             trial: None,
             voted: None,
             judged,
+            room,
             zones: fleet.zones.clone(),
         }
     }
@@ -169,7 +186,8 @@
     }
 
     /// Tells the decisions of one instance as it is known now; `None`: of nothing that may get tickets.
-    pub fn instance(&mut self, known: &cast::Known, rollout: Option<&Rollout>) {
+    /// `mine`: this foyer may hold connections to it.
+    pub fn instance(&mut self, known: &cast::Known, rollout: Option<&Rollout>, mine: bool) {
         let build = rollout.and_then(|rollout| rollout.build_of(&known.version));
         let condition = match (build, known.state) {
             (Some(_), State::InService) => Condition::Healthy,
@@ -181,6 +199,12 @@
         }
         let seen = Seen { id: known.id.clone(), address: known.address };
         let (number, _) = self.servers.insert_full(known.id.clone(), seen);
+        {
+            let mut room = self.room.borrow_mut();
+            let most = room.at.len().max(number + 1);
+            room.at.resize(most, (false, 0));
+            room.at[number].0 = mine;
+        }
         let zone = self.zones.iter().position(|zone| *zone == known.zone).unwrap_or(self.zones.len());
         self.balance.list_changed(vec![Listing {
             server: ServerId(number as u32),
@@ -194,6 +218,18 @@
         }]);
     }
 
+    /// Connections that this foyer may hold to each instance that it may use.
+    pub fn connections(&mut self, connections: usize) {
+        self.room.borrow_mut().connections = connections;
+    }
+
+    /// A trip goes out to an instance, or has ended there.
+    pub fn out(&mut self, server: ServerId, more: bool) {
+        if let Some((_, out)) = self.room.borrow_mut().at.get_mut(server.0 as usize) {
+            *out = if more { *out + 1 } else { out.saturating_sub(1) };
+        }
+    }
+
     /// Tells the decisions of the service's roll-out, where that has changed.
     pub fn rollout(&mut self, now: Micros, cap: f64, rollout: &Rollout) {
         let phase = match rollout.state {
--- a/crates/playhouse/src/floor/mod.rs
+++ b/crates/playhouse/src/floor/mod.rs
@@ -17,15 +17,13 @@
 
 use crate::house::{Happened, House, Word};
 use crate::settings::{Settings, micros};
-use cue::{Bounds, Fleet};
+use cue::{Bounds, Fleet, Share};
 use desk::{Desk, Do, Seen};
 use purse::{Party, Purse};
 
 const VOTES_EVERY: Micros = SECOND;
 /// A foyer that has been up for less when a roll-out comes may have had an earlier life that served in it.
 const SETTLED: Micros = 5 * SECOND;
-/// Connections to one instance where its service says nothing of how many it takes.
-const CONNECTIONS_UNTOLD: usize = 8;
 
 /// What a foyer is told.
 #[derive(Debug)]
@@ -95,7 +93,8 @@
 /// A ticket that is open: its service, and which of its trips have ended.
 struct Open {
     service: Rc<str>,
-    ended: Vec<bool>,
+    /// Where each trip went, until it has ended.
+    out: Vec<Option<ServerId>>,
 }
 
 pub struct Floor {
@@ -109,6 +108,8 @@
     next_wake: u64,
     open: BTreeMap<TicketId, Open>,
     fleet: Fleet,
+    /// All foyers that are up, this one too, in order.
+    foyers: Vec<Place>,
     bounds: Bounds,
     purse: Rc<RefCell<Purse>>,
     /// How many foyers were known over time, for this one's part of what is shared.
@@ -143,6 +144,7 @@
             next_wake: 0,
             open: BTreeMap::new(),
             fleet: Fleet { foyers: 1, index: 0, warmup: 0, zones, zone, part: 0.0 },
+            foyers: vec![],
             bounds,
             purse: Rc::new(RefCell::new(purse)),
             party: Party::default(),
@@ -241,6 +243,7 @@
         foyers.sort_unstable();
         let index = foyers.iter().position(|place| *place == self.house.own.place).unwrap_or(0);
         (self.fleet.foyers, self.fleet.index) = (foyers.len(), index);
+        self.foyers.clone_from(&foyers);
         self.party.note(now, foyers.len());
         self.fleet.part = self.party.part(now, 1.0);
         self.purse.borrow_mut().foyers(now, foyers.len());
@@ -260,8 +263,11 @@
             let rollout = self.house.script.rollouts.get(&*service);
             let settled = rollout.is_some_and(|rollout| rollout.since - self.began >= SETTLED);
             desk.bill_changed(&bill, &self.fleet, settled);
+            let share = share(Some(&bill), &service, foyers.len());
+            desk.connections(share.connections);
             for known in self.house.cast.records().filter(|known| *known.service == *service) {
-                desk.instance(known, rollout);
+                let mine = share.mine(self.house.own.place, &foyers, &known.id.0);
+                desk.instance(known, rollout, mine);
             }
             if let Some(rollout) = rollout {
                 desk.rollout(now, cap, rollout);
@@ -277,7 +283,9 @@
             self.fleet.warmup = warmup.min(60 * SECOND);
         }
         let Some(desk) = self.desks.get_mut(known.service.as_str()) else { return };
-        desk.instance(known, self.house.script.rollouts.get(&known.service));
+        let share = share(self.bill.as_deref(), &known.service, self.foyers.len());
+        let mine = share.mine(self.house.own.place, &self.foyers, &known.id.0);
+        desk.instance(known, self.house.script.rollouts.get(&known.service), mine);
         let service = desk.service.clone();
         self.decide(&service, |_| {});
     }
@@ -290,7 +298,7 @@
             let wait = Some(cue::come_back(left));
             return self.out.push(Out::TurnBack { ticket, wait });
         };
-        self.open.insert(ticket, Open { service: service.clone(), ended: Vec::new() });
+        self.open.insert(ticket, Open { service: service.clone(), out: Vec::new() });
         self.purse.borrow_mut().request(self.now.get(), &service);
         let arrival = Arrival {
             profile,
@@ -306,21 +314,22 @@
 
     fn ended(&mut self, ticket: TicketId, trip: TripNo, took: Micros, ending: Ending, over: bool) {
         let Some(open) = self.open.get_mut(&ticket) else { return };
-        match open.ended.get_mut(trip.0 as usize) {
-            Some(ended) if !*ended => *ended = true,
-            _ => return,
-        }
+        let Some(server) = open.out.get_mut(trip.0 as usize).and_then(Option::take) else { return };
         let service = open.service.clone();
-        self.decide(&service, |desk| desk.balance.trip_ended(ticket, trip, took, ending, over, &[]));
+        self.decide(&service, |desk| {
+            desk.out(server, false);
+            desk.balance.trip_ended(ticket, trip, took, ending, over, &[]);
+        });
     }
 
     fn left(&mut self, ticket: TicketId) {
         let Some(open) = self.open.remove(&ticket) else { return };
         self.decide(&open.service, |desk| desk.balance.client_left(ticket));
-        for (number, _) in open.ended.iter().enumerate().filter(|(_, ended)| !**ended) {
+        for (number, server) in open.out.iter().enumerate().filter_map(|(n, out)| Some((n, (*out)?))) {
             let trip = TripNo(number as u32);
             self.out.push(Out::Stop { ticket, trip });
             self.decide(&open.service, |desk| {
+                desk.out(server, false);
                 desk.balance.trip_ended(ticket, trip, 0, Ending::Stopped, true, &[]);
             });
         }
@@ -342,7 +351,7 @@
             Do::Send { ticket, server, until } => self.send(service, ticket, server, until),
             Do::Stop { ticket, trip } => {
                 let open = self.open.get(&ticket);
-                if open.is_some_and(|open| open.ended.get(trip.0 as usize) == Some(&false)) {
+                if open.is_some_and(|open| open.out.get(trip.0 as usize).is_some_and(Option::is_some)) {
                     self.out.push(Out::Stop { ticket, trip });
                     self.ended(ticket, trip, 0, Ending::Stopped, false);
                 }
@@ -367,16 +376,17 @@
     }
 
     fn send(&mut self, service: &Rc<str>, ticket: TicketId, server: ServerId, until: Option<Micros>) {
-        let Some(to) = self.desks.get(service).and_then(|desk| desk.server(server)).cloned() else { return };
-        let Some(open) = self.open.get_mut(&ticket) else { return };
-        let most = self.bill.as_ref().and_then(|bill| bill.services.get(&**service));
-        let share = |most: u32| (most as usize / (self.fleet.foyers + 1)).max(1);
-        let connections = most.map_or(CONNECTIONS_UNTOLD, |service| share(service.max_connections));
-        let trip = TripNo(open.ended.len() as u32);
+        let Some(desk) = self.desks.get_mut(service) else { return };
+        let (Some(to), Some(open)) = (desk.server(server).cloned(), self.open.get_mut(&ticket)) else {
+            return;
+        };
+        desk.out(server, true);
+        let connections = share(self.bill.as_deref(), service, self.fleet.foyers).connections;
+        let trip = TripNo(open.out.len() as u32);
         if trip.0 > 0 {
             self.purse.borrow_mut().spent(self.now.get(), service);
         }
-        open.ended.push(false);
+        open.out.push(Some(server));
         self.out.push(Out::Trip { ticket, trip, to, until, connections });
     }
 
@@ -394,3 +404,9 @@
         }
     }
 }
+
+/// What each foyer may use of a service's instances; one connection where the configuration has no such service.
+fn share(bill: Option<&Bill>, service: &str, foyers: usize) -> Share {
+    let accepts = bill.and_then(|bill| bill.services.get(service)).map_or(1, |found| found.max_connections);
+    Share::of(accepts, foyers)
+}
