--- a/crates/ledger/src/form.rs
+++ b/crates/ledger/src/form.rs
@@ -24,6 +24,9 @@
     pub voted: Option<Seat>,
     pub base: u64,
     pub last: u64,
+    /// Behind the rest in the value; a value that ends before it tells of nothing committed.
+    #[serde(skip)]
+    pub committed: u64,
 }
 
 /// An entry without its index, which is in the key; a command's bytes follow as they are.
@@ -52,7 +55,7 @@
 }
 
 pub(crate) fn seal_hard(hard: &Hard) -> Vec<u8> {
-    seal(HARD, hard, &[])
+    seal(HARD, hard, &hard.committed.to_le_bytes())
 }
 
 pub(crate) fn seal_snapshot(snapshot: &Snapshot) -> Vec<u8> {
@@ -120,7 +123,11 @@
     let mut entries = Vec::new();
     for (key, value) in all {
         match &key[..] {
-            HARD => hard = Some(unseal::<Hard>(&key, &value)?.0),
+            HARD => {
+                let (mut read, tail) = unseal::<Hard>(&key, &value)?;
+                read.committed = tail.first_chunk().map_or(0, |bytes| u64::from_le_bytes(*bytes));
+                hard = Some(read);
+            }
             LIFE => life = Some(unseal::<Life>(&key, &value)?.0),
             SNAPSHOT => snapshot = Some(read_snapshot(&key, &value)?),
             _ => entries.push(read_entry(&key, &value)?),
@@ -147,7 +154,8 @@
     if next <= hard.last {
         return Err(missing(&entry_key(next)));
     }
-    let saved = Saved { term: hard.term, voted: hard.voted, snapshot, entries };
+    let committed = Index(hard.committed);
+    let saved = Saved { term: hard.term, voted: hard.voted, committed, snapshot, entries };
     Ok(Recovered { life, hard, saved })
 }
 
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -94,7 +94,8 @@
         for write in writes {
             span = lay(&mut batch, span, write)?;
         }
-        let hard = Hard { term: newest.term, voted: newest.voted, base: span.base, last: span.last };
+        let (Write { term, voted, .. }, Index(committed)) = (newest, newest.committed);
+        let hard = Hard { term: *term, voted: *voted, base: span.base, last: span.last, committed };
         batch.put(form::HARD.to_vec(), form::seal_hard(&hard));
         self.store.put(&batch)?;
         self.span = span;
--- a/crates/ledger/tests/recovery.rs
+++ b/crates/ledger/tests/recovery.rs
@@ -79,6 +79,7 @@
         no: WriteNo(1),
         term: Term(term),
         voted: Some(seat(term as u8)),
+        committed: Index(term + 2),
         cut_from: cut_from.map(Index),
         entries: entries.to_vec(),
         snapshot: None,
@@ -108,6 +109,7 @@
     let saved = Saved {
         term: Term(1),
         voted: Some(seat(1)),
+        committed: Index(3),
         snapshot: Some(snapshot(3)),
         entries: [4, 5, 6].map(|i| entry(i, 1)).to_vec(),
     };
--- a/crates/promptbook/src/book.rs
+++ b/crates/promptbook/src/book.rs
@@ -2,7 +2,7 @@
 
 use std::mem;
 
-use props::{Index, Micros, Place, SECOND, Seat, Term};
+use props::{Index, MS, Micros, Place, SECOND, Seat, Term};
 
 use crate::disk::Disk;
 use crate::follow::Coming;
@@ -17,6 +17,11 @@
 const MOST_PEERS: usize = 64;
 /// A write that hangs for so many election spans costs leadership.
 const HUNG_ELECTIONS: Micros = 4;
+/// A seat that has started again looks for a leader after a wait in this range: long enough for one that is
+/// still there to be heard, and for few to ask at the same moment.
+const FIRST_WAIT: (Micros, Micros) = (30 * MS, 250 * MS);
+/// It stands for so long at its first try, before it asks again.
+pub(crate) const FIRST_STAND: (Micros, Micros) = (300 * MS, 600 * MS);
 
 pub(crate) enum Role {
     /// Follows a leader, or waits for one; also a seat that is no member.
@@ -58,6 +63,8 @@
     pub(crate) coming: Option<Coming>,
     places: Vec<Place>,
     next_knock: Micros,
+    /// Started again, and has neither heard a leader nor stood yet: its first try doesn't wait long.
+    pub(crate) hasty: bool,
     /// What the last `Effect::Leader` said.
     told: (Option<Seat>, Term),
     pub(crate) out: Vec<Effect>,
@@ -72,8 +79,10 @@
         let empty = saved.term == Term(0) && saved.snapshot.is_none() && saved.entries.is_empty();
         let holds = saved.entries.iter().map(|entry| entry.index).max().unwrap_or_default();
         let log = Log::open(saved.snapshot, saved.entries);
-        let disk = Disk::open(saved.term, saved.voted, &log, holds);
         let restored = log.snapshot_index();
+        // What was committed then is so for ever, whoever leads now: it is handed out without asking anybody.
+        let committed = saved.committed.min(log.last()).max(restored);
+        let disk = Disk::open(saved.term, saved.voted, &log, holds, committed);
         let mut book = Promptbook {
             own,
             timing,
@@ -83,18 +92,19 @@
             voted: saved.voted.filter(|_| saved.term >= log.last_term()),
             log,
             disk,
-            commit: restored,
+            commit: committed,
             applied: restored,
             role: Role::Following,
             leader: None,
             heard_leader: None,
             deadline: 0,
-            verified: restored,
+            verified: committed,
             owes_vote: false,
             owes_round: None,
             coming: None,
             places: Vec::new(),
             next_knock: now,
+            hasty: false,
             told: (None, Term(0)),
             out: Vec::new(),
         };
@@ -108,6 +118,11 @@
             book.next_knock = now + KNOCK_EVERY;
         }
         book.arm();
+        if !empty {
+            // Perhaps all were down. Where a leader lives, those that hear it refuse the question.
+            book.arm_within(FIRST_WAIT);
+            book.hasty = true;
+        }
         if let Some(snapshot) = book.log.snapshot().filter(|snapshot| snapshot.index > Index(0)) {
             book.out.push(Effect::Restore { index: snapshot.index, data: snapshot.data.clone() });
         }
@@ -160,7 +175,7 @@
         } else if !self.is_member() {
             due = due.min(self.deadline);
         }
-        self.disk.retry().map_or(due, |retry| due.min(retry))
+        self.disk.due().map_or(due, |write| due.min(write))
     }
 
     pub fn leads(&self) -> bool {
@@ -217,6 +232,11 @@
         self.deadline = self.now + span + self.chance.rand_range(0..span as u64) as Micros;
     }
 
+    /// The same with a wait of one's own choice.
+    pub(crate) fn arm_within(&mut self, (from, to): (Micros, Micros)) {
+        self.deadline = self.now + from + self.chance.rand_range(0..(to - from) as u64) as Micros;
+    }
+
     /// The one way to follow: in a newer term, or in the own one. What a leader had open is answered.
     pub(crate) fn follow(&mut self, term: Term, leader: Option<Seat>) {
         if term > self.term {
@@ -232,6 +252,7 @@
             self.next_knock = self.now + KNOCK_EVERY;
         }
         self.leader = leader;
+        self.hasty &= leader.is_none();
         if let Role::Leading(lead) = mem::replace(&mut self.role, Role::Following) {
             self.verified = self.commit;
             lead.close(leader.map(|seat| seat.place), &mut self.out);
@@ -354,12 +375,15 @@
             self.tend_members();
             self.commit_more();
         }
+        if self.applied < self.commit {
+            self.disk.committed(self.now, self.commit);
+        }
         self.apply();
         if self.leads() {
             self.answer_reads();
             self.pump();
         }
-        if let Some(write) = self.disk.issue(self.now, self.term, self.voted, &self.log) {
+        if let Some(write) = self.disk.issue(self.now, self.term, self.voted, &self.log, self.commit) {
             self.out.push(Effect::Write(write));
         }
         if self.told != (self.leader, self.term) && (self.told.0 != self.leader || self.leader.is_some()) {
--- a/crates/promptbook/src/disk.rs
+++ b/crates/promptbook/src/disk.rs
@@ -1,10 +1,13 @@
 //! What is known to be on disk, and the one write that may be under way.
 
-use props::{Index, Micros, Seat, Term};
+use props::{Index, MS, Micros, Seat, Term};
 
 use crate::log::Log;
 use crate::{Write, WriteNo};
 
+/// What is committed is written without anything else after it has not risen for so long.
+const LAZY: Micros = 200 * MS;
+
 struct UnderWay {
     no: WriteNo,
     since: Micros,
@@ -15,6 +18,7 @@
     /// The last entry on disk once it is synced, whether still good or not.
     last: Index,
     snapshot: Index,
+    committed: Index,
 }
 
 pub(crate) struct Disk {
@@ -27,15 +31,30 @@
     /// No entry after this one can be on disk, whatever came of the writes.
     holds: Index,
     snapshot: Index,
+    /// What is committed, as the disk tells at a start.
+    committed: Index,
+    /// When a newer `committed` is written for its own sake.
+    lazily: Option<Micros>,
     /// The last write failed; when to try again.
     retry: Option<Micros>,
 }
 
 impl Disk {
     /// `log` as it was read, `holds` the last index found.
-    pub(crate) fn open(term: Term, voted: Option<Seat>, log: &Log, holds: Index) -> Disk {
+    pub(crate) fn open(term: Term, voted: Option<Seat>, log: &Log, holds: Index, committed: Index) -> Disk {
         let (stable, snapshot) = (log.last(), log.snapshot_index());
-        Disk { next: 1, under_way: None, term, voted, stable, holds, snapshot, retry: None }
+        Disk {
+            next: 1,
+            under_way: None,
+            term,
+            voted,
+            stable,
+            holds,
+            snapshot,
+            committed,
+            lazily: None,
+            retry: None,
+        }
     }
 
     pub(crate) fn stable(&self) -> Index {
@@ -52,8 +71,16 @@
         self.retry.is_none() && self.under_way.as_ref().is_none_or(|write| now - write.since < hung)
     }
 
-    pub(crate) fn retry(&self) -> Option<Micros> {
-        self.retry.filter(|_| self.under_way.is_none())
+    /// When the next write is wanted that nothing but time brings about.
+    pub(crate) fn due(&self) -> Option<Micros> {
+        self.retry.or(self.lazily).filter(|_| self.under_way.is_none())
+    }
+
+    /// More is committed than the disk tells. It goes with the next write, or alone once all is calm.
+    pub(crate) fn committed(&mut self, now: Micros, committed: Index) {
+        if committed > self.committed {
+            self.lazily = Some(now + LAZY);
+        }
     }
 
     /// Memory has other entries from `from` on than it had.
@@ -66,14 +93,17 @@
     }
 
     /// The next write, where there is something to write and none is under way.
-    pub(crate) fn issue(&mut self, now: Micros, term: Term, voted: Option<Seat>, log: &Log) -> Option<Write> {
+    pub(crate) fn issue(
+        &mut self, now: Micros, term: Term, voted: Option<Seat>, log: &Log, committed: Index,
+    ) -> Option<Write> {
         if self.under_way.is_some() || self.retry.is_some_and(|at| now < at) {
             return None;
         }
         let snapshot = log.snapshot().filter(|snapshot| snapshot.index > self.snapshot);
         let good = self.stable.max(snapshot.map_or(Index(0), |snapshot| snapshot.index));
         let last = log.last();
-        if self.knows(term, voted) && snapshot.is_none() && good == last && self.holds <= good {
+        let lazily = self.lazily.is_some_and(|at| now >= at);
+        if self.knows(term, voted) && snapshot.is_none() && good == last && self.holds <= good && !lazily {
             return None;
         }
         let no = WriteNo(self.next);
@@ -82,13 +112,16 @@
             no,
             term,
             voted,
+            committed,
             cut_from: (self.holds > good).then_some(Index(good.0 + 1)),
             entries: log.slice(Index(good.0 + 1), usize::MAX),
             snapshot: snapshot.map(|snapshot| (**snapshot).clone()),
         };
         self.holds = self.holds.max(last);
+        self.lazily = None;
         let snapshot = snapshot.map_or(self.snapshot, |snapshot| snapshot.index);
-        self.under_way = Some(UnderWay { no, since: now, term, voted, upto: last, last, snapshot });
+        self.under_way =
+            Some(UnderWay { no, since: now, term, voted, upto: last, last, snapshot, committed });
         Some(write)
     }
 
@@ -100,6 +133,7 @@
         self.stable = write.upto.max(write.snapshot).max(self.stable).min(last);
         self.holds = write.last;
         self.snapshot = write.snapshot;
+        self.committed = write.committed;
         self.retry = None;
         true
     }
@@ -108,6 +142,8 @@
     pub(crate) fn failed(&mut self, no: WriteNo, retry: Micros) -> bool {
         let Some(_) = self.under_way.take_if(|write| write.no == no) else { return false };
         self.retry = Some(retry);
+        // Where it held nothing else, the next try still has something to write.
+        self.lazily = Some(retry);
         true
     }
 }
--- a/crates/promptbook/src/lib.rs
+++ b/crates/promptbook/src/lib.rs
@@ -50,6 +50,8 @@
 pub struct Saved {
     pub term: Term,
     pub voted: Option<Seat>,
+    /// Known to be committed when it was written; more may be.
+    pub committed: Index,
     pub snapshot: Option<Snapshot>,
     pub entries: Vec<Entry>,
 }
@@ -66,6 +68,9 @@
     pub no: WriteNo,
     pub term: Term,
     pub voted: Option<Seat>,
+    /// Entries up to here are known to be committed, and are on disk after this write. It speeds up a start and
+    /// promises nothing: any earlier one would do.
+    pub committed: Index,
     /// Entries from this one on are cut off before `entries` are added.
     pub cut_from: Option<Index>,
     pub entries: Vec<Entry>,
--- a/crates/promptbook/src/stand.rs
+++ b/crates/promptbook/src/stand.rs
@@ -3,7 +3,7 @@
 use props::{Index, Micros, Seat, Term};
 
 use crate::Word;
-use crate::book::{Promptbook, Role};
+use crate::book::{FIRST_STAND, Promptbook, Role};
 
 pub(crate) struct Votes {
     granted: Vec<Seat>,
@@ -27,6 +27,9 @@
         self.voted = Some(self.own);
         self.role = Role::Standing(Votes { granted: Vec::new(), next_ask: Micros::MAX });
         self.arm();
+        if std::mem::take(&mut self.hasty) {
+            self.arm_within(FIRST_STAND);
+        }
     }
 
     pub(crate) fn ask_again(&mut self) {
--- a/crates/wings/tests/power.rs
+++ b/crates/wings/tests/power.rs
@@ -324,6 +324,7 @@
             no: WriteNo(1),
             term: Term(1),
             voted: None,
+            committed: Index(0),
             cut_from: None,
             entries: vec![entry],
             snapshot: None,
--- a/crates/wings/tests/trouble.rs
+++ b/crates/wings/tests/trouble.rs
@@ -21,6 +21,7 @@
         no: WriteNo(no),
         term: Term(1),
         voted: None,
+        committed: Index(0),
         cut_from: None,
         entries: vec![entry],
         snapshot: None,
