--- a/crates/cast/src/cast.rs
+++ b/crates/cast/src/cast.rs
@@ -34,6 +34,11 @@
 const THAW: Micros = 250 * MS;
 /// One that has never heard of another node acknowledges drains by itself after this.
 const ALONE: Micros = 5 * SECOND;
+/// What was remembered and has not beaten so long after the start is silent: before any machine counts as in
+/// touch again, and long enough for a beat, even a late one, to come.
+const REMEMBERED: Micros = 2_500 * MS;
+/// Which is told a second time then, as a word may be lost.
+const TOLD_AGAIN: Micros = 200 * MS;
 /// An instance is sent to another hub at most this often.
 const MOVES: Micros = 30 * SECOND;
 /// Records in a message, in bytes.
@@ -77,6 +82,9 @@
     first_asks: u32,
     /// Another hub that is to get the next instance, for balance.
     shed_to: Option<Place>,
+    /// When what was remembered and has not been heard of is silent; those to be told of a second time.
+    remembered_until: Micros,
+    stale: Vec<InstanceId>,
 }
 
 impl Cast {
@@ -109,9 +117,33 @@
             compare_at: now,
             first_asks: FIRST_ASKS,
             shed_to: None,
+            remembered_until: Micros::MAX,
+            stale: Vec::new(),
         }
     }
 
+    /// What a hub knew before its start, from its disk; to be called right after `start`. It is used at once, as
+    /// most of it still holds where all hubs were away for a moment, and what others know anew wins over it.
+    /// Guards against a second without any instance after a start of all.
+    pub fn remember(&mut self, now: Micros, records: Vec<Record>) -> Vec<Effect> {
+        let mut learnt = Learnt::default();
+        for record in records {
+            self.list.remember(now, self.own, record, &mut learnt);
+        }
+        self.remembered_until = now + REMEMBERED;
+        learnt.shown.into_iter().map(|record| Effect::Changed { record }).collect()
+    }
+
+    /// What to remember, as of `now`.
+    pub fn memory(&self, now: Micros) -> Vec<Record> {
+        self.list.all(now)
+    }
+
+    /// Rises whenever `memory` has become another by more than the time that goes by.
+    pub fn changes(&self) -> u64 {
+        self.list.changes()
+    }
+
     /// Takes one event at `now` of the own steady clock, and does what is due.
     pub fn step(&mut self, now: Micros, event: Event) -> Vec<Effect> {
         let mut out = Vec::new();
@@ -130,7 +162,7 @@
     /// When `Event::Tick` is wanted next, at the latest.
     pub fn due(&self) -> Micros {
         let rounds = self.rounds.iter().map(Round::due).min().unwrap_or(Micros::MAX);
-        self.sweep_at.min(self.compare_at).min(self.flush_at).min(rounds)
+        self.sweep_at.min(self.remembered_until).min(self.compare_at).min(self.flush_at).min(rounds)
     }
 
     /// All that are known, those that are gone for a while too.
@@ -375,6 +407,9 @@
             self.sweep_at = now + SWEEP * if self.hub { 1 } else { 4 };
             self.sweep(now, out);
         }
+        if now >= self.remembered_until {
+            self.end_memory(now, out);
+        }
         if now >= self.flush_at {
             self.flush(now, out);
         }
@@ -485,6 +520,30 @@
         self.balance();
     }
 
+    /// Remembered ones that nobody has heard of anew are silent. Of those that another hub keeps that is up, that
+    /// hub judges: it remembers them itself.
+    fn end_memory(&mut self, now: Micros, out: &mut Vec<Effect>) {
+        self.remembered_until = Micros::MAX;
+        if !self.stale.is_empty() {
+            self.wide.append(&mut self.stale);
+            self.flush_at = now;
+            return;
+        }
+        let mine = |known: &Known| known.keeper == self.own || !self.hubs.contains(&known.keeper);
+        let stale = self.list.entries().filter(|entry| entry.remembered && mine(&entry.known));
+        let stale = stale.filter(|entry| entry.known.state == State::InService);
+        let stale: Vec<InstanceId> = stale.map(|entry| entry.known.id.clone()).collect();
+        let mut learnt = Learnt::default();
+        for id in &stale {
+            self.list.quiet(now, self.own, id, &mut learnt);
+        }
+        if !stale.is_empty() {
+            self.stale = stale;
+            self.remembered_until = now + TOLD_AGAIN;
+        }
+        self.spread(now, learnt, None, out);
+    }
+
     /// How long a keeper has to be away before this hub speaks for it: hubs one after the other, and those
     /// that see fewer than half of the hubs there were last, as after a cut, much later.
     fn patience(&self) -> Micros {
@@ -523,7 +582,9 @@
         let first = self.first_asks > 0;
         let wait = if first { FIRST_ASK } else { COMPARE + self.chance(COMPARE_SPREAD) * MS };
         self.compare_at = now + wait;
-        let hub = !self.hubs.is_empty() && (self.others.is_empty() || self.chance(4) > 0);
+        // Foyers that begin at the same time know no more than this one.
+        let begins = self.first_asks > FIRST_ASKS - 2;
+        let hub = !self.hubs.is_empty() && (begins || self.others.is_empty() || self.chance(4) > 0);
         let from = if hub { &self.hubs } else { &self.others };
         if from.is_empty() {
             return;
--- a/crates/cast/src/list.rs
+++ b/crates/cast/src/list.rs
@@ -30,6 +30,8 @@
     pub confirmed: bool,
     /// When it was last sent to another hub for balance.
     pub moved: Option<Micros>,
+    /// Known from before this process's start, and neither heard nor told anew since.
+    pub remembered: bool,
     hash: u64,
     /// Whether it counts in the sums.
     listed: bool,
@@ -59,6 +61,8 @@
 pub(crate) struct List {
     entries: IndexMap<InstanceId, Entry>,
     sums: [u64; BUCKETS],
+    /// How often anything changed.
+    changes: u64,
 }
 
 impl List {
@@ -74,6 +78,10 @@
         self.entries.values()
     }
 
+    pub fn changes(&self) -> u64 {
+        self.changes
+    }
+
     pub fn sums(&self) -> &[u64; BUCKETS] {
         &self.sums
     }
@@ -97,6 +105,7 @@
         if !late {
             entry.latest = beat.sequence;
             entry.heard = now;
+            entry.remembered = false;
             if says(beat, &entry.known, now, own) {
                 return Heard::Nothing;
             }
@@ -177,6 +186,16 @@
         self.set(now, own, next, learnt);
     }
 
+    /// What this node itself knew before its start; it is the older of two views by that.
+    pub fn remember(&mut self, now: Micros, own: Place, record: Record, learnt: &mut Learnt) {
+        let id = record.id.clone();
+        if self.merge(now, own, record, learnt)
+            && let Some(entry) = self.entries.get_mut(&id)
+        {
+            entry.remembered = true;
+        }
+    }
+
     /// Another node's view. Returns whether it was taken over; in any case, who leaves there leaves here.
     pub fn merge(&mut self, now: Micros, own: Place, record: Record, learnt: &mut Learnt) -> bool {
         if !record.fits() {
@@ -249,8 +268,16 @@
                     add(&mut self.sums, hash, &next);
                 }
                 let latest = next.sequence;
-                let entry =
-                    Entry { known: next, latest, heard: now, confirmed: false, moved: None, hash, listed };
+                let entry = Entry {
+                    known: next,
+                    latest,
+                    heard: now,
+                    confirmed: false,
+                    moved: None,
+                    remembered: false,
+                    hash,
+                    listed,
+                };
                 self.entries.insert(id.clone(), entry);
             }
             Some(entry) => {
@@ -269,9 +296,11 @@
                 }
                 entry.latest = entry.latest.max(next.sequence);
                 entry.listed = listed;
+                entry.remembered = false;
                 entry.known = next;
             }
         }
+        self.changes += 1;
         learnt.news.push((id, urgent));
     }
 
--- a/crates/cast/tests/cast.rs
+++ b/crates/cast/tests/cast.rs
@@ -217,3 +217,52 @@
     world.run(3 * SECOND);
     world.assert_all_know();
 }
+
+#[test]
+fn after_a_start_of_all_the_instances_are_known_at_once_and_none_is_believed_for_long() {
+    for seed in 0..20 {
+        let mut world = World::new(seed, 5, 10, 34);
+        world.run(8 * SECOND);
+        let (crashed, leaving) = (InstanceId("i-00000003".into()), InstanceId("i-00000007".into()));
+        world.drain(&leaving);
+        world.run(SECOND);
+        world.instance(&crashed).alive = false;
+        world.start_all_again(1_500 * MS);
+        let back = world.now;
+        world.loss = 0;
+        world.run(400 * MS);
+        world.loss = 2;
+        for node in world.up.values() {
+            let there = node.cast.records().filter(|known| known.state == State::InService).count();
+            assert!(there >= 33, "{there} known, seed {seed}");
+        }
+        assert_eq!(world.without(&leaving, &LEAVING), [], "seed {seed}");
+        world.run(back + 2_950 * MS - world.now);
+        assert_eq!(world.without(&crashed, &[State::Silent]), [], "seed {seed}");
+        assert_eq!(world.without(&leaving, &LEAVING), [], "seed {seed}");
+        world.run(3 * SECOND);
+        world.assert_all_know();
+    }
+}
+
+#[test]
+fn what_a_hub_remembers_from_long_ago_takes_nothing_back() {
+    for seed in 0..20 {
+        let mut world = World::new(seed, 5, 10, 12);
+        world.run(6 * SECOND);
+        let hub = world.hubs[seed as usize % 5];
+        let (memory, id) = (world.up[&hub].cast.memory(world.now), InstanceId("i-00000003".into()));
+        world.kill(hub);
+        world.drain(&id);
+        world.run(6 * SECOND);
+        let elsewhere = world.up.keys().filter(|at| **at != hub).copied().collect::<Vec<_>>();
+        world.start_with(hub, memory);
+        for _ in 0..60 {
+            world.run(100 * MS);
+            let without = world.without(&id, &LEAVING);
+            assert!(without.iter().all(|at| !elsewhere.contains(at)), "seed {seed}: {without:?}");
+        }
+        assert_eq!(world.without(&id, &LEAVING), [], "seed {seed}");
+        world.assert_all_know();
+    }
+}
--- a/crates/cast/tests/world/mod.rs
+++ b/crates/cast/tests/world/mod.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{Ipv4Addr, SocketAddrV4};
 
-use cast::{Beat, Cast, Effect, Event, InstanceId, Message, State, Timing};
+use cast::{Beat, Cast, Effect, Event, InstanceId, Message, Record, State, Timing};
 use oorandom::Rand32;
 use props::{Ask, MS, Micros, Place, SECOND};
 
@@ -101,6 +101,29 @@
         self.noticed();
     }
 
+    /// A hub starts again with what it had kept.
+    pub fn start_with(&mut self, at: Place, memory: Vec<Record>) {
+        self.start(at);
+        let node = self.up.get_mut(&at).expect("just started");
+        for effect in node.cast.remember(self.now, memory) {
+            let Effect::Changed { record } = effect else { panic!("{effect:?}") };
+            node.shown.insert(record.id, record.state);
+        }
+    }
+
+    /// All end, and are back after `away` with what they had kept; they find each other at once.
+    pub fn start_all_again(&mut self, away: Micros) {
+        let memories = self.hubs.iter().map(|hub| self.up[hub].cast.memory(self.now));
+        let memories: Vec<Vec<Record>> = memories.collect();
+        self.up.clear();
+        self.run(away);
+        for (hub, memory) in self.hubs.clone().into_iter().zip(memories) {
+            self.start_with(hub, memory);
+        }
+        self.foyers.clone().into_iter().for_each(|foyer| self.start(foyer));
+        self.peers_at = self.now + 50 * MS;
+    }
+
     pub fn kill(&mut self, at: Place) {
         self.up.remove(&at);
         self.noticed();
--- a/crates/company/src/node.rs
+++ b/crates/company/src/node.rs
@@ -83,6 +83,7 @@
     next_seeds: Micros,
     next_dead: Micros,
     next_compare: Micros,
+    born: Micros,
     now: Micros,
     due: Micros,
 }
@@ -115,6 +116,7 @@
             next_seeds: now,
             next_dead: stagger(&mut rand, timing.dead_every),
             next_compare: now,
+            born: now,
             now,
             due: now,
             own,
@@ -258,7 +260,11 @@
             let message = Message { news: vec![self.own_rumor(Standing::Alive)], ..self.bare(Talk::Join) };
             out.push(Effect::Send { to, message });
         }
-        let every = if alone { self.timing.seeds_every_alone } else { self.timing.seeds_every };
+        let every = match alone {
+            true if self.now - self.born < self.timing.first_for => self.timing.seeds_every_first,
+            true => self.timing.seeds_every_alone,
+            false => self.timing.seeds_every,
+        };
         self.next_seeds = self.now + every;
     }
 
--- a/crates/company/src/timing.rs
+++ b/crates/company/src/timing.rs
@@ -19,6 +19,9 @@
     pub gossip_fanout: usize,
     /// While nobody, or no prompter, is known to be up, all seeds are asked so often.
     pub seeds_every_alone: Micros,
+    /// Before that, for `first_for` after its start, a node that knows no prompter asks so often.
+    pub seeds_every_first: Micros,
+    pub first_for: Micros,
     /// Later one seed that isn't known to be up.
     pub seeds_every: Micros,
     /// One of the dead is tried so often.
@@ -41,6 +44,8 @@
             gossip_every: 200 * MS,
             gossip_fanout: 3,
             seeds_every_alone: SECOND,
+            seeds_every_first: 120 * MS,
+            first_for: 4 * SECOND,
             seeds_every: 5 * SECOND,
             dead_every: 2 * SECOND,
             forget_after: 60 * SECOND,
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -5,6 +5,7 @@
 //! be: an entry that is missing, even the newest, is an error and never a shorter log.
 
 mod form;
+pub mod note;
 mod store;
 
 use promptbook::{Saved, Write};
--- a/crates/playhouse/src/control.rs
+++ b/crates/playhouse/src/control.rs
@@ -13,6 +13,9 @@
 
 /// Bytes of commands applied after which the log is cut by a snapshot.
 const KEEP_AFTER: usize = 512 << 10;
+/// Changes of the instances are gathered for so long before they are kept, and kept at most so often.
+const MEMORY_GATHER: Micros = 100 * MS;
+const MEMORY_EVERY: Micros = SECOND;
 const COUNT_EVERY: Micros = 200 * MS;
 /// A service's first version is proposed again after this, if it has not come to be ordered.
 const SEEN_AGAIN: Micros = SECOND;
@@ -49,9 +52,17 @@
 /// What a prompter asks of its driver.
 #[derive(Debug)]
 pub enum Out {
-    Send { to: Place, word: Word },
+    Send {
+        to: Place,
+        word: Word,
+    },
     Write(Write),
-    Tell { ask: Ask, told: Told },
+    /// The instances as they are known now, for the next start; it may be lost.
+    Remember(Vec<u8>),
+    Tell {
+        ask: Ask,
+        told: Told,
+    },
 }
 
 pub struct Control {
@@ -60,6 +71,9 @@
     seat: Seat,
     count: Count,
     count_due: Micros,
+    /// Which of the instances' changes were kept, when, and when the next are.
+    kept: (u64, Micros),
+    memory_due: Micros,
     /// Bytes applied since the last snapshot.
     applied: usize,
     seen: HashMap<String, Micros>,
@@ -80,6 +94,8 @@
             seat,
             count: Count::new(CountSettings::default()),
             count_due: now,
+            kept: (0, now - MEMORY_EVERY),
+            memory_due: Micros::MAX,
             applied: 0,
             seen: HashMap::new(),
             own_ask: u64::MAX / 2,
@@ -91,7 +107,7 @@
     }
 
     pub fn due(&self) -> Micros {
-        self.house.due().min(self.book.due()).min(self.count_due)
+        self.house.due().min(self.book.due()).min(self.count_due).min(self.memory_due)
     }
 
     pub fn seat(&self) -> Seat {
@@ -131,6 +147,23 @@
         }
     }
 
+    /// Has the instances kept where they have changed.
+    fn tend_memory(&mut self, now: Micros) {
+        let changes = self.house.cast.changes();
+        if changes == self.kept.0 {
+            return;
+        }
+        if self.memory_due == Micros::MAX {
+            self.memory_due = (now + MEMORY_GATHER).max(self.kept.1 + MEMORY_EVERY);
+        }
+        if self.memory_due <= now {
+            self.kept = (changes, now);
+            self.memory_due = Micros::MAX;
+            let memory = self.house.memory(now);
+            self.out.push(Out::Remember(memory));
+        }
+    }
+
     /// What a leader adds to the log of its own accord: verdicts, and the first version of a service.
     fn lead(&mut self, now: Micros) {
         let foyers = self.house.up(Part::Foyer).len();
@@ -214,6 +247,7 @@
                 Happened::Applied { .. } | Happened::Instance(_) | Happened::Restored => {}
             }
         }
+        self.tend_memory(now);
         let words = self.house.out().into_iter().map(|(to, word)| Out::Send { to, word });
         let mut out: Vec<Out> = words.collect();
         out.append(&mut self.out);
--- a/crates/playhouse/src/house.rs
+++ b/crates/playhouse/src/house.rs
@@ -104,6 +104,23 @@
         house
     }
 
+    /// What a prompter knew of the instances before its start, as `memory` gave it; right after `start`.
+    pub fn remember(&mut self, now: Micros, bytes: &[u8]) {
+        match postcard::from_bytes(bytes) {
+            Ok(records) => {
+                let effects = self.cast.remember(now, records);
+                self.cast_did(effects);
+            }
+            Err(error) => log::warn!("remembered instances can't be read: {error}"),
+        }
+    }
+
+    /// The instances, to be remembered.
+    pub fn memory(&self, now: Micros) -> Vec<u8> {
+        // Plain types into a growing vector: this fails only where a type can't be written at all.
+        postcard::to_stdvec(&self.cast.memory(now)).expect("a type that postcard can't write")
+    }
+
     /// What has happened since this was asked last, oldest first.
     pub fn happened(&mut self) -> Option<Happened> {
         self.happened.pop_front()
--- a/crates/playhouse/src/prompter.rs
+++ b/crates/playhouse/src/prompter.rs
@@ -17,7 +17,7 @@
 use script::{Command, Outcome};
 use simd_json::prelude::*;
 use tokio::sync::oneshot;
-use wings::{DiskHand, DiskStore, Post};
+use wings::{DiskHand, DiskStore, NoteHand, Post};
 
 use crate::calls::{self, Call, Wrong};
 use crate::control::{Control, In, Out, Told};
@@ -33,12 +33,16 @@
 /// Callers that wait at once; more are answered 503.
 const ASKS_MOST: usize = 4096;
 
+/// The file of the instances that were known.
+const MEMORY: &str = "instances";
+
 pub struct Prompter {
     control: Control,
     clock: Clock,
     settings: Rc<Settings>,
     post: Rc<Post>,
     disk: DiskHand<DiskStore>,
+    memory: NoteHand,
     asks: HashMap<Ask, oneshot::Sender<Told>>,
     next_ask: u64,
     changed: Rc<tokio::sync::Notify>,
@@ -58,6 +62,7 @@
     let fresh = if first { Life(0) } else { Life(chance() | 1) };
     let (ledger, opened) = ledger::Ledger::open(DiskStore::open(&dir)?, fresh)?;
     let (disk, mut done) = DiskHand::start(ledger)?;
+    let (memory, remembered) = NoteHand::start(&dir, MEMORY)?;
     let seat = Seat { place: own, life: opened.life };
     let voters = || settings.seeds().into_iter().map(|place| Seat { place, life: Life(0) });
     let first = (first && opened.fresh).then(|| Members(voters().collect()));
@@ -65,7 +70,10 @@
         Post::bind(settings.ip_address, settings.internal_port(), wings::PostLimits::default())?;
     let now = clock.now();
     let member = settings.member(Part::Prompter, seat.life);
-    let house = House::start(member, settings.seeds(), micros(settings.heartbeat_s), chance(), now);
+    let mut house = House::start(member, settings.seeds(), micros(settings.heartbeat_s), chance(), now);
+    if let Some(bytes) = remembered {
+        house.remember(now, &bytes);
+    }
     let (control, out) = Control::start(house, seat, first, opened.saved, chance(), now);
     let changed = Rc::new(tokio::sync::Notify::new());
     let mut prompter = Prompter {
@@ -74,6 +82,7 @@
         settings: settings.clone(),
         post: Rc::new(post),
         disk,
+        memory,
         asks: HashMap::new(),
         next_ask: 0,
         changed: changed.clone(),
@@ -129,6 +138,7 @@
                 Out::Write(write) => {
                     self.disk.write(write);
                 }
+                Out::Remember(bytes) => self.memory.keep(bytes),
                 Out::Tell { ask, told } => {
                     if let Some(reply) = self.asks.remove(&ask) {
                         let _ = reply.send(told);
--- a/crates/wings/src/lib.rs
+++ b/crates/wings/src/lib.rs
@@ -6,6 +6,7 @@
 mod incoming;
 mod memory_post;
 mod memory_store;
+mod note;
 mod outgoing;
 mod post;
 
@@ -17,6 +18,7 @@
 pub use hand::{DiskHand, Done};
 pub use memory_post::{MemoryHall, MemoryPost};
 pub use memory_store::{Fault, MemoryStore};
+pub use note::NoteHand;
 pub use post::{Post, PostLimits};
 
 /// What arrived: the place it came from, and the bytes as they were sent.
