--- a/crates/cast/src/lib.rs
+++ b/crates/cast/src/lib.rs
@@ -249,8 +249,11 @@
 }
 
 impl Record {
-    /// As moments of the clock here, at `now`.
+    /// As moments of the clock here, at `now`. One that is warm has been so for an unknown time: since its first beat
+    /// for what is known, so that its age is never taken for the length of a warm-up.
     fn known(self, now: Micros) -> Known {
+        let first_seen = now - self.age.clamp(0, LONGEST);
+        let warm = self.warmup_left <= 0;
         Known {
             id: self.id,
             service: self.service,
@@ -260,8 +263,8 @@
             slots: self.slots,
             state: self.state,
             sequence: self.sequence,
-            first_seen: now - self.age.clamp(0, LONGEST),
-            slow_until: now + self.warmup_left.clamp(0, LONGEST),
+            first_seen,
+            slow_until: if warm { first_seen } else { now + self.warmup_left.clamp(0, LONGEST) },
             since: now - self.state_age.clamp(0, LONGEST),
             keeper: self.keeper,
         }
--- a/crates/playhouse/src/house.rs
+++ b/crates/playhouse/src/house.rs
@@ -283,7 +283,12 @@
                     self.happened.push_back(Happened::BeatTaken { ask, target });
                 }
                 cast::Effect::NotTaken { ask } => self.happened.push_back(Happened::BeatNotTaken { ask }),
-                cast::Effect::Changed { record } => self.happened.push_back(Happened::Instance(record.id)),
+                cast::Effect::Changed { record } => {
+                    if record.state == cast::State::Silent {
+                        log::info!("instance {} of {} is silent", record.id.0, record.service);
+                    }
+                    self.happened.push_back(Happened::Instance(record.id));
+                }
             }
         }
     }
