--- a/crates/playhouse/src/calls.rs
+++ b/crates/playhouse/src/calls.rs
@@ -11,7 +11,7 @@
 use crate::settings::micros;
 
 /// Every method and path served, as the OpenAPI file names them.
-pub const SERVED: [(&str, &str); 7] = [
+pub const SERVED: [(&str, &str); 8] = [
     ("post", "/api/Configuration.Replace"),
     ("post", "/api/Configuration.Modify"),
     ("get", "/api/Configuration.Retrieve"),
@@ -19,6 +19,7 @@
     ("get", "/api/Rollouts.Retrieve/{service}"),
     ("post", "/api/Instances.Heartbeat/{id}"),
     ("post", "/api/Instances.Detach/{id}"),
+    ("get", "/api/Status"),
 ];
 
 /// Which call a request is, before its body is read.
@@ -31,6 +32,7 @@
     Rollout(String),
     Heartbeat(InstanceId),
     Detach(InstanceId),
+    Status,
 }
 
 /// Why a request is no call; the answer's status and text.
@@ -59,6 +61,7 @@
             (&Method::GET, "Rollouts.Retrieve", Some(id)) => Call::Rollout(id),
             (&Method::POST, "Instances.Heartbeat", Some(id)) => Call::Heartbeat(InstanceId(id)),
             (&Method::POST, "Instances.Detach", Some(id)) => Call::Detach(InstanceId(id)),
+            (&Method::GET, "Status", None) => Call::Status,
             _ => return Err(Wrong::NoSuch),
         })
     }
--- /dev/null
+++ b/crates/playhouse/src/commands/call.rs
@@ -0,0 +1,82 @@
+//! Calls to the system: from one machine to the next until there is a clear answer.
+
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+use hyper::{Method, StatusCode};
+use simd_json::OwnedValue;
+
+use super::Failed;
+use crate::demo::client::{Answer, Ask};
+use crate::demo::operator::{Operator, json};
+use crate::settings::Settings;
+
+/// Where the system is, and how answers are printed.
+#[derive(Clone, Debug, clap::Args)]
+pub struct At {
+    /// A prompter's Control address; may be given several times. Without it: SeedNodes of the settings file that
+    /// GARNETDOOR_SETTINGS names.
+    #[arg(long, value_name = "HOST:PORT")]
+    pub at: Vec<SocketAddrV4>,
+    /// Seconds for which a call is tried, at one machine after the other.
+    #[arg(long, value_name = "S", default_value = "10", value_parser = seconds)]
+    pub patience: Duration,
+    /// Print JSON, for scripts.
+    #[arg(long)]
+    pub json: bool,
+}
+
+/// Seconds above 0 as a span.
+pub fn seconds(text: &str) -> Result<Duration, String> {
+    let found = text.parse::<f64>().ok().filter(|found| (0.001..=1e6).contains(found));
+    found.map(Duration::from_secs_f64).ok_or_else(|| "seconds from 0.001 to 1000000 expected".to_owned())
+}
+
+impl At {
+    pub fn operator(&self) -> Result<Operator, Failed> {
+        let prompters = if self.at.is_empty() {
+            let path = Settings::path().map_err(|_| {
+                Failed::Wrong(
+                    "name a prompter by --at HOST:PORT, or a settings file by GARNETDOOR_SETTINGS".into(),
+                )
+            })?;
+            Settings::read(&path)?.seed_nodes
+        } else {
+            self.at.clone()
+        };
+        Ok(Operator { prompters, patience: self.patience })
+    }
+
+    /// A clear answer to a call, whatever it says.
+    pub async fn ask(&self, ask: &Ask) -> Result<Answer, Failed> {
+        self.operator()?.ask(0, ask).await.map_err(|unclear| Failed::NoAnswer(unclear.to_string()))
+    }
+
+    /// What a prompter knows of the whole.
+    pub async fn status(&self) -> Result<OwnedValue, Failed> {
+        let answer = good(self.ask(&Ask::new(Method::GET, "/api/Status")).await?)?;
+        json(&answer.body).ok_or_else(|| Failed::NoAnswer("the answer is no JSON".to_owned()))
+    }
+}
+
+/// An answer of 200, or the refusal.
+pub fn good(answer: Answer) -> Result<Answer, Failed> {
+    if answer.status == StatusCode::OK {
+        return Ok(answer);
+    }
+    let text = json(&answer.body).map_or_else(|| answer.text(), |value| said(&value));
+    Err(Failed::Refused { status: answer.status.as_u16(), text })
+}
+
+/// What a refusal's body says to a person.
+fn said(value: &OwnedValue) -> String {
+    let faults = super::list(value, "Faults").iter();
+    let faults: Vec<String> = faults
+        .map(|fault| format!("{}: {}", super::text(fault, "Place"), super::text(fault, "Expected")))
+        .collect();
+    match (faults.is_empty(), super::text(value, "ConfigVersion"), super::text(value, "Problem")) {
+        (false, ..) => faults.join("\n  "),
+        (true, "", problem) => problem.to_owned(),
+        (true, version, _) => format!("the current version is {version}"),
+    }
+}
--- /dev/null
+++ b/crates/playhouse/src/commands/config.rs
@@ -0,0 +1,177 @@
+//! `config`: the configuration in force, got, compared and changed.
+
+use std::path::{Path, PathBuf};
+
+use bill::Bill;
+use hyper::{Method, StatusCode};
+use props::Version;
+use simd_json::OwnedValue;
+use simd_json::prelude::*;
+
+use super::call::{At, good};
+use super::{Done, Failed, print, print_json, read, text};
+use crate::demo::client::Ask;
+use crate::demo::operator::{Items, items, json};
+
+#[derive(Debug, clap::Subcommand)]
+pub enum Config {
+    /// Print the newest configuration, as a leader that has proved that it leads gives it.
+    Get {
+        #[command(flatten)]
+        at: At,
+    },
+    /// Compare the configuration in force with a file: a whole one, or a change (Upsert, Remove) to be made.
+    /// Exit code 1 where they differ.
+    Diff {
+        #[command(flatten)]
+        at: At,
+        /// The file (JSON); - is standard input.
+        file: PathBuf,
+    },
+    /// Put a file in force: a whole configuration, or a change (Upsert, Remove).
+    Apply {
+        #[command(flatten)]
+        at: At,
+        /// The file (JSON); - is standard input.
+        file: PathBuf,
+        /// The version that it builds on, in hexadecimal; without it, the one in force now. Give it where others
+        /// may change the configuration too: of two changes on one base only one is taken.
+        #[arg(long, value_name = "V", value_parser = version)]
+        base: Option<Version>,
+    },
+}
+
+fn version(text: &str) -> Result<Version, String> {
+    bill::base_version(text).ok_or_else(|| "one to eight hexadecimal digits expected".to_owned())
+}
+
+impl Config {
+    pub async fn run(&self) -> Done {
+        match self {
+            Config::Get { at } => match current(at).await? {
+                Some(text) => print(&text),
+                None => {
+                    Err(Failed::Refused { status: 404, text: "no configuration has been taken yet".into() })
+                }
+            },
+            Config::Diff { at, file } => diff(at, file).await,
+            Config::Apply { at, file, base } => apply(at, file, *base).await,
+        }
+    }
+}
+
+/// The configuration in force; `None` before the first.
+async fn current(at: &At) -> Result<Option<Vec<u8>>, Failed> {
+    let answer = at.ask(&Ask::new(Method::GET, "/api/Configuration.Retrieve")).await?;
+    if answer.status == StatusCode::NOT_FOUND {
+        return Ok(None);
+    }
+    Ok(Some(good(answer)?.body.to_vec()))
+}
+
+/// A whole configuration, or a change of named items.
+fn is_whole(path: &Path, bytes: &[u8]) -> Result<bool, Failed> {
+    let value = json(bytes).ok_or_else(|| Failed::Wrong(format!("{}: it is no JSON", path.display())))?;
+    let changes = value.get("Upsert").is_some() || value.get("Remove").is_some();
+    Ok(value.get("ResourceSet").is_some() || !changes)
+}
+
+/// The whole that a file would make, checked here.
+fn meant(path: &Path, bytes: &[u8], now: Option<&[u8]>) -> Result<Vec<u8>, Failed> {
+    let bad = |faults: bill::Faults| Failed::Wrong(format!("{}: {faults}", path.display()));
+    if is_whole(path, bytes)? {
+        return Bill::read(bytes).map(|bill| bill.text()).map_err(bad);
+    }
+    let made = match now {
+        Some(now) => Bill::read(now).and_then(|bill| bill.changed(bytes)),
+        None => Bill::begun(bytes),
+    };
+    made.map(|bill| bill.text()).map_err(bad)
+}
+
+/// One item that differs.
+struct Differs {
+    sign: char,
+    kind: String,
+    name: String,
+    before: Option<OwnedValue>,
+    after: Option<OwnedValue>,
+}
+
+fn differences(before: &Items, after: &Items) -> Vec<Differs> {
+    let mut keys: Vec<_> = before.items.keys().chain(after.items.keys()).collect();
+    keys.sort();
+    keys.dedup();
+    let differs = |key: &(String, String)| {
+        let (was, is) = (before.items.get(key).cloned(), after.items.get(key).cloned());
+        let sign = match (&was, &is) {
+            (None, _) => '+',
+            (_, None) => '-',
+            _ => '~',
+        };
+        let (kind, name) = key.clone();
+        (was != is).then_some(Differs { sign, kind, name, before: was, after: is })
+    };
+    keys.into_iter().filter_map(differs).collect()
+}
+
+async fn diff(at: &At, path: &Path) -> Done {
+    let bytes = read(path)?;
+    let now = current(at).await?;
+    let meant = meant(path, &bytes, now.as_deref())?;
+    let nothing = Items { version: "00000000".to_owned(), items: Default::default() };
+    let unreadable = || Failed::NoAnswer("the configuration in force can't be compared".to_owned());
+    let before = match &now {
+        Some(text) => items(text).ok_or_else(unreadable)?,
+        None => nothing,
+    };
+    let after = items(&meant).ok_or_else(unreadable)?;
+    let found = differences(&before, &after);
+    if at.json {
+        let list: Vec<OwnedValue> = (found.iter())
+            .map(|differs| {
+                simd_json::json!({
+                    "Sign": differs.sign.to_string(), "ResourceType": differs.kind.clone(),
+                    "Name": differs.name.clone(), "Before": differs.before.clone(), "After": differs.after.clone(),
+                })
+            })
+            .collect();
+        print_json(&simd_json::json!({
+            "From": before.version.clone(), "To": after.version.clone(), "Differences": list,
+        }))?;
+    } else {
+        let mut out = format!("{} in force, {} in {}\n", before.version, after.version, path.display());
+        for differs in &found {
+            out.push_str(&format!("{} {} {}\n", differs.sign, differs.kind, differs.name));
+            for (sign, value) in [('-', &differs.before), ('+', &differs.after)] {
+                if let Some(value) = value {
+                    out.push_str(&format!("    {sign} {}\n", value.encode()));
+                }
+            }
+        }
+        print(out.as_bytes())?;
+    }
+    if found.is_empty() { Ok(()) } else { Err(Failed::NotWell) }
+}
+
+async fn apply(at: &At, path: &Path, base: Option<Version>) -> Done {
+    let bytes = read(path)?;
+    let call = if is_whole(path, &bytes)? { "Replace" } else { "Modify" };
+    let base = match base {
+        Some(base) => base,
+        None => match current(at).await? {
+            Some(text) => Bill::read(&text).map(|bill| bill.version).map_err(|faults| {
+                Failed::NoAnswer(format!("the configuration in force can't be read: {faults}"))
+            })?,
+            None => Version(0),
+        },
+    };
+    let taken = json(&bytes).map(|value| text(&value, "ConfigVersion").to_owned()).unwrap_or_default();
+    let ask = Ask::new(Method::POST, &format!("/api/Configuration.{call}"));
+    let ask = ask.with("Base-Version", base.to_string()).json(bytes);
+    good(at.ask(&ask).await?)?;
+    if at.json {
+        return print_json(&simd_json::json!({ "Taken": taken, "Base": base.to_string() }));
+    }
+    print(format!("{taken} is taken, on top of {base}\n").as_bytes())
+}
--- /dev/null
+++ b/crates/playhouse/src/commands/ledger.rs
@@ -0,0 +1,231 @@
+//! `ledger`: the data folder of a prompter that does not run, read without touching it.
+
+use std::fs::{self, File, TryLockError};
+use std::path::{Path, PathBuf};
+
+use ::ledger::{Ledger, LedgerError, Opened};
+use promptbook::{Members, What};
+use props::{Index, Life};
+use script::{Command, Outcome, Script};
+use simd_json::OwnedValue;
+use simd_json::prelude::*;
+use wings::DiskStore;
+
+use super::view::rollout_state;
+use super::{Done, Failed, print, print_json};
+
+/// The file within a data folder.
+const NAME: &str = "ledger.redb";
+
+#[derive(Debug, clap::Subcommand)]
+pub enum LedgerVerb {
+    /// Print what a ledger holds.
+    Inspect {
+        /// The data folder.
+        dir: PathBuf,
+        /// Print JSON, for scripts.
+        #[arg(long)]
+        json: bool,
+    },
+    /// Read all of a ledger and check it: checksums, gaps, commands, the state they make. Exit code 1 where it is
+    /// damaged.
+    Verify {
+        /// The data folder.
+        dir: PathBuf,
+        /// Print JSON, for scripts.
+        #[arg(long)]
+        json: bool,
+    },
+    /// Write the state that a ledger holds as files: configuration.json, state.json.
+    Export {
+        /// The data folder.
+        dir: PathBuf,
+        /// The folder that the files are written to.
+        #[arg(long, value_name = "FOLDER", default_value = ".")]
+        to: PathBuf,
+    },
+}
+
+/// What a ledger holds, and the state after its last entry.
+struct Held {
+    opened: Opened,
+    script: Script,
+    /// Commands that can't be read, by their entries.
+    unreadable: Vec<u64>,
+    /// Commands that changed the state, and those that were refused when they were carried out.
+    taken: usize,
+    refused: usize,
+}
+
+/// A folder for the copy that is read; it goes when this does.
+struct Passing(PathBuf);
+
+impl Passing {
+    fn make() -> Result<Passing, Failed> {
+        let name = format!("playhouse-ledger-{}-{:x}", std::process::id(), crate::house::chance());
+        let path = std::env::temp_dir().join(name);
+        fs::create_dir(&path).map_err(|error| Failed::File { path: path.clone(), error })?;
+        Ok(Passing(path))
+    }
+}
+
+impl Drop for Passing {
+    fn drop(&mut self) {
+        let _ = fs::remove_dir_all(&self.0);
+    }
+}
+
+fn damaged(dir: &Path, why: impl std::fmt::Display) -> Failed {
+    Failed::Process(format!("{}: {why}", dir.display()).into())
+}
+
+/// Reads a copy, since opening a store rewrites it, and a damaged one is to stay as it was found.
+fn hold(dir: &Path) -> Result<Held, Failed> {
+    let path = dir.join(NAME);
+    let at = |error| Failed::File { path: path.clone(), error };
+    let file = File::open(&path).map_err(at)?;
+    match file.try_lock_shared() {
+        Ok(()) => {}
+        Err(TryLockError::WouldBlock) => {
+            return Err(Failed::Wrong(format!("{}: a process uses it; stop that first", dir.display())));
+        }
+        Err(TryLockError::Error(error)) => return Err(at(error)),
+    }
+    let passing = Passing::make()?;
+    fs::copy(&path, passing.0.join(NAME)).map_err(at)?;
+    drop(file);
+    let store = DiskStore::open(&passing.0).map_err(LedgerError::from);
+    let (_, opened) =
+        store.and_then(|store| Ledger::open(store, Life(0))).map_err(|error| damaged(dir, error))?;
+    let mut held = Held { opened, script: Script::new(), unreadable: Vec::new(), taken: 0, refused: 0 };
+    if let Some(snapshot) = &held.opened.saved.snapshot {
+        let restored = held.script.restore(0, snapshot.index, &snapshot.data);
+        restored.map_err(|error| damaged(dir, format!("snapshot {}: {error}", snapshot.index.0)))?;
+    }
+    for entry in &held.opened.saved.entries {
+        let What::Command(data) = &entry.what else { continue };
+        if Command::from_bytes(data).is_none() {
+            held.unreadable.push(entry.index.0);
+        }
+        match held.script.apply(0, entry.index, data) {
+            Outcome::Taken => held.taken += 1,
+            _ => held.refused += 1,
+        }
+    }
+    Ok(held)
+}
+
+impl Held {
+    fn last(&self) -> Index {
+        let snapshot = self.opened.saved.snapshot.as_ref().map_or(Index(0), |snapshot| snapshot.index);
+        self.opened.saved.entries.last().map_or(snapshot, |entry| entry.index)
+    }
+
+    /// Who votes after the last entry.
+    fn members(&self) -> Members {
+        let saved = &self.opened.saved;
+        let mut newest = None;
+        for entry in &saved.entries {
+            if let What::Members(members) = &entry.what {
+                newest = Some(members.clone());
+            }
+        }
+        newest
+            .or_else(|| saved.snapshot.as_ref().map(|snapshot| snapshot.members.clone()))
+            .unwrap_or_default()
+    }
+
+    fn json(&self) -> OwnedValue {
+        let saved = &self.opened.saved;
+        let voters: Vec<OwnedValue> = (self.members().0.iter())
+            .map(|seat| simd_json::json!({ "Place": seat.place.to_string(), "Life": format!("{:x}", seat.life.0) }))
+            .collect();
+        let rollouts: Vec<OwnedValue> = (self.script.rollouts.values())
+            .map(|rollout| {
+                simd_json::json!({
+                    "Service": rollout.service.clone(), "State": rollout.state.map(rollout_state),
+                    "CurrentVersion": rollout.current.clone(), "TargetVersion": rollout.target.clone(),
+                })
+            })
+            .collect();
+        simd_json::json!({
+            "Life": format!("{:x}", self.opened.life.0),
+            "Term": saved.term.0,
+            "VotedFor": saved.voted.map(|seat| seat.to_string()),
+            "SnapshotAt": saved.snapshot.as_ref().map_or(0, |snapshot| snapshot.index.0),
+            "SnapshotBytes": saved.snapshot.as_ref().map_or(0, |snapshot| snapshot.data.len()),
+            "Entries": saved.entries.len(),
+            "Last": self.last().0,
+            "Taken": self.taken,
+            "Refused": self.refused,
+            "Unreadable": self.unreadable.clone(),
+            "Voters": voters,
+            "ConfigVersion": self.script.version().to_string(),
+            "Rollouts": rollouts,
+        })
+    }
+}
+
+impl LedgerVerb {
+    pub fn run(&self) -> Done {
+        match self {
+            LedgerVerb::Inspect { dir, json } => {
+                let held = hold(dir)?;
+                if *json { print_json(&held.json()) } else { print(words(&held).as_bytes()) }
+            }
+            LedgerVerb::Verify { dir, json } => verify(dir, *json),
+            LedgerVerb::Export { dir, to } => export(dir, to),
+        }
+    }
+}
+
+fn words(held: &Held) -> String {
+    let value = held.json();
+    let Some(fields) = value.as_object() else { return String::new() };
+    let mut fields: Vec<(&String, &OwnedValue)> = fields.iter().collect();
+    fields.sort_by_key(|(key, _)| *key);
+    let line = |(key, value): (&String, &OwnedValue)| match value.as_array() {
+        Some(list) if !list.is_empty() => {
+            let lines: String = list.iter().map(|item| format!("  {}\n", item.encode())).collect();
+            format!("{key}:\n{lines}")
+        }
+        _ => format!("{key}: {}\n", value.as_str().map_or_else(|| value.encode(), str::to_owned)),
+    };
+    fields.into_iter().map(line).collect()
+}
+
+fn verify(dir: &Path, json: bool) -> Done {
+    let (last, wrong) = match hold(dir) {
+        Ok(held) if held.unreadable.is_empty() => (held.last().0, String::new()),
+        Ok(held) => (held.last().0, format!("entries that hold no command of ours: {:?}", held.unreadable)),
+        Err(Failed::Process(error)) => (0, error.to_string()),
+        Err(error) => return Err(error),
+    };
+    let sound = wrong.is_empty();
+    if json {
+        print_json(&simd_json::json!({ "Sound": sound, "Last": last, "Wrong": wrong }))?;
+    } else if sound {
+        print(format!("{}: sound, up to entry {last}\n", dir.display()).as_bytes())?;
+    } else {
+        print(format!("{wrong}\n").as_bytes())?;
+    }
+    if sound { Ok(()) } else { Err(Failed::NotWell) }
+}
+
+fn export(dir: &Path, to: &Path) -> Done {
+    let held = hold(dir)?;
+    fs::create_dir_all(to).map_err(|error| Failed::File { path: to.to_owned(), error })?;
+    let write = |name: &str, bytes: &[u8]| {
+        let path = to.join(name);
+        fs::write(&path, bytes).map_err(|error| Failed::File { path, error })
+    };
+    write("state.json", format!("{}\n", held.json().encode()).as_bytes())?;
+    let version = held.script.version();
+    if let Some(bill) = held.script.bill() {
+        write("configuration.json", &bill.text())?;
+    }
+    print(
+        format!("configuration {version}, as of entry {}, is in {}\n", held.last().0, to.display())
+            .as_bytes(),
+    )
+}
--- /dev/null
+++ b/crates/playhouse/src/commands/rollout.rs
@@ -0,0 +1,97 @@
+//! `rollout`: new versions of services, ordered and watched.
+
+use std::time::Duration;
+
+use hyper::{Method, StatusCode};
+
+use super::call::{At, good, seconds};
+use super::{Done, Failed, print, print_json, text};
+use crate::demo::client::Ask;
+use crate::demo::operator::json;
+
+/// From one look at a roll-out to the next.
+const LOOK_EVERY: Duration = Duration::from_millis(500);
+
+#[derive(Debug, clap::Subcommand)]
+pub enum Rollout {
+    /// Order a version of a service. Start its instances first; the old ones go only once it is completed.
+    Start {
+        #[command(flatten)]
+        at: At,
+        service: String,
+        version: String,
+        /// Seconds that the trial may take.
+        #[arg(long, value_name = "S", value_parser = seconds)]
+        period: Duration,
+        /// Wait for its end, as `watch` does.
+        #[arg(long)]
+        watch: bool,
+    },
+    /// Print each state of a service's last roll-out until it ends: exit code 0 when it is completed, 1 when it
+    /// is reverted.
+    Watch {
+        #[command(flatten)]
+        at: At,
+        service: String,
+    },
+}
+
+impl Rollout {
+    pub async fn run(&self) -> Done {
+        match self {
+            Rollout::Start { at, service, version, period, watch: then } => {
+                let body = simd_json::json!({
+                    "TargetService": service.clone(), "TargetVersion": version.clone(),
+                    "RolloutPeriodS": period.as_secs_f64(),
+                });
+                let ask = Ask::new(Method::POST, "/api/Rollouts.Initiate");
+                good(at.ask(&ask.json(simd_json::prelude::Writable::encode(&body))).await?)?;
+                if *then {
+                    return watch(at, service).await;
+                }
+                if at.json {
+                    print_json(&body)
+                } else {
+                    print(format!("{service} {version} is ordered\n").as_bytes())
+                }
+            }
+            Rollout::Watch { at, service } => watch(at, service).await,
+        }
+    }
+}
+
+async fn watch(at: &At, service: &str) -> Done {
+    // Names may hold what a path may not.
+    let path: String = service.bytes().map(in_path).collect();
+    let ask = Ask::new(Method::GET, &format!("/api/Rollouts.Retrieve/{path}"));
+    let mut last = String::new();
+    loop {
+        let answer = at.ask(&ask).await?;
+        if answer.status == StatusCode::NOT_FOUND {
+            return Err(Failed::Refused { status: 404, text: format!("no roll-out of {service}") });
+        }
+        let value = json(&good(answer)?.body);
+        let value = value.ok_or_else(|| Failed::NoAnswer("the answer is no JSON".to_owned()))?;
+        let (state, version) = (text(&value, "State").to_owned(), text(&value, "TargetVersion"));
+        if state != last {
+            if at.json {
+                print_json(&value)?;
+            } else {
+                print(format!("{service} {version}: {state}\n").as_bytes())?;
+            }
+            last = state;
+        }
+        match last.as_str() {
+            "completed" => return Ok(()),
+            "reverted" => return Err(Failed::NotWell),
+            _ => tokio::time::sleep(LOOK_EVERY).await,
+        }
+    }
+}
+
+fn in_path(byte: u8) -> String {
+    match byte {
+        b'a'..=b'z' | b'A'..=b'Z' | b'0'..=b'9' | b'-' | b'.' | b'_' | b'~' => char::from(byte).to_string(),
+        _ => format!("%{byte:02X}"),
+    }
+}
--- /dev/null
+++ b/crates/playhouse/src/commands/view.rs
@@ -0,0 +1,136 @@
+//! View (status of the whole): what one prompter knows, as `GET /api/Status` answers it. Read only.
+
+use std::collections::BTreeMap;
+
+use cast::State;
+use company::{Part, Standing};
+use props::{Micros, SECOND};
+use simd_json::OwnedValue;
+use simd_json::prelude::*;
+
+use crate::control::Control;
+
+/// Instances that are listed; more are counted.
+const INSTANCES_MOST: usize = 2048;
+
+fn seconds(span: Micros) -> f64 {
+    span as f64 / SECOND as f64
+}
+
+fn life(life: props::Life) -> String {
+    format!("{:x}", life.0)
+}
+
+fn standing(standing: Standing) -> &'static str {
+    match standing {
+        Standing::Alive => "alive",
+        Standing::Suspect => "suspect",
+        Standing::Dead => "dead",
+        Standing::Left => "left",
+    }
+}
+
+fn state(state: State) -> &'static str {
+    match state {
+        State::InService => "in_service",
+        State::Silent => "silent",
+        State::Draining => "draining",
+        State::Gone => "gone",
+    }
+}
+
+/// The system as this prompter sees it at `now`.
+pub fn view(control: &Control, now: Micros) -> OwnedValue {
+    let (house, book) = (&control.house, control.book());
+    let seat = control.seat();
+    let voters: Vec<OwnedValue> = (book.members().0.iter())
+        .map(|seat| simd_json::json!({ "Place": seat.place.to_string(), "Life": life(seat.life) }))
+        .collect();
+    let mut members = vec![member(&house.own, "alive")];
+    let others = house.company.members().filter(|(member, _)| member.place != house.own.place);
+    members.extend(others.map(|(one, stands)| member(one, standing(stands))));
+    let rollouts: Vec<OwnedValue> =
+        house.script.rollouts.values().map(|rollout| trial(control, now, rollout)).collect();
+    let mut counts: BTreeMap<&str, [usize; 4]> = BTreeMap::new();
+    let (mut instances, mut more) = (Vec::new(), 0);
+    for record in house.cast.records() {
+        counts.entry(&record.service).or_default()[record.state as usize] += 1;
+        if instances.len() < INSTANCES_MOST {
+            instances.push(instance(now, record));
+        } else {
+            more += 1;
+        }
+    }
+    let counts: Vec<OwnedValue> = (counts.into_iter())
+        .map(|(service, [in_service, silent, draining, gone])| {
+            simd_json::json!({
+                "Service": service, "InService": in_service, "Silent": silent, "Draining": draining, "Gone": gone,
+            })
+        })
+        .collect();
+    simd_json::json!({
+        "Node": {
+            "Name": house.own.name.clone(), "Place": seat.place.to_string(), "Life": life(seat.life),
+            "Program": env!("CARGO_PKG_VERSION"),
+        },
+        "Leads": book.leads(),
+        "Leader": book.leader().map(|seat| seat.place.to_string()),
+        "Term": book.term().0,
+        "LogCommitted": book.committed().0,
+        "LogApplied": house.script.index().0,
+        "ConfigVersion": house.script.version().to_string(),
+        "Voters": voters,
+        "Members": members,
+        "Rollouts": rollouts,
+        "InstanceCounts": counts,
+        "Instances": instances,
+        "InstancesMore": more,
+    })
+}
+
+fn member(member: &company::Member, standing: &str) -> OwnedValue {
+    let part = match member.part {
+        Part::Foyer => "foyer",
+        Part::Prompter => "prompter",
+    };
+    simd_json::json!({
+        "Name": member.name.clone(), "Place": member.place.to_string(), "Life": life(member.life), "Part": part,
+        "Zone": member.zone.clone(), "Standing": standing,
+    })
+}
+
+/// A roll-out's state as it is written in answers.
+pub fn rollout_state(state: script::State) -> &'static str {
+    match state {
+        script::State::InProgress => "in_progress",
+        script::State::Completed => "completed",
+        script::State::Reverted => "reverted",
+    }
+}
+
+fn trial(control: &Control, now: Micros, rollout: &script::Rollout) -> OwnedValue {
+    let votes = control.votes(now, &rollout.service).map(|votes| {
+        simd_json::json!({
+            "On": votes.ons, "Back": votes.backs, "Trial": votes.trial, "TrialFailed": votes.failed,
+            "InService": votes.base, "InServiceFailed": votes.base_failed,
+        })
+    });
+    simd_json::json!({
+        "Service": rollout.service.clone(),
+        "State": rollout.state.map(rollout_state),
+        "CurrentVersion": rollout.current.clone(),
+        "TargetVersion": rollout.target.clone(),
+        "RolloutPeriodS": seconds(rollout.period),
+        "SinceS": seconds(now - rollout.since),
+        "Votes": votes,
+    })
+}
+
+fn instance(now: Micros, record: &cast::Known) -> OwnedValue {
+    simd_json::json!({
+        "Id": record.id.0.clone(), "Service": record.service.clone(), "Address": record.address.to_string(),
+        "Zone": record.zone.clone(), "Version": record.version.clone(), "Slots": record.slots,
+        "State": state(record.state), "SinceS": seconds(now - record.since),
+        "WarmupLeftS": seconds((record.slow_until - now).max(0)), "Keeper": record.keeper.to_string(),
+    })
+}
--- a/crates/playhouse/src/control.rs
+++ b/crates/playhouse/src/control.rs
@@ -102,6 +102,11 @@
         &self.book
     }
 
+    /// The foyers' votes on a service's trial, as they stand here.
+    pub fn votes(&self, now: Micros, service: &str) -> Option<script::Votes> {
+        self.count.votes(now, service)
+    }
+
     pub fn step(&mut self, now: Micros, event: In) -> Vec<Out> {
         match event {
             In::Tick => self.tick(now),
--- a/crates/playhouse/src/lib.rs
+++ b/crates/playhouse/src/lib.rs
@@ -2,6 +2,7 @@
 //! rooms; `house`, `control` and `floor` join those without I/O.
 
 pub mod calls;
+pub mod commands;
 pub mod control;
 pub mod demo;
 pub mod floor;
@@ -10,5 +11,6 @@
 mod listen;
 mod post;
 pub mod prompter;
+pub mod ring;
 pub mod settings;
 mod signals;
--- a/crates/playhouse/src/prompter.rs
+++ b/crates/playhouse/src/prompter.rs
@@ -3,6 +3,7 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::path::Path;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -12,7 +13,8 @@
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode, header};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use promptbook::Members;
+use ledger::{Ledger, LedgerError, Opened, StoreError};
+use promptbook::{Members, Saved};
 use props::{Ask, Life, Place, Seat};
 use script::{Command, Outcome};
 use simd_json::prelude::*;
@@ -23,6 +25,7 @@
 use crate::control::{Control, In, Out, Told};
 use crate::house::{Clock, House, chance};
 use crate::post::send;
+use crate::ring;
 use crate::settings::{Settings, micros};
 use crate::signals::{Signals, Told as Signal};
 
@@ -33,6 +36,9 @@
 /// Callers that wait at once; more are answered 503.
 const ASKS_MOST: usize = 4096;
 
+/// The life of each first voter's disk: all must name the same seats before they have met.
+const FIRST_LIFE: Life = Life(0);
+
 pub struct Prompter {
     control: Control,
     clock: Clock,
@@ -42,6 +48,8 @@
     asks: HashMap<Ask, oneshot::Sender<Told>>,
     next_ask: u64,
     changed: Rc<tokio::sync::Notify>,
+    /// Whether it led after the last step.
+    led: bool,
 }
 
 type Shared = Rc<RefCell<Prompter>>;
@@ -55,12 +63,13 @@
     let dir = settings.data_directory.clone().ok_or("DataDirectory is missing")?;
     let own = settings.place();
     let first = settings.initial_start && settings.seeds().contains(&own);
-    let fresh = if first { Life(0) } else { Life(chance() | 1) };
-    let (ledger, opened) = ledger::Ledger::open(DiskStore::open(&dir)?, fresh)?;
+    let (ledger, opened) = open(&dir, first)?;
     let (disk, mut done) = DiskHand::start(ledger)?;
     let seat = Seat { place: own, life: opened.life };
-    let voters = || settings.seeds().into_iter().map(|place| Seat { place, life: Life(0) });
-    let first = (first && opened.fresh).then(|| Members(voters().collect()));
+    let voters = || settings.seeds().into_iter().map(|place| Seat { place, life: FIRST_LIFE });
+    // A disk with nothing kept yet has promised nothing, also where the process was killed since it was begun.
+    let unused = opened.life == FIRST_LIFE && opened.saved == Saved::default();
+    let first = (first && unused).then(|| Members(voters().collect()));
     let (post, mut mail) =
         Post::bind(settings.ip_address, settings.internal_port(), wings::PostLimits::default())?;
     let now = clock.now();
@@ -77,6 +86,7 @@
         asks: HashMap::new(),
         next_ask: 0,
         changed: changed.clone(),
+        led: false,
     };
     prompter.carry(out);
     let shared: Shared = Rc::new(RefCell::new(prompter));
@@ -96,7 +106,15 @@
             }
             done = done.recv() => {
                 let Some(done) = done else { return Err("the disk's hand has gone".into()) };
-                shared.borrow_mut().step(In::Written { no: done.no, ok: done.ok });
+                let mut prompter = shared.borrow_mut();
+                prompter.step(In::Written { no: done.no, ok: done.ok });
+                if prompter.disk.refuses() {
+                    // What this process holds is not what its disk holds, and never will be.
+                    return Err("the disk's hand refuses writes; the ledger is to be opened anew".into());
+                }
+                if !done.ok {
+                    ring::spill("a write is not on disk");
+                }
             }
             _ = tokio::time::sleep_until(due) => shared.borrow_mut().step(In::Tick),
             _ = changed.notified() => {}
@@ -115,10 +133,38 @@
     Ok(())
 }
 
+/// Opens the ledger in `dir`. One that can't be read, or lacks what must be there, is set aside and begun with a
+/// fresh life: this machine is a newcomer then, who is let in again and learns all from the others, and nothing that
+/// its disk promised before is expected of it. `first` draws the life of a first voter, on an unused disk only.
+fn open(dir: &Path, first: bool) -> Result<(Ledger<DiskStore>, Opened), LedgerError> {
+    let begin =
+        |life| DiskStore::open(dir).map_err(LedgerError::from).and_then(|store| Ledger::open(store, life));
+    // A file that was set aside tells of an earlier use, also where the process was killed right after.
+    let first = first && !DiskStore::was_set_aside(dir);
+    let fresh = Life(chance() | 1);
+    match begin(if first { FIRST_LIFE } else { fresh }) {
+        Err(
+            error @ (LedgerError::Damaged { .. }
+            | LedgerError::Missing { .. }
+            | LedgerError::Store(StoreError::Damaged { .. })),
+        ) => {
+            log::error!("the ledger can't be used and is set aside; its disk begins a new life: {error}");
+            DiskStore::set_aside(dir)?;
+            begin(fresh)
+        }
+        // A full or failing disk may come back; a newer form is for the program that wrote it.
+        done => done,
+    }
+}
+
 impl Prompter {
     fn step(&mut self, event: In) {
         let out = self.control.step(self.clock.now(), event);
         self.carry(out);
+        let leads = self.control.book().leads();
+        if std::mem::replace(&mut self.led, leads) && !leads {
+            ring::spill("leadership was lost");
+        }
     }
 
     fn carry(&mut self, out: Vec<Out>) {
@@ -185,7 +231,7 @@
 }
 
 fn fault(status: StatusCode, text: &str) -> Answer {
-    let value = simd_json::json!({ "Error": text });
+    let value = simd_json::json!({ "Problem": text });
     reply(status, value.encode())
 }
 
@@ -236,6 +282,11 @@
             Ok(()) => rollout(&shared.borrow().control.house.script, &service),
             Err(answer) => answer,
         },
+        Call::Status => {
+            let prompter = shared.borrow();
+            let now = prompter.clock.now();
+            reply(StatusCode::OK, crate::commands::view::view(&prompter.control, now).encode())
+        }
         Call::Heartbeat(id) => {
             let beat = calls::beat(id, body)?;
             let told = shared.borrow_mut().begin(|ask| In::Beat { ask, beat });
@@ -340,16 +391,19 @@
     if let Outcome::Invalid(faults) = &outcome {
         return reply(status, faults.to_json());
     }
+    if let Outcome::Raced { current } = &outcome {
+        let value = simd_json::json!({ "ConfigVersion": current.to_string() });
+        return reply(status, value.encode());
+    }
     fault(status, &refusal(&outcome))
 }
 
 /// What a refusal says to a person.
 fn refusal(outcome: &Outcome) -> String {
     match outcome {
-        Outcome::Raced { current } => format!("the current version is {current}"),
         Outcome::Conflict(text) | Outcome::Unknown(text) => text.clone(),
         Outcome::Unreadable => "no command of ours".to_owned(),
         Outcome::Old => "the state has passed this by; ask again".to_owned(),
-        Outcome::Taken | Outcome::Again | Outcome::Invalid(_) => String::new(),
+        Outcome::Taken | Outcome::Again | Outcome::Invalid(_) | Outcome::Raced { .. } => String::new(),
     }
 }
--- a/crates/script/src/count.rs
+++ b/crates/script/src/count.rs
@@ -174,6 +174,19 @@
     told: Option<Micros>,
 }
 
+/// The votes on one trial that stand, and what the foyers told with their last ones; for those who look on.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Votes {
+    pub ons: usize,
+    pub backs: usize,
+    /// Outcomes of the version on trial, and those of them that failed.
+    pub trial: u64,
+    pub failed: u64,
+    /// Of the version in service.
+    pub base: u64,
+    pub base_failed: u64,
+}
+
 /// Votes of all trials.
 #[derive(Clone, Debug)]
 pub struct Count {
@@ -216,6 +229,14 @@
         }
     }
 
+    /// What stands at `now` on a service's trial; `None` where nobody has voted. Only a leader's is worth
+    /// something: votes are sent to it.
+    pub fn votes(&self, now: Micros, service: &str) -> Option<Votes> {
+        let sum = self.trials.get(service)?.standing(&self.settings, now);
+        let Standing { ons, backs, trial, failed, base, base_failed, .. } = sum;
+        Some(Votes { ons, backs, trial, failed, base, base_failed })
+    }
+
     /// The ends of trials that the votes that stand now call for, to be ordered by the leader. `foyers_up`
     /// are those that the members list has as up.
     pub fn verdicts(&mut self, now: Micros, script: &Script, foyers_up: usize) -> Vec<Command> {
--- a/crates/script/src/lib.rs
+++ b/crates/script/src/lib.rs
@@ -11,7 +11,7 @@
 use std::sync::Arc;
 
 use bill::{Bill, Faults};
-pub use count::{Count, CountSettings, Tally, Voice, Vote};
+pub use count::{Count, CountSettings, Tally, Voice, Vote, Votes};
 use indexmap::IndexMap;
 pub use outcome::{Broken, Outcome};
 pub use props::{Index, Micros, Place, Version};
--- a/crates/wings/src/disk.rs
+++ b/crates/wings/src/disk.rs
@@ -86,6 +86,12 @@
         folder.rename(NAME, ASIDE).map_err(|e| failed("setting the file aside", &e))?;
         folder.sync().map_err(|e| failed("syncing the folder", &e))
     }
+
+    /// Whether a damaged file was ever put out of the way in `dir`: the disk then has been in use before, even
+    /// where nothing has been kept on it since.
+    pub fn was_set_aside(dir: &Path) -> bool {
+        dir.join(ASIDE).exists()
+    }
 }
 
 impl<F: Folder> DiskStore<F> {
--- a/crates/wings/src/hand.rs
+++ b/crates/wings/src/hand.rs
@@ -2,6 +2,8 @@
 //! who answers clients waits for the disk.
 
 use std::io;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{Receiver, RecvTimeoutError, SyncSender, TryRecvError, TrySendError, sync_channel};
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
@@ -32,8 +34,8 @@
     queue: SyncSender<Write>,
     done: mpsc::UnboundedSender<Done>,
     thread: JoinHandle<Ledger<S>>,
-    /// A write was refused: later ones would leave a gap, so they are refused too.
-    refusing: bool,
+    /// A write was refused, here or by the thread: later ones would leave a gap, so they are refused too.
+    refusing: Arc<AtomicBool>,
 }
 
 impl<S: Store + 'static> DiskHand<S> {
@@ -43,11 +45,13 @@
         let (queue, waiting) = sync_channel(WAITING);
         let (done, dones) = mpsc::unbounded_channel();
         let answers = done.clone();
+        let refusing = Arc::new(AtomicBool::new(false));
+        let misfit = refusing.clone();
         let thread = thread::Builder::new()
             .name("disk-hand".into())
             .stack_size(STACK_BYTES)
-            .spawn(move || Worker { ledger, waiting, answers }.run())?;
-        Ok((Self { queue, done, thread, refusing: false }, dones))
+            .spawn(move || Worker { ledger, waiting, answers, misfit }.run())?;
+        Ok((Self { queue, done, thread, refusing }, dones))
     }
 
     /// Hands over a write; never waits. False, and an answer of `ok: false`, if it was refused: the queue was
@@ -56,10 +60,12 @@
     /// holds is sound, but it lacks writes that the caller has made.
     pub fn write(&mut self, write: Write) -> bool {
         let no = write.no;
-        if !self.refusing {
+        if !self.refuses() {
             match self.queue.try_send(write) {
                 Ok(()) => return true,
-                Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => self.refusing = true,
+                Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => {
+                    self.refusing.store(true, Ordering::Relaxed);
+                }
             }
         }
         // The receiver may be gone, and then nobody asks.
@@ -67,6 +73,12 @@
         false
     }
 
+    /// Whether writes are refused for good, until the ledger is opened anew. A disk that fails is no such case:
+    /// what it was handed stays in line.
+    pub fn refuses(&self) -> bool {
+        self.refusing.load(Ordering::Relaxed)
+    }
+
     /// Ends after what waits is on disk, or at the first failure; gives the ledger back.
     pub fn stop(self) -> Option<Ledger<S>> {
         drop(self.queue);
@@ -78,6 +90,8 @@
     ledger: Ledger<S>,
     waiting: Receiver<Write>,
     answers: mpsc::UnboundedSender<Done>,
+    /// Set before a write that does not fit is answered.
+    misfit: Arc<AtomicBool>,
 }
 
 impl<S: Store> Worker<S> {
@@ -121,6 +135,7 @@
                 Err(error @ LedgerError::Store(_)) => log::warn!("disk: {error}"),
                 Err(error) => {
                     log::error!("write that does not fit the ledger: {error}");
+                    self.misfit.store(true, Ordering::Relaxed);
                     self.answer(&batch[told..], false);
                     return false;
                 }
