--- a/crates/promptbook/tests/world.rs
+++ b/crates/promptbook/tests/world.rs
@@ -653,6 +653,20 @@
     assert!(world.sent - sent <= 12 + 8, "entries, answers, commits; perhaps a beat");
 }
 
+/// The leader knows that the entries are on its disk, and has nothing new to send.
+#[test]
+fn a_follower_that_starts_again_hands_out_what_is_committed_though_nobody_writes() {
+    let mut world = calm(3);
+    world.idle = true;
+    world.run(SECOND);
+    let leader = world.leader();
+    let (other, acked) = ((leader + 1) % 3, world.acked);
+    world.stop(other, true);
+    world.start(other, None);
+    world.run(2 * SECOND);
+    assert!(world.leads(leader) && world.machines[other].applied == acked && acked > 0);
+}
+
 #[test]
 fn proposals_beyond_four_megabytes_are_refused() {
     let mut world = calm(3);
