--- a/crates/playhouse/src/prompter.rs
+++ b/crates/playhouse/src/prompter.rs
@@ -73,7 +73,9 @@
     let (post, mut mail) =
         Post::bind(settings.ip_address, settings.internal_port(), wings::PostLimits::default())?;
     let now = clock.now();
-    let member = settings.member(Part::Prompter, seat.life);
+    // Among the nodes it is the process that lives: one that has left in order is never heard again, and this one
+    // may come back with the same disk.
+    let member = settings.member(Part::Prompter, Life(chance()));
     let house = House::start(member, settings.seeds(), micros(settings.heartbeat_s), chance(), now);
     let (control, out) = Control::start(house, seat, first, opened.saved, chance(), now);
     let changed = Rc::new(tokio::sync::Notify::new());
