--- a/crates/wings/tests/trouble.rs
+++ b/crates/wings/tests/trouble.rs
@@ -61,8 +61,10 @@
     let (mut hand, mut dones) = DiskHand::start(ledger).unwrap();
     hand.write(write(1));
     assert_eq!(dones.blocking_recv(), Some(Done { no: WriteNo(1), ok: true }));
+    assert!(!hand.refuses());
     hand.write(write(3));
     assert_eq!(dones.blocking_recv(), Some(Done { no: WriteNo(3), ok: false }));
+    assert!(hand.refuses());
     hand.write(write(2));
     hand.write(write(4));
     for no in [2, 4] {
