--- /dev/null
+++ b/crates/rehearsal/src/lib.rs
@@ -0,0 +1,11 @@
+//! Rehearsal (deterministic simulation): the system's real cores in one seeded world, in simulated time, with
+//! troubles that are on no list, stand-ins for all that is around, and rules checked on what those saw.
+
+pub mod plant;
+pub mod play;
+pub mod rules;
+pub mod scenario;
+pub mod seen;
+mod texts;
+mod touch;
+pub mod world;
--- /dev/null
+++ b/crates/rehearsal/src/play.rs
@@ -0,0 +1,107 @@
+//! Play (whole days): one day from its scenario, its verdict, and a smaller scenario that breaks the same.
+
+use props::Micros;
+
+use crate::plant::Planted;
+use crate::rules::{self, Broken};
+use crate::scenario::Scenario;
+use crate::seen::{Answer, Seen, What};
+use crate::world::World;
+
+/// What came of a day.
+#[derive(Clone, Debug)]
+pub struct Day {
+    pub seed: u64,
+    pub scenario: Scenario,
+    pub broken: Vec<Broken>,
+    /// Events played, and the event at which the first broken rule was seen.
+    pub steps: u64,
+    pub step: Option<u64>,
+    pub progress: Option<Micros>,
+    pub served: Option<f64>,
+    pub requests: usize,
+    pub good: usize,
+    pub acked: usize,
+    pub leaders: usize,
+    /// The last lines of each process, where a rule is broken.
+    pub rings: String,
+    pub log: Vec<Seen>,
+}
+
+impl Day {
+    pub fn ok(&self) -> bool {
+        self.broken.is_empty()
+    }
+
+    /// One line.
+    pub fn line(&self) -> String {
+        let verdict = match self.broken.first() {
+            None => "holds".to_owned(),
+            Some(broken) => format!("BROKEN {:?} at {:.3} s", broken.rule, broken.at as f64 / 1e6),
+        };
+        let progress = self.progress.map_or("-".into(), |after| format!("{:.1} s", after as f64 / 1e6));
+        format!(
+            "seed {}: {verdict}; {} troubles, {} steps, {} of {} requests served, {} changes acknowledged, \
+             {} leaders, progress after {progress}",
+            self.seed,
+            self.scenario.troubles.len(),
+            self.steps,
+            self.good,
+            self.requests,
+            self.acked,
+            self.leaders,
+        )
+    }
+}
+
+/// The day of a seed.
+pub fn day(seed: u64, planted: Option<Planted>) -> Day {
+    play(Scenario::drawn(seed), seed, planted)
+}
+
+/// Plays a scenario; the seed moves what it leaves open.
+pub fn play(scenario: Scenario, seed: u64, planted: Option<Planted>) -> Day {
+    let mut world = World::new(scenario.clone(), seed, planted);
+    world.play();
+    let broken = rules::check(&world.log, &world.terms);
+    let rings = if broken.is_empty() { String::new() } else { world.rings() };
+    let count = |of: fn(&What) -> bool| world.log.iter().filter(|seen| of(&seen.what)).count();
+    Day {
+        seed,
+        step: None,
+        steps: world.steps,
+        progress: rules::progress_after(&world.log),
+        served: rules::served_after(&world.log, &world.terms),
+        requests: count(|what| matches!(what, What::Asked { .. })),
+        good: count(|what| matches!(what, What::Answered { answer: Answer::Good, .. })),
+        acked: count(|what| matches!(what, What::Acked { .. })),
+        leaders: count(|what| matches!(what, What::Leads { .. })),
+        scenario,
+        broken,
+        rings,
+        log: world.log,
+    }
+}
+
+/// Drops troubles one by one while the same rule still breaks.
+pub fn shrunk(day: &Day, planted: Option<Planted>, mut tried: impl FnMut()) -> Day {
+    let Some(rule) = day.broken.first().map(|broken| broken.rule) else { return day.clone() };
+    let mut best = day.clone();
+    let mut again = true;
+    while again {
+        again = false;
+        let mut at = best.scenario.troubles.len();
+        while at > 0 {
+            at -= 1;
+            let mut scenario = best.scenario.clone();
+            scenario.troubles.remove(at);
+            tried();
+            let found = play(scenario, day.seed, planted);
+            if found.broken.iter().any(|broken| broken.rule == rule) {
+                best = found;
+                again = true;
+            }
+        }
+    }
+    best
+}
--- /dev/null
+++ b/crates/rehearsal/src/scenario.rs
@@ -0,0 +1,334 @@
+//! Scenario (what goes wrong, and when): drawn from a seed, or read from a TOML file.
+
+use oorandom::Rand64;
+use props::{MS, Micros, SECOND};
+use serde::{Deserialize, Serialize};
+
+/// Times are milliseconds from the day's start, spans are milliseconds, machines are numbers: the core first,
+/// from 0, then the foyers.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Scenario {
+    pub prompters: usize,
+    pub foyers: usize,
+    pub zones: usize,
+    /// The day's length in milliseconds, at least 10 s more than the last trouble's end.
+    pub length: u64,
+    /// Of a thousand datagrams, so many are lost all day.
+    pub lost: u32,
+    /// Requests of clients a second, over all.
+    pub requests: u32,
+    #[serde(default)]
+    pub troubles: Vec<Trouble>,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Trouble {
+    pub at: u64,
+    #[serde(flatten)]
+    pub what: What,
+}
+
+/// One trouble. `For` spans end by themselves.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "what", rename_all = "snake_case")]
+pub enum What {
+    /// SIGKILL; the process starts again after `back`.
+    Kill {
+        machine: usize,
+        back: u64,
+    },
+    /// Loss of power: what is not synced is gone.
+    Power {
+        machine: usize,
+        back: u64,
+    },
+    /// Loss of power, and the disk comes back empty.
+    Wipe {
+        machine: usize,
+        back: u64,
+    },
+    /// SIGTERM, and the end after the grace.
+    Stop {
+        machine: usize,
+        back: u64,
+    },
+    /// The process stands still.
+    Freeze {
+        machine: usize,
+        span: u64,
+    },
+    /// Everything at the machine comes up to `by` late.
+    Slow {
+        machine: usize,
+        span: u64,
+        by: u64,
+    },
+    /// A core machine is removed for good, and an empty one comes at another address.
+    Replace {
+        machine: usize,
+        back: u64,
+    },
+    /// Every process of the core at once.
+    HerdCore {
+        power: bool,
+        back: u64,
+    },
+    /// Every process of all.
+    HerdAll {
+        power: bool,
+        back: u64,
+    },
+    /// All lose power, and one of the core its disk, right after a configuration is acknowledged.
+    AfterAckAll {
+        wiped: bool,
+        back: u64,
+    },
+    /// The machine that acknowledges next loses power, or its disk, right after.
+    AfterAck {
+        wiped: bool,
+        back: u64,
+    },
+    /// The machine hears and says nothing.
+    Cut {
+        machine: usize,
+        span: u64,
+    },
+    /// The machine says nothing, and hears all; or hears nothing.
+    Mute {
+        machine: usize,
+        span: u64,
+        deaf: bool,
+    },
+    /// One link.
+    Link {
+        from: usize,
+        to: usize,
+        span: u64,
+    },
+    /// The machines whose numbers have the remainder 0 by `every` are cut from all others.
+    Split {
+        every: usize,
+        span: u64,
+    },
+    /// Datagrams are lost, so many of a thousand, and come late.
+    Storm {
+        span: u64,
+        lost: u32,
+        late: u64,
+    },
+    /// Writes fail, or take for ever.
+    Disk {
+        machine: usize,
+        span: u64,
+        hung: bool,
+    },
+    SlowDisk {
+        machine: usize,
+        span: u64,
+        by: u64,
+    },
+    /// The settings of all name other core machines.
+    Seeds {
+        shift: usize,
+    },
+    /// An instance ends without a word; its address may go to another service later.
+    Crash {
+        instance: usize,
+    },
+    /// An instance drains and goes.
+    Drain {
+        instance: usize,
+    },
+    /// Instances of a service answer nothing, or rubbish, for so many of a thousand requests.
+    Sick {
+        service: usize,
+        span: u64,
+        lost: u32,
+        error: u32,
+    },
+    /// An instance of a version nobody ordered registers.
+    WrongBuild {
+        service: usize,
+    },
+    /// The operator's changes.
+    Change,
+    Modify,
+    Invalid {
+        kind: u32,
+    },
+    /// Two on one base at once.
+    Race,
+    /// The call acknowledged last, again, to any machine.
+    Again,
+    Rollout {
+        service: usize,
+        bad: bool,
+        period: u64,
+    },
+}
+
+/// What a drawn day may look like; deployments of the kinds described.
+const SHAPES: [(usize, usize, usize); 5] = [(5, 10, 3), (5, 9, 3), (3, 6, 3), (5, 10, 4), (7, 10, 2)];
+const FIRST: u64 = 6_000;
+const LAST: u64 = 13_000;
+
+struct Draw(Rand64);
+
+impl Draw {
+    fn of(&mut self, from: u64, to: u64) -> u64 {
+        self.0.rand_range(from..to.max(from + 1))
+    }
+    fn one(&mut self, of: u64) -> bool {
+        self.0.rand_range(0..of.max(1)) == 0
+    }
+}
+
+impl Scenario {
+    /// A day without troubles: five prompters and ten foyers for 30 s.
+    pub fn calm() -> Scenario {
+        Scenario {
+            prompters: 5,
+            foyers: 10,
+            zones: 3,
+            length: 30_000,
+            lost: 3,
+            requests: 80,
+            troubles: Vec::new(),
+        }
+    }
+
+    /// The day of a seed. Three of four have five prompters and ten foyers.
+    pub fn drawn(seed: u64) -> Scenario {
+        let mut draw = Draw(Rand64::new(u128::from(seed) ^ 0x5ce0_0a21));
+        let shape = if draw.one(4) { SHAPES[draw.of(0, SHAPES.len() as u64) as usize] } else { SHAPES[0] };
+        let (prompters, foyers, zones) = shape;
+        let mut day = Scenario { prompters, foyers, zones, ..Scenario::calm() };
+        day.lost = draw.of(0, 12) as u32;
+        let many = draw.of(0, 10);
+        let mut lost_disk = false;
+        for _ in 0..many {
+            let at = draw.of(FIRST, LAST);
+            let what = drawn(&mut draw, &day, &mut lost_disk);
+            day.add(at, what);
+        }
+        // Operators are at work all day.
+        for _ in 0..draw.of(3, 8) {
+            let at = draw.of(5_000, LAST);
+            let what = match draw.of(0, 10) {
+                0..=3 => What::Change,
+                4..=5 => What::Modify,
+                6 => What::Invalid { kind: draw.of(0, 8) as u32 },
+                7..=8 => What::Race,
+                _ => What::Again,
+            };
+            day.add(at, what);
+        }
+        if draw.one(2) {
+            let (service, bad) = (draw.of(0, 4) as usize, draw.one(2));
+            let at = draw.of(5_000, 9_000);
+            day.add(at, What::Rollout { service, bad, period: draw.of(8_000, 11_000) });
+        }
+        if draw.one(4) {
+            let back = draw.of(200, 1_500);
+            day.add(draw.of(LAST, LAST + 500), What::AfterAckAll { wiped: !lost_disk && draw.one(2), back });
+            day.add(LAST + 500, What::Change);
+        }
+        day.troubles.sort_by_key(|trouble| trouble.at);
+        day
+    }
+
+    fn add(&mut self, at: u64, what: What) {
+        self.troubles.push(Trouble { at, what });
+    }
+
+    pub fn machines(&self) -> usize {
+        self.prompters + self.foyers
+    }
+
+    pub fn end(&self) -> Micros {
+        self.length as Micros * MS
+    }
+
+    /// When operators ask once more for a change, and all must go on.
+    pub fn calm_from(&self) -> Micros {
+        let last = self.troubles.iter().map(Trouble::over).max().unwrap_or(0) as Micros * MS;
+        last.max(10 * SECOND) + 100 * MS
+    }
+
+    pub fn read(text: &str) -> Result<Scenario, toml::de::Error> {
+        toml::from_str(text)
+    }
+
+    pub fn written(&self) -> String {
+        toml::to_string(self).unwrap_or_else(|error| format!("# can't be written: {error}\n"))
+    }
+}
+
+impl Trouble {
+    /// When it and what follows from it has ended, in milliseconds.
+    pub fn over(&self) -> u64 {
+        self.at
+            + match &self.what {
+                What::Kill { back, .. }
+                | What::Power { back, .. }
+                | What::Wipe { back, .. }
+                | What::Replace { back, .. }
+                | What::HerdCore { back, .. }
+                | What::HerdAll { back, .. } => *back,
+                What::AfterAckAll { back, .. } | What::AfterAck { back, .. } => back + 2_000,
+                What::Stop { back, .. } => back + 6_000,
+                What::Freeze { span, .. }
+                | What::Slow { span, .. }
+                | What::Cut { span, .. }
+                | What::Mute { span, .. }
+                | What::Link { span, .. }
+                | What::Split { span, .. }
+                | What::Storm { span, .. }
+                | What::Disk { span, .. }
+                | What::SlowDisk { span, .. }
+                | What::Sick { span, .. } => *span,
+                What::Drain { .. } => 4_000,
+                _ => 0,
+            }
+    }
+}
+
+/// One trouble. A disk is lost at most once a day: what must be borne at once is one of those.
+fn drawn(draw: &mut Draw, day: &Scenario, lost_disk: &mut bool) -> What {
+    let core = draw.of(0, day.prompters as u64) as usize;
+    let foyer = day.prompters + draw.of(0, day.foyers as u64) as usize;
+    let machine = if draw.one(2) { core } else { foyer };
+    let (back, span) = (draw.of(100, 3_000), draw.of(200, 4_000));
+    let lose = |lost_disk: &mut bool| !std::mem::replace(lost_disk, true);
+    match draw.of(0, 27) {
+        0..=1 => What::Kill { machine, back },
+        2 => What::Power { machine: core, back },
+        3 if lose(lost_disk) => What::Wipe { machine: core, back },
+        4 => What::Stop { machine, back: draw.of(50, 500) },
+        5..=6 => What::Freeze { machine, span },
+        7 => What::Slow { machine, span, by: draw.of(20, 300) },
+        8 if lose(lost_disk) => What::Replace { machine: core, back },
+        9 => What::HerdCore { power: draw.one(2), back: draw.of(100, 1_000) },
+        10 if draw.one(3) => What::HerdAll { power: draw.one(2), back: draw.of(100, 1_500) },
+        11 => What::AfterAck { wiped: lose(lost_disk), back },
+        12..=13 => What::Cut { machine, span },
+        14 => What::Mute { machine, span, deaf: draw.one(2) },
+        15 => What::Link { from: core, to: draw.of(0, day.machines() as u64) as usize, span },
+        16 => What::Split { every: draw.of(2, 4) as usize, span },
+        17 => What::Storm { span, lost: draw.of(50, 500) as u32, late: draw.of(1, 200) },
+        18 => What::Disk { machine: core, span, hung: draw.one(2) },
+        19 => What::SlowDisk { machine: core, span, by: draw.of(5, 200) },
+        20 => What::Seeds { shift: draw.of(1, day.prompters as u64) as usize },
+        21..=22 => What::Crash { instance: draw.of(0, 100) as usize },
+        23..=24 => What::Drain { instance: draw.of(0, 100) as usize },
+        25 => What::Sick {
+            service: draw.of(0, 4) as usize,
+            span,
+            lost: draw.of(0, 600) as u32,
+            error: draw.of(0, 400) as u32,
+        },
+        26 => What::WrongBuild { service: draw.of(0, 4) as usize },
+        _ => What::Drain { instance: draw.of(0, 100) as usize },
+    }
+}
--- /dev/null
+++ b/crates/rehearsal/src/world/foyer.rs
@@ -0,0 +1,305 @@
+//! Foyers: hosts `floor` as the driver on sockets does: routes, tickets, trips over few connections, replies.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddrV4;
+
+use bill::Kind;
+use garnetdoor::host::{Ending, TicketId, TripNo};
+use playhouse::floor::desk::Seen as Target;
+use playhouse::floor::{Floor, In, Out};
+use playhouse::house::Word;
+use props::{Life, MS, Micros, SECOND};
+
+use super::instances::Trip;
+use super::machine::Process;
+use super::{Event, World};
+use crate::plant::Planted;
+use crate::seen::{Answer, What};
+use crate::texts;
+
+struct Open {
+    request: u64,
+    until: Micros,
+    safe: bool,
+    trips: Vec<usize>,
+    replied: bool,
+    /// An instance's own failure is kept, and passed on if nothing better comes.
+    kept: bool,
+}
+
+pub(crate) struct FoyerProc {
+    pub floor: Floor,
+    open: BTreeMap<TicketId, Open>,
+    next: u64,
+    /// Connections in use, by address.
+    out: BTreeMap<SocketAddrV4, usize>,
+}
+
+impl World {
+    pub(crate) fn start_foyer(&mut self, at: usize) {
+        let life = Life(self.chance.rand_u64());
+        let house = self.house(at, life);
+        let seed = self.chance.rand_u64();
+        let mut settings = (*self.settings).clone();
+        settings.zone = format!("z{}", self.machines[at].zone);
+        let floor = Floor::start(house, settings.into(), seed, 0);
+        let due = floor.due();
+        let process = FoyerProc { floor, open: BTreeMap::new(), next: 0, out: BTreeMap::new() };
+        self.machines[at].process = Some(Process::Foyer(Box::new(process)));
+        self.old_scripts.remove(&at);
+        self.wake(at, due);
+    }
+
+    pub(crate) fn foyer(&mut self, at: usize) -> Option<&mut FoyerProc> {
+        match &mut self.machines[at].process {
+            Some(Process::Foyer(process)) => Some(process),
+            _ => None,
+        }
+    }
+
+    pub(crate) fn foyer_step(&mut self, at: usize, event: In<'_>) {
+        let now = self.clock(at);
+        let Some(process) = self.foyer(at) else { return };
+        let out = process.floor.step(now, event);
+        for what in out {
+            match what {
+                Out::Send { to, word } => {
+                    let mute = self.planted == Some(Planted::NoCap) && matches!(word, Word::Vote(_));
+                    if !mute {
+                        self.send(at, to, &word);
+                    }
+                }
+                Out::Trip { ticket, trip, to, until, connections } => {
+                    self.trip(at, ticket, trip, &to, until, connections);
+                }
+                Out::Stop { ticket, trip } => self.stop_trip(at, ticket, trip),
+                Out::TurnBack { ticket, wait } => {
+                    self.respond(at, ticket, Answer::Promise, Some(wait.unwrap_or(100 * MS)));
+                }
+                Out::Forfeit { ticket } => self.respond(at, ticket, Answer::Nothing, None),
+            }
+        }
+        if let Some(process) = self.foyer(at) {
+            let due = process.floor.due();
+            self.wake(at, due);
+        }
+    }
+
+    /// A client's request arrives at the socket.
+    pub(crate) fn knock(&mut self, at: usize, request: u64) {
+        let machine = &self.machines[at];
+        if !machine.powered || !self.passes(None, Some(at)) {
+            return;
+        }
+        let now = self.clock(at);
+        let life = machine.run;
+        let Some(process) = self.foyer(at) else {
+            // Nobody listens: the client's connection is refused, its request unread.
+            return self.later(MS, Event::Answered { request, answer: Answer::Nothing, wait: Some(-1) });
+        };
+        let bill = process.floor.bill().cloned();
+        let asked = &mut self.requests[request as usize];
+        asked.read = true;
+        let (route, sent, deadline) = (asked.route, asked.sent, asked.deadline);
+        let Some(bill) = bill else {
+            return self.answer_client(at, request, Answer::Promise, Some(100 * MS));
+        };
+        let version = bill.version.0;
+        let found = bill.route(texts::HOST, &texts::path(route));
+        let Some(found) = found else {
+            self.saw(What::Handled { request, sent, foyer: at, life, version, service: usize::MAX });
+            return self.answer_client(at, request, Answer::NoRoute, None);
+        };
+        let mut drawn =
+            self.chance.rand_float() * found.targets.iter().map(|target| target.weight).sum::<f64>();
+        let mut service = &*found.targets[0].service;
+        for target in &found.targets {
+            if target.weight > 0.0 {
+                service = &target.service;
+            }
+            if drawn < target.weight {
+                break;
+            }
+            drawn -= target.weight;
+        }
+        let number = texts::service_no(service);
+        self.saw(What::Handled { request, sent, foyer: at, life, version, service: number });
+        let left = (deadline - self.now).max(0).min(found.timeout);
+        let Some(process) = self.foyer(at) else { return };
+        process.next += 1;
+        let ticket = TicketId(process.next);
+        let (safe, until) = (found.kind == Kind::Safe, now + left);
+        let open = Open { request, until, safe, trips: Vec::new(), replied: false, kept: false };
+        process.open.insert(ticket, open);
+        self.requests[request as usize].at = Some((at, life, ticket));
+        let (name, kind) = (found.name.to_string(), found.kind);
+        self.foyer_step(at, In::Came { ticket, service, route: &name, kind, left });
+    }
+
+    /// A final answer; an instance's own failure stands in for a refusal.
+    fn respond(&mut self, at: usize, ticket: TicketId, answer: Answer, wait: Option<Micros>) {
+        let Some(open) = self.foyer(at).and_then(|process| process.open.get_mut(&ticket)) else { return };
+        if std::mem::replace(&mut open.replied, true) {
+            return;
+        }
+        let (request, kept) = (open.request, open.kept);
+        let (answer, wait) =
+            if kept && answer != Answer::Good { (Answer::Nothing, None) } else { (answer, wait) };
+        self.answer_client(at, request, answer, wait);
+        let run = self.machines[at].run;
+        self.later(0, Event::ClientGone { at, run, ticket });
+    }
+
+    fn answer_client(&mut self, at: usize, request: u64, answer: Answer, wait: Option<Micros>) {
+        if self.passes(Some(at), None) {
+            let way = self.way(at);
+            self.later(way, Event::Answered { request, answer, wait });
+        }
+    }
+
+    /// The client has its answer, or has closed.
+    pub(crate) fn client_gone(&mut self, at: usize, run: u64, ticket: TicketId) {
+        if self.machines[at].run != run {
+            return;
+        }
+        self.foyer_step(at, In::Left { ticket });
+        if let Some(process) = self.foyer(at) {
+            process.open.remove(&ticket);
+        }
+    }
+
+    fn trip(
+        &mut self, at: usize, ticket: TicketId, trip: TripNo, to: &Target, until: Option<Micros>, most: usize,
+    ) {
+        let (now, born) = (self.clock(at), self.machines[at].born);
+        let run = self.machines[at].run;
+        let number = self.trips.len();
+        let Some(process) = self.foyer(at) else { return };
+        let Some(open) = process.open.get_mut(&ticket) else { return };
+        open.trips.push(number);
+        let until = until.unwrap_or(open.until).min(open.until);
+        let request = open.request;
+        let used = process.out.entry(to.address).or_insert(0);
+        let full = *used >= most.max(1);
+        if !full {
+            *used += 1;
+        }
+        let made = Trip {
+            foyer: at,
+            run,
+            ticket,
+            number: trip,
+            request,
+            target: to.id.0.clone(),
+            address: to.address,
+            sent: self.now,
+            until: until + born,
+            counted: !full,
+            ended: false,
+            arrived: false,
+            hung_up: false,
+        };
+        self.trips.push(made);
+        if until <= now || full {
+            let ending = if full { Ending::Full } else { Ending::NeverSent };
+            return self.later(0, Event::TripEnded { trip: number, ending, answer: false });
+        }
+        self.later(until - now, Event::Until { trip: number });
+        // A new connection has a second to come up.
+        self.later(SECOND, Event::Until { trip: number });
+        if self.passes(Some(at), None) {
+            let way = self.way(at);
+            self.later(way, Event::Arrive { trip: number });
+            if self.planted == Some(Planted::SentTwice) && self.odds(5) {
+                self.later(way + 5 * MS, Event::Arrive { trip: number });
+            }
+        }
+    }
+
+    fn stop_trip(&mut self, at: usize, ticket: TicketId, trip: TripNo) {
+        let open = self.foyer(at).and_then(|process| process.open.get(&ticket));
+        if let Some(number) = open.and_then(|open| open.trips.get(trip.0 as usize).copied()) {
+            self.hang_up(number);
+        }
+    }
+
+    /// The connection of a trip is not used any more.
+    pub(crate) fn hang_up(&mut self, trip: usize) {
+        let one = &mut self.trips[trip];
+        one.ended = true;
+        one.hung_up = true;
+        let (at, run, address) = (one.foyer, one.run, one.address);
+        if std::mem::take(&mut one.counted)
+            && self.machines[at].run == run
+            && let Some(used) = self.foyer(at).and_then(|process| process.out.get_mut(&address))
+        {
+            *used = used.saturating_sub(1);
+        }
+    }
+
+    /// The time of a trip, or of its connection, is over.
+    pub(crate) fn until(&mut self, trip: usize) {
+        let one = &self.trips[trip];
+        if one.ended || (one.arrived && self.now < one.until) {
+            return;
+        }
+        let ending = if one.arrived { Ending::TimedOut } else { Ending::ConnectFailed };
+        self.later(0, Event::TripEnded { trip, ending, answer: false });
+    }
+
+    pub(crate) fn trip_ended(&mut self, trip: usize, ending: Ending, answer: bool) {
+        if self.trips[trip].ended || self.machines[self.trips[trip].foyer].run != self.trips[trip].run {
+            return;
+        }
+        self.hang_up(trip);
+        let one = &self.trips[trip];
+        let (at, ticket, number, took) = (one.foyer, one.ticket, one.number, self.now - one.sent);
+        let Some(open) = self.foyer(at).and_then(|process| process.open.get_mut(&ticket)) else { return };
+        let mut ending = ending;
+        let over = match (answer, ending) {
+            (true, Ending::Error) if open.safe => {
+                open.kept = true;
+                open.replied
+            }
+            (true, _) => {
+                let good = if ending == Ending::Error { Answer::Nothing } else { Answer::Good };
+                self.respond(at, ticket, good, None);
+                true
+            }
+            (false, _) => open.replied,
+        };
+        if self.planted == Some(Planted::LostAsUnsent) && ending == Ending::Reset {
+            ending = Ending::NeverSent;
+        }
+        self.foyer_step(at, In::Ended { ticket, trip: number, took, ending, over });
+    }
+
+    /// The process has ended; its clients see a closed connection, or nothing at all.
+    pub(crate) fn foyer_gone(&mut self, _at: usize, process: FoyerProc, power: bool) {
+        for open in process.open.values() {
+            for trip in &open.trips {
+                self.trips[*trip].hung_up = !power;
+                self.trips[*trip].ended = true;
+            }
+            if !open.replied && !power {
+                let request = open.request;
+                self.later(MS, Event::Answered { request, answer: Answer::Nothing, wait: None });
+            }
+        }
+    }
+
+    /// Sets a foyer's state back, behind its own back: a planted fault.
+    pub(crate) fn plant_old_state(&mut self) {
+        let at = self.scenario.prompters;
+        let old = self.old_scripts.remove(&at);
+        if let Some(process) = self.foyer(at) {
+            let now = process.floor.house.script.clone();
+            match old {
+                Some(old) if old.version() < now.version() => process.floor.house.script = old,
+                Some(old) => drop(self.old_scripts.insert(at, old)),
+                None => drop(self.old_scripts.insert(at, now)),
+            }
+        }
+        self.later(2 * SECOND, Event::Plant);
+    }
+}
--- /dev/null
+++ b/crates/rehearsal/src/world/instances.rs
@@ -0,0 +1,357 @@
+//! Instances (stand-ins): slots, a queue, work, beats, drains, crashes, addresses used again.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::rc::Rc;
+
+use cast::{Beat, InstanceId};
+use garnetdoor::host::{Ending, TicketId, TripNo};
+use props::{MS, Micros, Place, SECOND};
+
+use super::operators::{Call, Caller, Reply, Who};
+use super::{Event, World};
+use crate::plant::Planted;
+use crate::seen::What;
+use crate::texts;
+
+/// Instances of each service at the start.
+pub(crate) const EACH: usize = 4;
+const SLOTS: u32 = 2;
+const QUEUE: usize = 4;
+const BEAT: Micros = 1_500 * MS;
+const WORK: Micros = 30 * MS;
+const WARMUP: Micros = 800 * MS;
+/// After this an instance that leaves goes without an acknowledgement.
+const LEAVES_ANYWAY: Micros = 6 * SECOND;
+/// After an end, before the address is used again.
+const ADDRESS_REUSE: Micros = 2 * SECOND;
+/// A version that nobody orders.
+pub(crate) const UNORDERED: u32 = 900;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum State {
+    Up,
+    Draining,
+    Over,
+}
+
+/// One life.
+pub(crate) struct Instance {
+    pub id: String,
+    pub service: usize,
+    pub version: u32,
+    pub address: SocketAddrV4,
+    pub state: State,
+    zone: usize,
+    born: Micros,
+    sequence: u64,
+    /// Where beats go, while they are taken there.
+    target: Option<usize>,
+    /// The beat whose answer is waited for.
+    beat_no: u64,
+    leaving_since: Micros,
+    acked: bool,
+    detached: bool,
+    running: Vec<usize>,
+    queue: VecDeque<usize>,
+    /// In percent.
+    speed: Micros,
+}
+
+/// One exchange of a foyer with an instance.
+pub(crate) struct Trip {
+    pub foyer: usize,
+    pub run: u64,
+    pub ticket: TicketId,
+    pub number: TripNo,
+    pub request: u64,
+    pub target: String,
+    pub address: SocketAddrV4,
+    pub sent: Micros,
+    pub until: Micros,
+    /// Counts among the foyer's connections.
+    pub counted: bool,
+    pub ended: bool,
+    pub arrived: bool,
+    /// The connection is closed.
+    pub hung_up: bool,
+}
+
+/// What is known of a service's versions: which are bad.
+pub(crate) type Bad = BTreeMap<(usize, u32), bool>;
+
+impl World {
+    pub(crate) fn register(&mut self, service: usize, version: u32, address: Option<SocketAddrV4>) {
+        let address = address.filter(|address| !self.by_address.contains_key(address)).unwrap_or_else(|| {
+            self.next_address += 1;
+            SocketAddrV4::new(
+                Ipv4Addr::new(10, 9, 0, (self.next_address % 250) as u8),
+                8000 + (self.next_address / 250) as u16,
+            )
+        });
+        let number = self.instances.len();
+        let speed = self.span(80, 130);
+        let zone = self.pick(self.scenario.zones);
+        self.instances.push(Instance {
+            id: format!("i-{number}"),
+            service,
+            version,
+            address,
+            state: State::Up,
+            zone,
+            born: self.now,
+            sequence: 0,
+            target: None,
+            beat_no: 0,
+            leaving_since: 0,
+            acked: false,
+            detached: false,
+            running: Vec::new(),
+            queue: VecDeque::new(),
+            speed,
+        });
+        self.by_address.insert(address, number);
+        self.beat(number, 0);
+    }
+
+    /// Time for a beat; `no` names the one before.
+    pub(crate) fn beat(&mut self, instance: usize, no: u64) {
+        let one = &mut self.instances[instance];
+        if one.state == State::Over || one.beat_no != no || one.detached {
+            return;
+        }
+        one.sequence += 1;
+        one.beat_no += 1;
+        let no = one.beat_no;
+        let warmup_left = (one.born + WARMUP - self.now).max(0);
+        let beat = Beat {
+            id: InstanceId(one.id.clone()),
+            service: texts::service(one.service),
+            address: one.address,
+            zone: format!("z{}", one.zone),
+            version: format!("v{}", one.version),
+            slots: SLOTS,
+            draining: one.state == State::Draining,
+            warmup_left,
+            sequence: one.sequence,
+        };
+        self.instance_calls(instance, no, Call::Beat(beat));
+    }
+
+    fn instance_calls(&mut self, instance: usize, no: u64, call: Call) {
+        let at = match self.instances[instance].target {
+            Some(at) => at,
+            None => self.listed_one(),
+        };
+        self.instances[instance].target = Some(at);
+        let caller = Caller { who: Who::Instance(instance), no };
+        self.call(at, caller, Rc::new(call));
+    }
+
+    /// An answer to a beat or a detach, or none within a second.
+    pub(crate) fn instance_told(&mut self, instance: usize, no: u64, reply: &Reply) {
+        let one = &mut self.instances[instance];
+        if one.state == State::Over || one.beat_no != no {
+            return;
+        }
+        // The same call's silence says nothing more.
+        one.beat_no += 1;
+        let no = one.beat_no;
+        match reply {
+            Reply::Taken(target) => {
+                let by = one.target;
+                let leaving = one.state == State::Draining;
+                let target: Option<Place> = *target;
+                let first = leaving && !std::mem::replace(&mut one.acked, true);
+                if let Some(at) = target.and_then(|place| self.machine_at(place)) {
+                    self.instances[instance].target = Some(at);
+                }
+                if first {
+                    if let Some(by) = by {
+                        self.saw(What::DrainAcked { instance: instance as u32, by });
+                    }
+                    let after = self.terms.drain + self.span(50 * MS, 500 * MS);
+                    self.later(after, Event::Detach { instance });
+                }
+                if self.instances[instance].detached {
+                    return self.later(20 * MS, Event::Gone { instance });
+                }
+                let next = self.span(BEAT * 9 / 10, BEAT * 11 / 10);
+                if !leaving {
+                    self.later(next, Event::Beat { instance, no });
+                }
+            }
+            _ => {
+                one.target = None;
+                if one.detached {
+                    return self.later(20 * MS, Event::Gone { instance });
+                }
+                let next = self.span(10 * MS, 200 * MS);
+                self.later(next, Event::Beat { instance, no });
+            }
+        }
+    }
+
+    pub(crate) fn living(&self, service: usize) -> Vec<usize> {
+        let up =
+            |one: &Instance| one.state == State::Up && one.service == service && one.version != UNORDERED;
+        (0..self.instances.len()).filter(|at| up(&self.instances[*at])).collect()
+    }
+
+    /// A planned end: says that it drains, and waits until that is acknowledged.
+    pub(crate) fn drain(&mut self, instance: usize) {
+        let one = &mut self.instances[instance];
+        if one.state != State::Up {
+            return;
+        }
+        one.state = State::Draining;
+        one.leaving_since = self.now;
+        let no = one.beat_no;
+        self.later(0, Event::Beat { instance, no });
+        self.later(LEAVES_ANYWAY, Event::Gone { instance });
+    }
+
+    pub(crate) fn detach(&mut self, instance: usize) {
+        let one = &mut self.instances[instance];
+        if one.state == State::Over {
+            return;
+        }
+        one.detached = true;
+        one.beat_no += 1;
+        let (no, id) = (one.beat_no, InstanceId(one.id.clone()));
+        self.instance_calls(instance, no, Call::Detach(id));
+    }
+
+    /// It stops; its address may go to another service, and another instance comes for it.
+    pub(crate) fn gone(&mut self, instance: usize) {
+        self.end_instance(instance);
+    }
+
+    pub(crate) fn crash(&mut self, instance: usize) {
+        let (service, version) = (self.instances[instance].service, self.instances[instance].version);
+        self.end_instance(instance);
+        let after = self.span(500 * MS, 2 * SECOND);
+        self.later(after, Event::Register { service, version, address: None });
+    }
+
+    pub(crate) fn end_instance(&mut self, instance: usize) {
+        let one = &mut self.instances[instance];
+        if one.state == State::Over {
+            return;
+        }
+        one.state = State::Over;
+        let (address, service) = (one.address, one.service);
+        let trips: Vec<usize> = one.running.drain(..).chain(one.queue.drain(..)).collect();
+        self.by_address.remove(&address);
+        for trip in trips {
+            self.back(trip, Ending::Reset, false);
+        }
+        let other = (service + 1 + self.pick(texts::SERVICES - 1)) % texts::SERVICES;
+        // As the platform does: the same number of each service in the end, but not at the same addresses.
+        let version = self.office.versions[other];
+        let after = ADDRESS_REUSE + self.span(10 * MS, SECOND);
+        if self.odds(700) {
+            self.later(after, Event::Register { service: other, version, address: Some(address) });
+        }
+        if self.living(service).len() < EACH - 1 {
+            let version = self.office.versions[service];
+            let soon = self.span(200 * MS, SECOND);
+            self.later(soon, Event::Register { service, version, address: None });
+        }
+    }
+
+    /// What an instance says goes back to the foyer.
+    fn back(&mut self, trip: usize, ending: Ending, answer: bool) {
+        let at = self.trips[trip].foyer;
+        if self.passes(Some(at), None) && self.passes(None, Some(at)) {
+            let way = self.way(at);
+            self.later(way, Event::TripEnded { trip, ending, answer });
+        }
+    }
+
+    /// A request arrives at an address.
+    pub(crate) fn arrive(&mut self, trip: usize) {
+        if self.trips[trip].hung_up {
+            return;
+        }
+        let Some(at) = self.by_address.get(&self.trips[trip].address).copied() else {
+            // Refused, or silence where the machine has gone too.
+            if self.odds(600) {
+                self.back(trip, Ending::ConnectFailed, false);
+            }
+            return;
+        };
+        self.trips[trip].arrived = true;
+        let wrong = self.instances[at].id != self.trips[trip].target;
+        if wrong && self.planted != Some(Planted::NoTarget) {
+            return self.back(trip, Ending::NeverSent, false);
+        }
+        let target = self.trips[trip].target.strip_prefix("i-").and_then(|number| number.parse().ok());
+        let asked_for =
+            target.and_then(|number: usize| self.instances.get(number)).map_or(0, |one| one.service);
+        let one = &self.instances[at];
+        let (request, foyer, service) = (self.trips[trip].request, self.trips[trip].foyer, one.service);
+        let (busy, queued) = (one.running.len(), one.queue.len());
+        self.saw(What::Arrived { request, foyer, instance: at as u32, service, asked_for });
+        if busy < SLOTS as usize {
+            self.run(at, trip);
+        } else if queued < QUEUE {
+            self.instances[at].queue.push_back(trip);
+        } else {
+            self.back(trip, Ending::Full, false);
+        }
+    }
+
+    fn bad(&self, service: usize, version: u32) -> bool {
+        self.office.bad.get(&(service, version)).copied().unwrap_or(false)
+    }
+
+    fn run(&mut self, instance: usize, trip: usize) {
+        let one = &mut self.instances[instance];
+        one.running.push(trip);
+        let (service, version, speed) = (one.service, one.version, one.speed);
+        let cold = self.now < one.born + WARMUP;
+        let (request, foyer) = (self.trips[trip].request, self.trips[trip].foyer);
+        self.saw(What::Ran { request, foyer, instance: instance as u32, service, version });
+        let mut work = self.span(WORK / 2, WORK * 3 / 2) * speed / 100;
+        if cold {
+            work *= 2;
+        }
+        self.later(work, Event::Work { instance, trip });
+    }
+
+    /// The work on a request is done.
+    pub(crate) fn worked(&mut self, instance: usize, trip: usize) {
+        let one = &mut self.instances[instance];
+        if one.state == State::Over {
+            return;
+        }
+        let Some(index) = one.running.iter().position(|running| *running == trip) else { return };
+        one.running.swap_remove(index);
+        let (service, version) = (one.service, one.version);
+        let (until, lost, error) = self.sick[service];
+        let sick = self.now < until;
+        if sick && self.odds(lost) {
+            // It has run, and its answer is lost or rubbish.
+            self.back(trip, Ending::Reset, false);
+        } else if (sick && self.odds(error)) || (self.bad(service, version) && self.odds(400)) {
+            if self.bad(service, version) {
+                self.saw(What::BadAnswer { service, version });
+            }
+            self.back(trip, Ending::Error, true);
+        } else {
+            self.back(trip, Ending::Finished, true);
+        }
+        while let Some(next) = self.instances[instance].queue.pop_front() {
+            if self.trips[next].hung_up {
+                continue;
+            }
+            if self.now >= self.trips[next].until {
+                self.back(next, Ending::Full, false);
+                continue;
+            }
+            self.run(instance, next);
+            break;
+        }
+    }
+}
--- /dev/null
+++ b/crates/rehearsal/src/world/net.rs
@@ -0,0 +1,65 @@
+//! Net: delays, losses, doubles, cuts in one or both ways.
+
+use std::rc::Rc;
+
+use playhouse::house::Word;
+use props::{MS, Micros, Place};
+
+use super::{Event, World};
+
+impl World {
+    /// Whether anything passes now; `None` is outside: clients, instances, operators.
+    pub(crate) fn passes(&self, from: Option<usize>, to: Option<usize>) -> bool {
+        let number = |end: Option<usize>| end.map_or(0, |at| at + 1);
+        self.now >= self.cuts[number(from)][number(to)]
+    }
+
+    pub(crate) fn cut(&mut self, from: Option<usize>, to: Option<usize>, until: Micros) {
+        let number = |end: Option<usize>| end.map_or(0, |at| at + 1);
+        let cut = &mut self.cuts[number(from)][number(to)];
+        *cut = until.max(*cut);
+    }
+
+    /// The way to or from a machine, for what can't be lost.
+    pub(crate) fn way(&mut self, at: usize) -> Micros {
+        let spread = self.span(0, 400);
+        let slow = self.slowness(at);
+        let late = if self.now < self.storm.0 { self.span(0, self.storm.2) } else { 0 };
+        1_000 + spread + slow + late
+    }
+
+    pub(crate) fn machine_at(&self, place: Place) -> Option<usize> {
+        self.machines.iter().rposition(|machine| machine.place == place && !machine.gone)
+    }
+
+    /// A datagram.
+    pub(crate) fn send(&mut self, from: usize, to: Place, word: &Word) {
+        let Some(to) = self.machine_at(to) else { return };
+        if to == from || !self.passes(Some(from), Some(to)) {
+            return;
+        }
+        let Ok(bytes) = postcard::to_stdvec(word) else { return };
+        let storm = self.now < self.storm.0;
+        // Larger ones go by streams, which don't lose them.
+        let lost = if storm { self.storm.1 } else { self.scenario.lost };
+        if bytes.len() <= 1_200 && self.odds(lost) {
+            return;
+        }
+        let same = self.machines[from].zone == self.machines[to].zone;
+        let base = if same { 250 } else { 1_400 };
+        let mut delay = base + self.span(0, 400) + self.slowness(from) + self.slowness(to);
+        if self.odds(5) {
+            delay += self.span(0, 30 * MS);
+        }
+        if storm {
+            delay += self.span(0, self.storm.2);
+        }
+        let from = self.machines[from].place;
+        let bytes: Rc<[u8]> = bytes.into();
+        if self.odds(2) {
+            let twice = delay + self.span(0, 50 * MS);
+            self.later(twice, Event::Mail { to, from, bytes: bytes.clone() });
+        }
+        self.later(delay, Event::Mail { to, from, bytes });
+    }
+}
--- /dev/null
+++ b/crates/rehearsal/src/world/prompter.rs
@@ -0,0 +1,291 @@
+//! Prompters: hosts `control` as the driver on sockets does, with the real ledger over a store in memory.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use ledger::Ledger;
+use playhouse::control::{Control, In, Out, Told};
+use promptbook::{Members, Saved, Write};
+use props::{Ask, Life, Micros, Place, Seat};
+use script::{Command, Outcome};
+use wings::MemoryStore;
+
+use super::machine::Process;
+use super::operators::{Call, Caller, Reply};
+use super::{Event, World};
+use crate::plant::Planted;
+use crate::seen::What;
+
+/// The time that a sync takes.
+const SYNC: Micros = 500;
+
+/// As late as a planted early word makes it.
+const LATE_SYNC: Micros = 300_000;
+
+/// What a caller waits for.
+pub(crate) enum Waits {
+    Order(Command),
+    /// A refusal that waits for proof of leadership.
+    Refusal(Command),
+    Read,
+    Rollout(String),
+    Beat,
+}
+
+pub(crate) struct PrompterProc {
+    pub control: Control,
+    pub ledger: Ledger<MemoryStore>,
+    asks: BTreeMap<u64, (Caller, Waits)>,
+    next_ask: u64,
+    leads: bool,
+}
+
+impl PrompterProc {
+    pub fn waiting(&self) -> Vec<Caller> {
+        self.asks.values().map(|(caller, _)| *caller).collect()
+    }
+}
+
+impl World {
+    pub(crate) fn start_prompter(&mut self, at: usize, first: bool) {
+        self.disk_fault(at);
+        let place = self.machines[at].place;
+        let first = first && self.seeds.contains(&at);
+        let old_seat = self.planted == Some(Planted::OldSeat) && at < 3;
+        let fresh = if first || old_seat { Life(0) } else { Life(self.chance.rand_u64() | 1) };
+        let opened = Ledger::open(self.machines[at].store.clone(), fresh);
+        let (ledger, opened) = match opened {
+            Ok(opened) => opened,
+            Err(error) => {
+                self.note(at, format!("can't open its disk: {error}"));
+                self.machines[at].run += 1;
+                return self.later(500_000, Event::Start { at, alone: true });
+            }
+        };
+        let seat = Seat { place, life: opened.life };
+        let voters = (0..self.scenario.prompters.min(3))
+            .map(|at| Seat { place: self.machines[at].place, life: Life(0) })
+            .collect();
+        let members = ((first || old_seat) && opened.fresh).then_some(Members(voters));
+        let mut saved: Saved = opened.saved;
+        if self.planted == Some(Planted::ForgottenVote) {
+            saved.voted = None;
+        }
+        let house = self.house(at, seat.life);
+        let seed = self.chance.rand_u64();
+        let (control, out) = Control::start(house, seat, members, saved, seed, 0);
+        let process = PrompterProc { control, ledger, asks: BTreeMap::new(), next_ask: 0, leads: false };
+        self.machines[at].process = Some(Process::Prompter(Box::new(process)));
+        self.carry_prompter(at, out);
+        self.after_prompter(at);
+    }
+
+    pub(crate) fn prompter(&mut self, at: usize) -> Option<&mut PrompterProc> {
+        match &mut self.machines[at].process {
+            Some(Process::Prompter(process)) => Some(process),
+            _ => None,
+        }
+    }
+
+    pub(crate) fn prompter_step(&mut self, at: usize, event: In) {
+        let now = self.clock(at);
+        let Some(process) = self.prompter(at) else { return };
+        let out = process.control.step(now, event);
+        self.carry_prompter(at, out);
+        self.after_prompter(at);
+    }
+
+    fn after_prompter(&mut self, at: usize) {
+        let run = self.machines[at].run;
+        let Some(process) = self.prompter(at) else { return };
+        let (due, leads, term) =
+            (process.control.due(), process.control.book().leads(), process.control.book().term().0);
+        let was = std::mem::replace(&mut process.leads, leads);
+        if leads && !was {
+            self.saw(What::Leads { term, machine: at, life: run });
+            self.note(at, format!("leads in term {term}"));
+        } else if was && !leads {
+            self.note(at, format!("leads no more, term {term}"));
+        }
+        self.wake(at, due);
+    }
+
+    fn carry_prompter(&mut self, at: usize, out: Vec<Out>) {
+        for what in out {
+            match what {
+                Out::Send { to, word } => {
+                    if !self.kept_back(&word) {
+                        self.send(at, to, &word);
+                    }
+                }
+                Out::Write(write) => self.write(at, write),
+                Out::Tell { ask, told } => self.tell(at, ask, told),
+            }
+        }
+    }
+
+    fn write(&mut self, at: usize, write: Write) {
+        let run = self.machines[at].run;
+        let (until, by) = self.machines[at].disk_slow;
+        let mut delay = SYNC + self.span(0, 1_000);
+        if self.now < until {
+            delay += self.span(by / 2, by);
+        }
+        delay = delay.max(self.machines[at].disk_hangs - self.now);
+        if self.planted == Some(Planted::AckBeforeSync) {
+            // The disk is as late as a busy one; the word that all is written comes at once.
+            let no = write.no;
+            self.later(LATE_SYNC, Event::Synced { at, run, write });
+            return self.later(50, Event::Synced { at, run, write: empty(no) });
+        }
+        self.machines[at].under_way = Some(write.clone());
+        self.later(delay, Event::Synced { at, run, write });
+    }
+
+    pub(crate) fn synced(&mut self, at: usize, run: u64, write: Write) {
+        if self.machines[at].run != run {
+            return;
+        }
+        let early = self.planted == Some(Planted::AckBeforeSync);
+        let hollow = early && write.term.0 == 0;
+        let no = write.no;
+        let mut ok = true;
+        if !hollow {
+            self.disk_fault(at);
+            let Some(process) = self.prompter(at) else { return };
+            ok = process.ledger.keep(&write).is_ok();
+        }
+        if !early {
+            self.machines[at].under_way = None;
+        }
+        if hollow || !early {
+            self.prompter_step(at, In::Written { no, ok });
+        }
+    }
+
+    /// A call arrives at a prompter's socket.
+    pub(crate) fn called(&mut self, at: usize, caller: Caller, call: &Rc<Call>) {
+        if !self.machines[at].powered || self.machines[at].gone {
+            return;
+        }
+        let now = self.clock(at);
+        let Some(process) = self.prompter(at) else { return self.reply(at, caller, Reply::Closed) };
+        match &**call {
+            Call::Order(command) => match process.control.house.script.check_at(now, command) {
+                Ok(()) => self.begin_ask(at, caller, Waits::Order(command.clone())),
+                Err(_) => self.begin_ask(at, caller, Waits::Refusal(command.clone())),
+            },
+            Call::Read if self.planted == Some(Planted::ReadUnproved) => self.tell_read(at, caller),
+            Call::Read => self.begin_ask(at, caller, Waits::Read),
+            Call::Rollout(service) => self.begin_ask(at, caller, Waits::Rollout(service.clone())),
+            Call::Beat(beat) => {
+                let beat = beat.clone();
+                let drains = beat.draining;
+                self.begin(at, caller, Waits::Beat, |ask| In::Beat { ask, beat });
+                if drains && self.planted == Some(Planted::DrainUntold) {
+                    self.reply(at, caller, Reply::Taken(None));
+                }
+            }
+            Call::Detach(id) => {
+                let id = id.clone();
+                self.begin(at, caller, Waits::Beat, |ask| In::Detach { ask, id });
+            }
+        }
+    }
+
+    fn begin_ask(&mut self, at: usize, caller: Caller, waits: Waits) {
+        let command = match &waits {
+            Waits::Order(command) => Some(command.clone()),
+            _ => None,
+        };
+        self.begin(at, caller, waits, |ask| match command {
+            Some(command) => In::Order { ask, command },
+            None => In::Read { ask },
+        });
+    }
+
+    fn begin(&mut self, at: usize, caller: Caller, waits: Waits, event: impl FnOnce(Ask) -> In) {
+        let Some(process) = self.prompter(at) else { return };
+        process.next_ask += 1;
+        let ask = process.next_ask;
+        process.asks.insert(ask, (caller, waits));
+        self.prompter_step(at, event(Ask(ask)));
+    }
+
+    fn tell(&mut self, at: usize, ask: Ask, told: Told) {
+        let now = self.clock(at);
+        let Some(process) = self.prompter(at) else { return };
+        let Some((caller, waits)) = process.asks.remove(&ask.0) else { return };
+        match (told, waits) {
+            (Told::Applied(outcome), _) => self.ordered(at, caller, &outcome),
+            (Told::ReadAt, Waits::Refusal(command)) => {
+                match process.control.house.script.check_at(now, &command) {
+                    Ok(()) => self.begin_ask(at, caller, Waits::Order(command)),
+                    Err(outcome) => self.ordered(at, caller, &outcome),
+                }
+            }
+            (Told::ReadAt, Waits::Rollout(service)) => {
+                let found = process.control.house.script.rollouts.get(&service);
+                let found = found.and_then(|rollout| Some((rollout.state?, rollout.target.clone())));
+                self.reply(at, caller, Reply::Rollout(found));
+            }
+            (Told::ReadAt, _) => self.tell_read(at, caller),
+            (Told::Refused { leader }, _) => {
+                let own = self.machines[at].place;
+                let reply = match leader.filter(|leader| *leader != own) {
+                    Some(leader) => Reply::SentOn(leader),
+                    None => Reply::Status(503),
+                };
+                self.reply(at, caller, reply);
+            }
+            (Told::Beat { target }, _) => self.reply(at, caller, Reply::Taken(target)),
+            (Told::BeatNotTaken, _) => self.reply(at, caller, Reply::Status(503)),
+        }
+    }
+
+    fn tell_read(&mut self, at: usize, caller: Caller) {
+        let Some(process) = self.prompter(at) else { return };
+        let bill = process.control.house.script.bill().cloned();
+        self.reply(at, caller, Reply::Bill(bill));
+    }
+
+    fn ordered(&mut self, at: usize, caller: Caller, outcome: &Outcome) {
+        let mut status = outcome.status();
+        match self.planted {
+            Some(Planted::BothWin) if status == 412 => status = 200,
+            Some(Planted::InvalidTaken) if status == 400 => status = 200,
+            _ => {}
+        }
+        self.reply(at, caller, Reply::Status(status));
+        if status == 200 {
+            self.acknowledged(at, caller);
+        }
+    }
+
+    /// The way back to a caller.
+    pub(crate) fn reply(&mut self, at: usize, caller: Caller, reply: Reply) {
+        if !self.passes(Some(at), None) {
+            return;
+        }
+        let way = self.way(at);
+        self.later(way, Event::Reply { caller, reply });
+    }
+
+    /// The process has ended: its callers see a closed connection, or nothing.
+    pub(crate) fn calls_closed(&mut self, callers: Vec<Caller>, power: bool) {
+        for caller in callers {
+            if !power {
+                self.later(1_000, Event::Reply { caller, reply: Reply::Closed });
+            }
+        }
+    }
+
+    pub(crate) fn place_of(&self, at: usize) -> Place {
+        self.machines[at].place
+    }
+}
+
+/// Says nothing of what is written: only for the planted early word.
+fn empty(no: promptbook::WriteNo) -> Write {
+    Write { no, term: props::Term(0), voted: None, cut_from: None, entries: Vec::new(), snapshot: None }
+}
