--- a/crates/rehearsal/src/world/mod.rs
+++ b/crates/rehearsal/src/world/mod.rs
@@ -104,6 +104,8 @@
     heap: BinaryHeap<Slot>,
     made: u64,
     pub log: Vec<Seen>,
+    /// By entry of the log, the event at which it was seen.
+    pub log_steps: Vec<u64>,
     pub(crate) machines: Vec<Machine>,
     pub(crate) settings: Rc<Settings>,
     /// Until when nothing passes from the first to the second; 0 is outside, machines follow.
@@ -122,8 +124,8 @@
     pub(crate) trips: Vec<Trip>,
     pub(crate) requests: Vec<Request>,
     pub(crate) guests: Guests,
-    /// What comes to those who acknowledge a configuration next: (all, wiped, back).
-    pub(crate) after_ack: Vec<(bool, bool, Micros)>,
+    /// What comes to those who acknowledge a configuration next: (until, all, wiped, back).
+    pub(crate) after_ack: Vec<(Micros, bool, bool, Micros)>,
     /// For the planted faults: an old state, and whether drains are kept from others.
     pub(crate) old_scripts: BTreeMap<usize, script::Script>,
 }
@@ -142,6 +144,7 @@
             heap: BinaryHeap::new(),
             made: 0,
             log: Vec::new(),
+            log_steps: Vec::new(),
             machines: Vec::new(),
             settings,
             cuts: vec![vec![0]],
@@ -219,6 +222,7 @@
 
     pub(crate) fn saw(&mut self, what: What) {
         self.log.push(Seen { at: self.now, what });
+        self.log_steps.push(self.steps);
     }
 
     pub(crate) fn later(&mut self, after: Micros, event: Event) {
--- a/crates/rehearsal/src/world/troubles.rs
+++ b/crates/rehearsal/src/world/troubles.rs
@@ -46,8 +46,8 @@
                     self.herd(at, power, ms(back));
                 }
             }
-            Do::AfterAckAll { wiped, back } => self.after_ack.push((true, wiped, ms(back))),
-            Do::AfterAck { wiped, back } => self.after_ack.push((false, wiped, ms(back))),
+            Do::AfterAckAll { wiped, back } => self.doom(true, wiped, ms(back)),
+            Do::AfterAck { wiped, back } => self.doom(false, wiped, ms(back)),
             Do::Cut { machine, span } => {
                 for other in self.all_ends() {
                     if other != Some(machine) {
@@ -126,6 +126,11 @@
         }
     }
 
+    /// Whoever acknowledges a configuration within a second and a half.
+    fn doom(&mut self, all: bool, wiped: bool, back: Micros) {
+        self.after_ack.push((self.now + 1_500 * MS, all, wiped, back));
+    }
+
     fn well(&self, at: usize) -> bool {
         self.machines[at].process.is_some() && !self.machines[at].gone && self.now >= self.machines[at].frozen
     }
