--- a/crates/script/src/count.rs
+++ b/crates/script/src/count.rs
@@ -159,6 +159,8 @@
     vote: Vote,
     /// Since when its votes are back without a gap.
     back_since: Option<Micros>,
+    /// By route, the outcomes on trial and failures among them that the joint statistics have taken in.
+    fed: BTreeMap<Option<u32>, (u32, u32)>,
 }
 
 #[derive(Clone, Debug)]
@@ -269,25 +271,28 @@
             Voice::Back => Some(steady.and_then(|last| last.back_since).unwrap_or(now)),
             Voice::On | Voice::Wait => None,
         };
-        let known = last.map(|last| last.vote);
-        self.foyers.insert(foyer, Cast { at: now, vote, back_since });
-        self.joined(settings, foyer, known.as_ref());
+        let fed = last.map(|last| last.fed).unwrap_or_default();
+        self.foyers.insert(foyer, Cast { at: now, vote, back_since, fed });
+        self.joined(settings, foyer);
     }
 
-    /// Feeds the joint statistics with what a foyer's last vote told beyond the one before.
-    fn joined(&mut self, settings: &CountSettings, foyer: Place, known: Option<&Vote>) {
+    /// Feeds the joint statistics with what a foyer's last vote told beyond what they have. What comes before a
+    /// base rate is known waits for it: a leader that starts anew hears of all foyers one by one.
+    fn joined(&mut self, settings: &CountSettings, foyer: Place) {
         let Some(cast) = self.foyers.get(&foyer) else { return };
-        let mut news = vec![(None, cast.vote.whole(), known.map(Vote::whole).unwrap_or_default())];
-        for tally in &cast.vote.routes {
-            let before = known.and_then(|vote| vote.routes.iter().find(|other| other.route == tally.route));
-            news.push((Some(tally.route), *tally, before.copied().unwrap_or_default()));
-        }
+        let whole = std::iter::once((None, cast.vote.whole()));
+        let routes = cast.vote.routes.iter().map(|tally| (Some(tally.route), *tally));
+        let news: Vec<(Option<u32>, Tally, (u32, u32))> = whole
+            .chain(routes)
+            .map(|(route, tally)| (route, tally, cast.fed.get(&route).copied().unwrap_or_default()))
+            .collect();
         for (route, tally, before) in news {
+            let told = (tally.trial, tally.failed);
             // Fewer than before: the foyer began a new life, or an old vote came late. Nothing is counted
             // twice.
-            let (Some(trial), Some(failed)) =
-                (tally.trial.checked_sub(before.trial), tally.failed.checked_sub(before.failed))
+            let (Some(trial), Some(failed)) = (told.0.checked_sub(before.0), told.1.checked_sub(before.1))
             else {
+                self.fed(foyer, route, told);
                 continue;
             };
             if trial == 0 || self.joints.len() > MAX_ROUTES && !self.joints.contains_key(&route) {
@@ -296,6 +301,14 @@
             let Some(rate) = self.base_rate(settings, route) else { continue };
             let joint = self.joints.entry(route).or_default();
             joint.add(settings, foyer, rate, trial.into(), failed.min(trial).into());
+            self.fed(foyer, route, told);
+        }
+    }
+
+    fn fed(&mut self, foyer: Place, route: Option<u32>, told: (u32, u32)) {
+        let Some(cast) = self.foyers.get_mut(&foyer) else { return };
+        if cast.fed.len() <= MAX_ROUTES || cast.fed.contains_key(&route) {
+            cast.fed.insert(route, told);
         }
     }
 
@@ -366,6 +379,11 @@
             // good.
             return Some(false);
         }
+        // Nothing weighs its failures against the version in service, or they are few: a tenth is too much.
+        let unweighed = sum.base < settings.base_least || sum.trial < settings.seen;
+        if part >= settings.complete_by && unweighed && sum.failed > 0 && sum.failed * 10 >= sum.trial {
+            return Some(false);
+        }
         let clear = self.clear_since.is_some_and(|since| now - since >= settings.clear_for);
         let enough = if part >= settings.complete_by {
             sum.ons > 0 && sum.ons * 2 >= foyers_up
--- a/crates/script/tests/count.rs
+++ b/crates/script/tests/count.rs
@@ -206,6 +206,47 @@
     assert_eq!(count.verdicts(now + 3 * SECOND, &late, 11), []);
 }
 
+#[test]
+fn what_a_new_leader_hears_before_it_knows_the_base_rate_counts_once_it_does() {
+    let (script, settings) = (script(), CountSettings::default());
+    let mut count = Count::new(settings);
+    // Each foyer tells of few outcomes: only with the fourth is the version in service known well enough.
+    for n in 0..4 {
+        let (base, base_failed) = (8, 0);
+        let vote = Vote { base, base_failed, ..vote(Voice::Wait, 8, 5) };
+        count.cast(0, place(n), vote);
+    }
+    assert_eq!(count.verdicts(0, &script, 9), []);
+    for n in 0..3 {
+        count.cast(SECOND, place(n), Vote { base: 8, base_failed: 0, ..vote(Voice::Wait, 8, 5) });
+    }
+    let back = Command::Verdict { service: "box".into(), number: 2, completed: false };
+    assert_eq!(count.verdicts(SECOND, &script, 9), [back]);
+}
+
+#[test]
+fn a_version_that_fails_with_nothing_to_weigh_it_by_is_not_completed_at_its_term() {
+    let script = script();
+    let end = |failed: u32| {
+        let mut count = Count::new(CountSettings::default());
+        for second in 0..14 {
+            let now = second * SECOND;
+            for n in 0..9 {
+                let failed = if n == 0 { failed } else { 0 };
+                let vote = Vote { base: 0, base_failed: 0, ..vote(Voice::On, 2, failed) };
+                count.cast(now, place(n), vote);
+            }
+            let ends = count.verdicts(now, &script, 9);
+            if let [Command::Verdict { completed, .. }] = ends.as_slice() {
+                return Some(*completed);
+            }
+        }
+        None
+    };
+    assert_eq!(end(2), Some(false));
+    assert_eq!(end(0), Some(true));
+}
+
 fn chance(seed: u64) -> impl FnMut() -> f64 {
     let mut state = seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1;
     move || {
