--- a/crates/intent/src/remedy.rs
+++ b/crates/intent/src/remedy.rs
@@ -256,7 +256,7 @@
             Stage::Rebuilt | Stage::Out | Stage::Restarting if !accused => {
                 self.turn(now, place, Stage::Well, Some(Step::Admit));
             }
-            Stage::Rebuilt if free && spent >= tuning.apply * 6 / 10 && self.room(place) => {
+            Stage::Rebuilt if free && spent >= tuning.apply && self.room(place) => {
                 self.turn(now, place, Stage::Out, Some(Step::Withdraw));
             }
             Stage::Out if free && spent >= 2 * tuning.apply && rested && self.may_restart() => {
