--- a/crates/intent/src/remedy.rs
+++ b/crates/intent/src/remedy.rs
@@ -124,6 +124,7 @@
     term: Option<Term>,
     number: u64,
     today: (Index, u64),
+    since: Micros,
     spare: f64,
     doubt: bool,
     nodes: BTreeMap<Place, Patient>,
@@ -139,6 +140,7 @@
             term: None,
             number: 0,
             today,
+            since: 0,
             spare,
             doubt: false,
             nodes,
@@ -185,7 +187,7 @@
                 }
             }
             Event::Today { index, root } => {
-                self.today = (index, root);
+                (self.today, self.since) = ((index, root), now);
                 self.nodes.values_mut().for_each(|node| node.resends = 0);
             }
             Event::Spare(share) => self.spare = share.clamp(0.0, OUT_SHARE),
@@ -243,6 +245,8 @@
         let renew = now - node.renewed >= Remedy::lease(&tuning) / 3;
         let rested = node.restarted.is_none_or(|at| now - at >= RESTART_AGAIN);
         let free = !self.doubt;
+        // A new intent has interrupted what it was showing; its doubtful parts are turned back meanwhile.
+        let settled = now - self.since >= tuning.settle + tuning.apply * 3 / 10;
         let wrong = Part::ALL.into_iter().filter(|part| node.states[*part as usize].0.accused());
         let parts = wrong.fold(0u8, |bits, part| bits | 1 << part as u8);
         match stage {
@@ -256,7 +260,11 @@
             Stage::Rebuilt | Stage::Out | Stage::Restarting if !accused => {
                 self.turn(now, place, Stage::Well, Some(Step::Admit));
             }
-            Stage::Rebuilt if free && spent >= tuning.apply && self.room(place) => {
+            Stage::Rebuilt
+                if free
+                    && (spent >= tuning.apply && settled || spent >= 3 * tuning.apply)
+                    && self.room(place) =>
+            {
                 self.turn(now, place, Stage::Out, Some(Step::Withdraw));
             }
             Stage::Out if free && spent >= 2 * tuning.apply && rested && self.may_restart() => {
