--- a/crates/intent/src/judge.rs
+++ b/crates/intent/src/judge.rs
@@ -209,6 +209,11 @@
         accused.count() as f64 > MANY * self.nodes.len() as f64
     }
 
+    /// Whether it takes its own intent to be wrong.
+    pub fn doubts(&self) -> bool {
+        self.doubt_told
+    }
+
     pub fn step(&mut self, now: Micros, event: Event) -> Vec<Effect> {
         // A judge that did not run has missed what was sent to it: nobody is late by its clock.
         if now - self.last > self.tuning.stall {
--- a/crates/intent/src/lib.rs
+++ b/crates/intent/src/lib.rs
@@ -4,17 +4,21 @@
 //! `docs/intent.md` tells the ways that were weighed, the states, the bounds and their error rates. All times
 //! are of a steady clock; no time of day is used anywhere.
 
+pub mod inspector;
 pub mod judge;
 pub mod parts;
 pub mod remedy;
+pub mod usher;
 pub mod ward;
 pub mod witness;
 
+pub use inspector::Inspector;
 pub use judge::{Judge, State};
 pub use parts::{Act, Digest, Intent, Part, RouteKey, ServiceKey, Took};
-use props::{Index, Life, Micros};
+use props::{Index, Life, Micros, Place};
 pub use remedy::{Fence, Remedy, Step};
 use serde::{Deserialize, Serialize};
+pub use usher::Usher;
 pub use ward::Ward;
 pub use witness::{Report, Witness};
 
@@ -40,6 +44,27 @@
     pub sums: [u32; Part::COUNT],
 }
 
+/// What nodes and the leader say to each other.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Word {
+    Claim(Claim),
+    Held(Held),
+    Report(Report),
+    /// What do you hold?
+    Challenge {
+        nonce: u64,
+    },
+    /// Look at that one, and tell.
+    Ask {
+        of: Place,
+    },
+    Order {
+        life: Life,
+        fence: Fence,
+        step: Step,
+    },
+}
+
 /// The spans and error rates of the check. All follow from `apply` (`ConfigApplyS`): the only one that a
 /// deployment sets.
 #[derive(Clone, Debug)]
--- a/crates/intent/tests/intent.rs
+++ b/crates/intent/tests/intent.rs
@@ -10,7 +10,10 @@
 use intent::judge::{Effect, Event, Member};
 use intent::remedy::{self, Fence, Step};
 use intent::witness::{self, Report, Sight, Weight};
-use intent::{Claim, Held, Intent, Judge, Part, Remedy, State, Took, Tuning, Ward, Witness, ward};
+use intent::{
+    Claim, Held, Inspector, Intent, Judge, Part, Remedy, State, Took, Tuning, Usher, Ward, Witness,
+    inspector, usher, ward,
+};
 use oorandom::Rand64;
 use props::{Index, Life, MS, Micros, Place, SECOND, Term};
 use world::{Kind, Plan, Text, Way, run, texts};
@@ -298,6 +301,96 @@
     assert!(alone.open(), "nobody spoke");
 }
 
+/// Four ushers and an inspector, joined by lossless links; node 2's tables are not made anew until it is told.
+#[test]
+fn an_usher_is_told_to_rebuild_and_admitted_when_it_has() {
+    let day = day(5);
+    let (old, today, hub) = (&day[0].intent, &day[1].intent, place(100));
+    let foyers: Vec<Place> = (0..4).map(place).collect();
+    let mut tables = [old; 4];
+    let start = |at: u8| Usher::start(place(at), Life(1), tuning(), u64::from(at), 0);
+    let mut ushers: Vec<Usher> = (0..4).map(start).collect();
+    let mut inspector = Inspector::start(tuning(), 1, 0);
+    let members = (0..4).map(|at| Member { place: place(at), life: Life(1), zone: 0 }).collect();
+    let mut up = Vec::new();
+    for event in [
+        inspector::Event::Committed(old.clone()),
+        inspector::Event::Lead(Some(Term(1))),
+        inspector::Event::Members(members),
+    ] {
+        up.extend(inspector.step(0, event));
+    }
+    let mut steps = Vec::new();
+    for now in (1..12_000).map(|tick| tick * MS) {
+        let mut heard: Vec<(usize, usher::Event)> = Vec::new();
+        for effect in std::mem::take(&mut up) {
+            if let inspector::Effect::Send { to, word } = effect {
+                heard.push((to.0.octets()[3].into(), usher::Event::Word { from: hub, word }));
+            }
+        }
+        if now == 4 * SECOND {
+            up.extend(inspector.step(now, inspector::Event::Committed(today.clone())));
+        }
+        for (at, table) in tables.iter_mut().enumerate() {
+            if now == MS {
+                let (foyers, hubs) = (foyers.clone(), vec![hub]);
+                heard.push((at, usher::Event::Peers { foyers, hubs }));
+            }
+            if now == MS || now == 4 * SECOND + 20 * MS {
+                let taken = if now == MS { old } else { today };
+                heard.push((at, usher::Event::Taken(taken.clone())));
+                if at != 2 || now == MS {
+                    *table = taken;
+                    heard.push((at, usher::Event::Tables(taken.clone())));
+                }
+            }
+            heard.push((at, usher::Event::Tick));
+        }
+        let mut at = 0;
+        while at < heard.len() {
+            let (node, event) = heard[at].clone();
+            at += 1;
+            for effect in ushers[node].step(now, event) {
+                let from = place(node as u8);
+                match effect {
+                    usher::Effect::Send { to, word } => {
+                        assert_eq!(to, hub);
+                        up.extend(inspector.step(now, inspector::Event::Word { from, word }));
+                    }
+                    usher::Effect::ReadBack { to, nonce } => {
+                        let tables = tables[node].clone();
+                        heard.push((node, usher::Event::ReadBack { to, nonce, tables }));
+                    }
+                    usher::Effect::Look { of, routes } => {
+                        let held = tables[usize::from(of.0.octets()[3])];
+                        for route in routes {
+                            let text = if Arc::ptr_eq(held, old) { &day[0] } else { &day[1] };
+                            let took = text.took(route);
+                            let (life, said, since) = (Life(1), held.index, now);
+                            heard.push((node, usher::Event::Saw { of, life, said, since, route, took }));
+                        }
+                    }
+                    usher::Effect::Ward(ward::Effect::Rebuild { .. }) => {
+                        tables[node] = today;
+                        heard.push((node, usher::Event::Tables(today.clone())));
+                        steps.push((node, "rebuild"));
+                    }
+                    usher::Effect::Ward(_) => {}
+                }
+            }
+        }
+        up.extend(inspector.step(now, inspector::Event::Tick));
+        let written = up.iter().filter_map(|effect| match effect {
+            inspector::Effect::Write(note) if note.step == Step::Admit => Some((2, "admit")),
+            _ => None,
+        });
+        steps.extend(written.filter(|_| now > 4 * SECOND));
+    }
+    assert_eq!(steps, vec![(2, "rebuild"), (2, "admit")]);
+    let all = (0..4).flat_map(|at| Part::ALL.map(|part| inspector.judge.state(place(at), part)));
+    assert!(all.into_iter().all(|state| state == State::Today));
+}
+
 #[test]
 fn stragglers_of_each_kind_are_caught_first_and_brought_back() {
     for kind in Kind::ALL {
