--- a/crates/playhouse/src/floor/mod.rs
+++ b/crates/playhouse/src/floor/mod.rs
@@ -3,7 +3,7 @@
 
 pub mod desk;
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, HashMap};
 use std::rc::Rc;
@@ -16,12 +16,14 @@
 use props::{Micros, Place, SECOND};
 
 use crate::house::{Happened, House, Word};
-use crate::settings::Settings;
-use desk::{Desk, Do, Fleet, Seen};
+use crate::settings::{Settings, micros};
+use cue::{Bounds, Fleet, Share};
+use desk::{Desk, Do, Seen};
+use purse::{Party, Purse};
 
 const VOTES_EVERY: Micros = SECOND;
-/// Connections to one instance where its service says nothing of how many it takes.
-const CONNECTIONS_UNTOLD: usize = 8;
+/// A foyer that has been up for less when a roll-out comes may have had an earlier life that served in it.
+const SETTLED: Micros = 5 * SECOND;
 
 /// What a foyer is told.
 #[derive(Debug)]
@@ -91,7 +93,8 @@
 /// A ticket that is open: its service, and which of its trips have ended.
 struct Open {
     service: Rc<str>,
-    ended: Vec<bool>,
+    /// Where each trip went, until it has ended.
+    out: Vec<Option<ServerId>>,
 }
 
 pub struct Floor {
@@ -105,6 +108,13 @@
     next_wake: u64,
     open: BTreeMap<TicketId, Open>,
     fleet: Fleet,
+    /// All foyers that are up, this one too, in order.
+    foyers: Vec<Place>,
+    bounds: Bounds,
+    purse: Rc<RefCell<Purse>>,
+    /// How many foyers were known over time, for this one's part of what is shared.
+    party: Party,
+    began: Micros,
     votes_due: Micros,
     seed: u64,
     leaving: bool,
@@ -113,6 +123,16 @@
 
 impl Floor {
     pub fn start(house: House, settings: Rc<Settings>, seed: u64, now: Micros) -> Floor {
+        let bounds = &settings.timer_bounds;
+        let bounds = Bounds {
+            retry_ratio: bounds.retry_budget_ratio,
+            retry_slack: bounds.retry_budget_slack,
+            retry_window: micros(bounds.retry_window_s),
+            exposure_slack: bounds.exposure_slack,
+        };
+        let zones: Vec<String> = settings.zones.keys().cloned().collect();
+        let zone = zones.iter().position(|zone| *zone == settings.zone).unwrap_or(0);
+        let purse = Purse::new(bounds.retry_ratio, bounds.retry_slack, bounds.retry_window);
         Floor {
             house,
             now: Rc::new(Cell::new(now)),
@@ -123,7 +143,12 @@
             waking: HashMap::new(),
             next_wake: 0,
             open: BTreeMap::new(),
-            fleet: Fleet { foyers: 1, index: 0, warmup: 0 },
+            fleet: Fleet { foyers: 1, index: 0, warmup: 0, zones, zone, part: 0.0 },
+            foyers: vec![],
+            bounds,
+            purse: Rc::new(RefCell::new(purse)),
+            party: Party::default(),
+            began: now,
             votes_due: now,
             seed,
             leaving: false,
@@ -217,24 +242,32 @@
         foyers.push(self.house.own.place);
         foyers.sort_unstable();
         let index = foyers.iter().position(|place| *place == self.house.own.place).unwrap_or(0);
-        self.fleet = Fleet { foyers: foyers.len(), index, warmup: self.fleet.warmup };
+        (self.fleet.foyers, self.fleet.index) = (foyers.len(), index);
+        self.foyers.clone_from(&foyers);
+        self.party.note(now, foyers.len());
+        self.fleet.part = self.party.part(now, 1.0);
+        self.purse.borrow_mut().foyers(now, foyers.len());
         self.bill = self.house.script.bill().cloned();
         let Some(bill) = self.bill.clone() else { return };
         let cap = self.settings.timer_bounds.exposure_share;
         for service in bill.services.keys() {
             if !self.desks.contains_key(&**service) {
                 self.seed = self.seed.wrapping_add(0x9e37_79b9_7f4a_7c15);
-                let desk =
-                    Desk::start(service, self.now.clone(), &self.settings, &bill, self.fleet, self.seed);
+                let (clock, purse) = (self.now.clone(), self.purse.clone());
+                let desk = Desk::start(service, clock, self.bounds, purse, &bill, &self.fleet, self.seed);
                 self.desks.insert((&**service).into(), desk);
             }
         }
         for service in self.desks.keys().cloned().collect::<Vec<_>>() {
             let Some(desk) = self.desks.get_mut(&service) else { continue };
-            desk.bill_changed(&self.settings, &bill, self.fleet);
             let rollout = self.house.script.rollouts.get(&*service);
+            let settled = rollout.is_some_and(|rollout| rollout.since - self.began >= SETTLED);
+            desk.bill_changed(&bill, &self.fleet, settled);
+            let share = share(Some(&bill), &service, foyers.len());
+            desk.connections(share.connections);
             for known in self.house.cast.records().filter(|known| *known.service == *service) {
-                desk.instance(known, rollout);
+                let mine = share.mine(self.house.own.place, &foyers, &known.id.0);
+                desk.instance(known, rollout, mine);
             }
             if let Some(rollout) = rollout {
                 desk.rollout(now, cap, rollout);
@@ -250,7 +283,9 @@
             self.fleet.warmup = warmup.min(60 * SECOND);
         }
         let Some(desk) = self.desks.get_mut(known.service.as_str()) else { return };
-        desk.instance(known, self.house.script.rollouts.get(&known.service));
+        let share = share(self.bill.as_deref(), &known.service, self.foyers.len());
+        let mine = share.mine(self.house.own.place, &self.foyers, &known.id.0);
+        desk.instance(known, self.house.script.rollouts.get(&known.service), mine);
         let service = desk.service.clone();
         self.decide(&service, |_| {});
     }
@@ -258,11 +293,13 @@
     /// A ticket of a service or route that is not here any more is turned back: it has not run.
     fn came(&mut self, ticket: TicketId, service: &str, route: &str, kind: Kind, left: Micros) {
         let found =
-            self.desks.get(service).and_then(|desk| Some((desk.service.clone(), desk.profile(route)?)));
+            self.desks.get(service).and_then(|desk| Some((desk.service.clone(), desk.profile(route, kind)?)));
         let Some((service, profile)) = found else {
-            return self.out.push(Out::TurnBack { ticket, wait: None });
+            let wait = Some(cue::come_back(left));
+            return self.out.push(Out::TurnBack { ticket, wait });
         };
-        self.open.insert(ticket, Open { service: service.clone(), ended: Vec::new() });
+        self.open.insert(ticket, Open { service: service.clone(), out: Vec::new() });
+        self.purse.borrow_mut().request(self.now.get(), &service);
         let arrival = Arrival {
             profile,
             cost: None,
@@ -277,21 +314,22 @@
 
     fn ended(&mut self, ticket: TicketId, trip: TripNo, took: Micros, ending: Ending, over: bool) {
         let Some(open) = self.open.get_mut(&ticket) else { return };
-        match open.ended.get_mut(trip.0 as usize) {
-            Some(ended) if !*ended => *ended = true,
-            _ => return,
-        }
+        let Some(server) = open.out.get_mut(trip.0 as usize).and_then(Option::take) else { return };
         let service = open.service.clone();
-        self.decide(&service, |desk| desk.balance.trip_ended(ticket, trip, took, ending, over, &[]));
+        self.decide(&service, |desk| {
+            desk.out(server, false);
+            desk.balance.trip_ended(ticket, trip, took, ending, over, &[]);
+        });
     }
 
     fn left(&mut self, ticket: TicketId) {
         let Some(open) = self.open.remove(&ticket) else { return };
         self.decide(&open.service, |desk| desk.balance.client_left(ticket));
-        for (number, _) in open.ended.iter().enumerate().filter(|(_, ended)| !**ended) {
+        for (number, server) in open.out.iter().enumerate().filter_map(|(n, out)| Some((n, (*out)?))) {
             let trip = TripNo(number as u32);
             self.out.push(Out::Stop { ticket, trip });
             self.decide(&open.service, |desk| {
+                desk.out(server, false);
                 desk.balance.trip_ended(ticket, trip, 0, Ending::Stopped, true, &[]);
             });
         }
@@ -313,7 +351,7 @@
             Do::Send { ticket, server, until } => self.send(service, ticket, server, until),
             Do::Stop { ticket, trip } => {
                 let open = self.open.get(&ticket);
-                if open.is_some_and(|open| open.ended.get(trip.0 as usize) == Some(&false)) {
+                if open.is_some_and(|open| open.out.get(trip.0 as usize).is_some_and(Option::is_some)) {
                     self.out.push(Out::Stop { ticket, trip });
                     self.ended(ticket, trip, 0, Ending::Stopped, false);
                 }
@@ -338,13 +376,17 @@
     }
 
     fn send(&mut self, service: &Rc<str>, ticket: TicketId, server: ServerId, until: Option<Micros>) {
-        let Some(to) = self.desks.get(service).and_then(|desk| desk.server(server)).cloned() else { return };
-        let Some(open) = self.open.get_mut(&ticket) else { return };
-        let most = self.bill.as_ref().and_then(|bill| bill.services.get(&**service));
-        let share = |most: u32| (most as usize / (self.fleet.foyers + 1)).max(1);
-        let connections = most.map_or(CONNECTIONS_UNTOLD, |service| share(service.max_connections));
-        let trip = TripNo(open.ended.len() as u32);
-        open.ended.push(false);
+        let Some(desk) = self.desks.get_mut(service) else { return };
+        let (Some(to), Some(open)) = (desk.server(server).cloned(), self.open.get_mut(&ticket)) else {
+            return;
+        };
+        desk.out(server, true);
+        let connections = share(self.bill.as_deref(), service, self.fleet.foyers).connections;
+        let trip = TripNo(open.out.len() as u32);
+        if trip.0 > 0 {
+            self.purse.borrow_mut().spent(self.now.get(), service);
+        }
+        open.out.push(Some(server));
         self.out.push(Out::Trip { ticket, trip, to, until, connections });
     }
 
@@ -362,3 +404,9 @@
         }
     }
 }
+
+/// What each foyer may use of a service's instances; one connection where the configuration has no such service.
+fn share(bill: Option<&Bill>, service: &str, foyers: usize) -> Share {
+    let accepts = bill.and_then(|bill| bill.services.get(service)).map_or(1, |found| found.max_connections);
+    Share::of(accepts, foyers)
+}
