--- a/crates/intent/src/remedy.rs
+++ b/crates/intent/src/remedy.rs
@@ -172,7 +172,11 @@
                 node.states[part as usize] = (to, Some(why));
                 let behind = node.states.iter().any(|(state, _)| *state == State::Behind);
                 node.behind = if behind { node.behind.or(Some(now)) } else { None };
-                self.treat(now, place);
+                // The rest waits for the tick: the judge may just be turning all parts, one by one.
+                let first = matches!(node.stage, Stage::Entering | Stage::Well | Stage::Resent);
+                if to.accused() && first {
+                    self.treat(now, place);
+                }
             }
             Event::Members(members) => self.members(now, members),
             Event::Lead(term) => {
@@ -246,7 +250,8 @@
         let rested = node.restarted.is_none_or(|at| now - at >= RESTART_AGAIN);
         let free = !self.doubt;
         // A new intent has interrupted what it was showing; its doubtful parts are turned back meanwhile.
-        let settled = now - self.since >= tuning.settle + tuning.apply * 3 / 10;
+        let shown_by = node.since.max(self.since) + tuning.apply * 12 / 10;
+        let settled = now >= shown_by || spent >= 4 * tuning.apply;
         let wrong = Part::ALL.into_iter().filter(|part| node.states[*part as usize].0.accused());
         let parts = wrong.fold(0u8, |bits, part| bits | 1 << part as u8);
         match stage {
@@ -260,11 +265,7 @@
             Stage::Rebuilt | Stage::Out | Stage::Restarting if !accused => {
                 self.turn(now, place, Stage::Well, Some(Step::Admit));
             }
-            Stage::Rebuilt
-                if free
-                    && (spent >= tuning.apply && settled || spent >= 3 * tuning.apply)
-                    && self.room(place) =>
-            {
+            Stage::Rebuilt if free && settled && self.room(place) => {
                 self.turn(now, place, Stage::Out, Some(Step::Withdraw));
             }
             Stage::Out if free && spent >= 2 * tuning.apply && rested && self.may_restart() => {
