--- a/crates/intent/src/judge.rs
+++ b/crates/intent/src/judge.rs
@@ -435,6 +435,12 @@
     }
 
     fn report(&mut self, now: Micros, from: Place, report: &Report) {
+        if let Some(node) = self.nodes.get_mut(&from) {
+            // A report names no life of its own, so it only keeps a silence from beginning.
+            if now - node.heard <= self.tuning.silence {
+                node.heard = now;
+            }
+        }
         let Some(intent) = self.intent.clone() else { return };
         // A witness that is itself accused, or judged under another text, has no voice.
         let accused =
