--- a/crates/rehearsal/src/world/prompter.rs
+++ b/crates/rehearsal/src/world/prompter.rs
@@ -119,6 +119,8 @@
                     }
                 }
                 Out::Write(write) => self.write(at, write),
+                // A machine that starts again knows no instances here: the harder case.
+                Out::Remember(_) => {}
                 Out::Tell { ask, told } => self.tell(at, ask, told),
             }
         }
@@ -287,5 +289,13 @@
 
 /// Says nothing of what is written: only for the planted early word.
 fn empty(no: promptbook::WriteNo) -> Write {
-    Write { no, term: props::Term(0), voted: None, cut_from: None, entries: Vec::new(), snapshot: None }
+    Write {
+        no,
+        term: props::Term(0),
+        voted: None,
+        cut_from: None,
+        entries: Vec::new(),
+        snapshot: None,
+        committed: props::Index(0),
+    }
 }
