--- a/crates/playhouse/src/floor/mod.rs
+++ b/crates/playhouse/src/floor/mod.rs
@@ -5,7 +5,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, HashMap};
+use std::collections::{BTreeMap, BinaryHeap, HashMap, HashSet};
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -13,7 +13,7 @@
 use company::Part;
 use garnetdoor::host::{Arrival, Ending, ServerId, Taken, TicketId, TripNo, Vote, Wake};
 use indexmap::IndexMap;
-use props::{Micros, Place, SECOND};
+use props::{MS, Micros, Place, SECOND};
 
 use crate::house::{Happened, House, Word};
 use crate::settings::{Settings, micros};
@@ -22,6 +22,8 @@
 use purse::{Party, Purse};
 
 const VOTES_EVERY: Micros = SECOND;
+/// A foyer that knows instances of some services opens after this without the others: two beats are under it.
+const PARTLY: Micros = 1_500 * MS;
 /// A foyer that has been up for less when a roll-out comes may have had an earlier life that served in it.
 const SETTLED: Micros = 5 * SECOND;
 
@@ -118,6 +120,9 @@
     votes_due: Micros,
     seed: u64,
     leaving: bool,
+    /// Whether clients may be sent here, and since when a configuration is known.
+    opened: bool,
+    partly: Option<Micros>,
     out: Vec<Out>,
 }
 
@@ -152,6 +157,8 @@
             votes_due: now,
             seed,
             leaving: false,
+            opened: false,
+            partly: None,
             out: Vec::new(),
         }
     }
@@ -160,11 +167,27 @@
         self.bill.as_ref()
     }
 
-    /// Whether clients may be sent here: a configuration is there, and instances of some service.
+    /// Whether clients may be sent here. Once it is so it stays so until the process leaves: what is missing
+    /// later is missing everywhere.
     pub fn ready(&self) -> bool {
-        !self.leaving
-            && self.bill.is_some()
-            && self.house.cast.records().any(|known| known.state == cast::State::InService)
+        !self.leaving && self.opened
+    }
+
+    /// Opens once a configuration is there, and instances of each service that a route leads to; without some
+    /// of them after a while, since a service may have none. Guards against requests for services whose
+    /// instances are not known here yet, while other foyers know them.
+    fn open(&mut self, now: Micros) {
+        let Some(bill) = self.bill.as_ref().filter(|_| !self.opened) else { return };
+        let cast = &self.house.cast;
+        let known: HashSet<&str> = cast
+            .records()
+            .filter(|known| known.state == cast::State::InService)
+            .map(|known| known.service.as_str())
+            .collect();
+        let mut targets = bill.routes.values().flat_map(|route| &route.targets);
+        let all = targets.all(|target| known.contains(&*target.service));
+        let since = *self.partly.get_or_insert(now);
+        self.opened = !known.is_empty() && (all || now - since >= PARTLY);
     }
 
     pub fn leaving(&self) -> bool {
@@ -234,6 +257,7 @@
         if changed {
             self.script_changed(now);
         }
+        self.open(now);
     }
 
     /// The configuration, a roll-out or the number of foyers is another.
--- a/crates/playhouse/src/foyer/front.rs
+++ b/crates/playhouse/src/foyer/front.rs
@@ -17,13 +17,16 @@
 
 use super::pool::Body;
 use super::trip::{Asked, REMAINING_TIME, strip};
+use super::watch::{Due, Watch, Watched};
 use super::{Reply, Shared, come_back};
 
 /// A request's body up to this size is kept, so that it can go to another instance.
 const KEPT: usize = 512 << 10;
 /// Client connections at once, of the descriptors that the machine has.
 const CLIENTS_SHARE: f64 = 0.6;
-const IDLE_UNTOLD: Micros = 15 * SECOND;
+/// Before any configuration: bounds of a head and of idleness, and bytes of a head.
+const UNTOLD: (Micros, Micros) = (3 * SECOND, 15 * SECOND);
+const HEADER_BYTES: u64 = 16 << 10;
 
 /// Takes clients until told to stop; then ends idle connections and lets the others finish.
 pub async fn serve(listener: TcpListener, shared: Shared, mut stopping: watch::Receiver<bool>) {
@@ -40,23 +43,52 @@
         count.set(count.get() + 1);
         let (shared, count, mut stopping) = (shared.clone(), count.clone(), stopping.clone());
         tokio::task::spawn_local(async move {
-            let idle = shared.borrow().floor.bill().map_or(IDLE_UNTOLD, |bill| bill.limits.idle_time);
-            let header_bytes = shared.borrow().floor.bill().map_or(16384, |bill| bill.limits.header_bytes);
+            let (clock, limits) = {
+                let foyer = shared.borrow();
+                (foyer.clock, foyer.floor.bill().map(|bill| bill.limits))
+            };
+            let (head, idle) = limits.map_or(UNTOLD, |limits| (limits.header_time, limits.idle_time));
+            let header_bytes = limits.map_or(HEADER_BYTES, |limits| limits.header_bytes);
+            let watch = Watch::start(clock);
             let service = hyper::service::service_fn(|request| {
-                let shared = shared.clone();
-                async move { Ok::<_, std::convert::Infallible>(answer(shared, request).await) }
+                let (shared, watch) = (shared.clone(), watch.clone());
+                watch.served(false);
+                async move {
+                    let mut answer = answer(shared, request).await;
+                    // A second less, so that a client that heeds it never meets the end.
+                    if idle >= 3 * SECOND && !answer.headers().contains_key(header::CONNECTION) {
+                        let told = format!("timeout={}", idle / SECOND - 1);
+                        if let Ok(value) = HeaderValue::from_str(&told) {
+                            answer.headers_mut().insert("keep-alive", value);
+                        }
+                    }
+                    watch.served(true);
+                    Ok::<_, std::convert::Infallible>(answer)
+                }
             });
+            let io = Watched { io: TokioIo::new(stream), watch: watch.clone() };
             let connection = hyper::server::conn::http1::Builder::new()
                 .timer(TokioTimer::new())
-                .header_read_timeout(Duration::from_micros(idle.max(SECOND) as u64))
+                .header_read_timeout(None)
                 .max_buf_size((header_bytes as usize).clamp(8192, 1 << 20))
-                .serve_connection(TokioIo::new(stream), service);
+                .serve_connection(io, service);
             let mut connection = std::pin::pin!(connection);
-            let ended = tokio::select! {
-                ended = connection.as_mut() => ended,
-                _ = stopping.wait_for(|stop| *stop) => {
-                    connection.as_mut().graceful_shutdown();
-                    connection.await
+            let (mut at, mut stops) = (clock.now() + head.min(idle), false);
+            let ended = loop {
+                tokio::select! {
+                    ended = connection.as_mut() => break ended,
+                    _ = stopping.wait_for(|stop| *stop), if !stops => {
+                        stops = true;
+                        connection.as_mut().graceful_shutdown();
+                    }
+                    _ = tokio::time::sleep_until(clock.at(at)) => match watch.due(head, idle) {
+                        Due::At(next) => at = next,
+                        Due::End => {
+                            at = clock.now() + idle;
+                            connection.as_mut().graceful_shutdown();
+                        }
+                        Due::Cut => break Ok(()),
+                    },
                 }
             };
             if let Err(error) = ended {
--- a/crates/playhouse/src/foyer/mod.rs
+++ b/crates/playhouse/src/foyer/mod.rs
@@ -4,6 +4,7 @@
 mod front;
 mod pool;
 mod trip;
+mod watch;
 
 use std::cell::RefCell;
 use std::collections::HashMap;
