--- a/crates/playhouse/src/commands/call.rs
+++ b/crates/playhouse/src/commands/call.rs
@@ -14,8 +14,8 @@
 /// Where the system is, and how answers are printed.
 #[derive(Clone, Debug, clap::Args)]
 pub struct At {
-    /// A prompter's Control address; may be given several times. Without it: SeedNodes of the settings file that
-    /// GARNETDOOR_SETTINGS names.
+    /// A prompter's Control address; may be given several times. Without it: SeedNodes of the settings file
+    /// that GARNETDOOR_SETTINGS names.
     #[arg(long, value_name = "HOST:PORT")]
     pub at: Vec<SocketAddrV4>,
     /// Seconds for which a call is tried, at one machine after the other.
--- a/crates/playhouse/src/commands/config.rs
+++ b/crates/playhouse/src/commands/config.rs
@@ -34,8 +34,8 @@
         at: At,
         /// The file (JSON); - is standard input.
         file: PathBuf,
-        /// The version that it builds on, in hexadecimal; without it, the one in force now. Give it where others
-        /// may change the configuration too: of two changes on one base only one is taken.
+        /// The version that it builds on, in hexadecimal; without it, the one in force now. Give it where
+        /// others may change the configuration too: of two changes on one base only one is taken.
         #[arg(long, value_name = "V", value_parser = version)]
         base: Option<Version>,
     },
--- a/crates/playhouse/src/commands/ledger.rs
+++ b/crates/playhouse/src/commands/ledger.rs
@@ -27,8 +27,8 @@
         #[arg(long)]
         json: bool,
     },
-    /// Read all of a ledger and check it: checksums, gaps, commands, the state they make. Exit code 1 where it is
-    /// damaged.
+    /// Read all of a ledger and check it: checksums, gaps, commands, the state they make. Exit code 1 where
+    /// it is damaged.
     Verify {
         /// The data folder.
         dir: PathBuf,
--- a/crates/playhouse/src/commands/mod.rs
+++ b/crates/playhouse/src/commands/mod.rs
@@ -1,5 +1,5 @@
-//! Call-sheet (command line): what an operator types. Every verb that asks the system does so over the calls of
-//! api/openapi.yaml; those that read files need no system.
+//! Call-sheet (command line): what an operator types. Every verb that asks the system does so over the calls
+//! of api/openapi.yaml; those that read files need no system.
 
 mod call;
 mod check;
@@ -68,7 +68,8 @@
         #[arg(long)]
         service: Option<String>,
     },
-    /// Show the whole: who leads, voters, log, configuration, roll-outs with votes, foyers, instances by state.
+    /// Show the whole: who leads, voters, log, configuration, roll-outs with votes, foyers, instances by
+    /// state.
     Status {
         #[command(flatten)]
         at: call::At,
--- a/crates/playhouse/src/commands/rollout.rs
+++ b/crates/playhouse/src/commands/rollout.rs
@@ -27,8 +27,8 @@
         #[arg(long)]
         watch: bool,
     },
-    /// Print each state of a service's last roll-out until it ends: exit code 0 when it is completed, 1 when it
-    /// is reverted.
+    /// Print each state of a service's last roll-out until it ends: exit code 0 when it is completed, 1 when
+    /// it is reverted.
     Watch {
         #[command(flatten)]
         at: At,
--- a/crates/playhouse/src/house.rs
+++ b/crates/playhouse/src/house.rs
@@ -9,7 +9,7 @@
 use cast::Cast;
 use company::{Company, Member, Part, Standing};
 use props::{Ask, Index, Micros, Place, Seat};
-use script::{Outcome, Script};
+use script::{Broken, Outcome, Script};
 use serde::{Deserialize, Serialize};
 
 /// What nodes say to each other, each word of one room.
@@ -82,13 +82,14 @@
     pub board: Callboard,
     pub cast: Cast,
     pub script: Script,
+    unreadable: Option<Index>,
     happened: VecDeque<Happened>,
     out: Vec<(Place, Word)>,
 }
 
 impl House {
-    /// Begins to look for the others. `own.life` is the process's, or the disk's where there is one; `beat`
-    /// is what instances let pass between beats; `seed` moves all that is left to chance.
+    /// Begins to look for the others. `own.life` is the process's; `beat` is what instances let pass between
+    /// beats; `seed` moves all that is left to chance.
     pub fn start(own: Member, seeds: Vec<Place>, beat: Micros, seed: u64, now: Micros) -> House {
         let mode = match own.part {
             Part::Prompter => callboard::Mode::Source,
@@ -99,7 +100,7 @@
         let cast = Cast::start(own.place, cast::Timing::of_heartbeat(beat), seed ^ 2, now);
         let script = Script::new();
         let (happened, out) = (VecDeque::new(), Vec::new());
-        let mut house = House { own, company, board, cast, script, happened, out };
+        let mut house = House { own, company, board, cast, script, unreadable: None, happened, out };
         house.company_did(now, effects);
         house
     }
@@ -109,6 +110,12 @@
         self.happened.pop_front()
     }
 
+    /// The entry whose state came and can't be read here, as one of a newer program. What is applied after it
+    /// is built on too little, so that a prompter must not go on.
+    pub fn unreadable(&self) -> Option<Index> {
+        self.unreadable
+    }
+
     /// The nodes of one part that are up, without this one.
     pub fn up(&self, part: Part) -> Vec<Place> {
         self.company.up(part).map(|member| member.place).filter(|place| *place != self.own.place).collect()
@@ -211,7 +218,12 @@
     fn restore(&mut self, now: Micros, index: Index, data: &[u8]) {
         match self.script.restore(now, index, data) {
             Ok(()) => self.happened.push_back(Happened::Restored),
-            Err(error) => log::error!("the state at {} can't be read: {error}", index.0),
+            // What is here is newer; nothing is lacking.
+            Err(error @ Broken::Older { .. }) => log::warn!("a state is passed over: {error}"),
+            Err(error) => {
+                self.unreadable = Some(index);
+                log::error!("the state at {} can't be read: {error}", index.0);
+            }
         }
     }
 
--- a/crates/playhouse/src/main.rs
+++ b/crates/playhouse/src/main.rs
@@ -1,4 +1,5 @@
-//! Playhouse (the system's program): foyers carry the traffic, prompters serve control, and operators look after both.
+//! Playhouse (the system's program): foyers carry the traffic, prompters serve control, and operators look
+//! after both.
 
 use std::process::ExitCode;
 
--- a/crates/playhouse/src/prompter.rs
+++ b/crates/playhouse/src/prompter.rs
@@ -67,14 +67,15 @@
     let (disk, mut done) = DiskHand::start(ledger)?;
     let seat = Seat { place: own, life: opened.life };
     let voters = || settings.seeds().into_iter().map(|place| Seat { place, life: FIRST_LIFE });
-    // A disk with nothing kept yet has promised nothing, also where the process was killed since it was begun.
+    // A disk with nothing kept yet has promised nothing, also where the process was killed since it was
+    // begun.
     let unused = opened.life == FIRST_LIFE && opened.saved == Saved::default();
     let first = (first && unused).then(|| Members(voters().collect()));
     let (post, mut mail) =
         Post::bind(settings.ip_address, settings.internal_port(), wings::PostLimits::default())?;
     let now = clock.now();
-    // Among the nodes it is the process that lives: one that has left in order is never heard again, and this one
-    // may come back with the same disk.
+    // Among the nodes it is the process that lives: one that has left in order is never heard again, and this
+    // one may come back with the same disk.
     let member = settings.member(Part::Prompter, Life(chance()));
     let house = House::start(member, settings.seeds(), micros(settings.heartbeat_s), chance(), now);
     let (control, out) = Control::start(house, seat, first, opened.saved, chance(), now);
@@ -96,6 +97,10 @@
     let mut signals = Signals::start()?;
     log::info!("prompter {seat} at {at}");
     loop {
+        if let Some(index) = shared.borrow().control.house.unreadable() {
+            // To go on would be to take a part of the state for the whole.
+            return Err(format!("the state at entry {} can't be read by this program", index.0).into());
+        }
         let due = clock.at(shared.borrow().control.due());
         tokio::select! {
             word = mail.recv() => {
@@ -135,9 +140,10 @@
     Ok(())
 }
 
-/// Opens the ledger in `dir`. One that can't be read, or lacks what must be there, is set aside and begun with a
-/// fresh life: this machine is a newcomer then, who is let in again and learns all from the others, and nothing that
-/// its disk promised before is expected of it. `first` draws the life of a first voter, on an unused disk only.
+/// Opens the ledger in `dir`. One that can't be read, or lacks what must be there, is set aside and begun
+/// with a fresh life: this machine is a newcomer then, who is let in again and learns all from the others,
+/// and nothing that its disk promised before is expected of it. `first` draws the life of a first voter, on
+/// an unused disk only.
 fn open(dir: &Path, first: bool) -> Result<(Ledger<DiskStore>, Opened), LedgerError> {
     let begin =
         |life| DiskStore::open(dir).map_err(LedgerError::from).and_then(|store| Ledger::open(store, life));
--- a/crates/playhouse/src/ring.rs
+++ b/crates/playhouse/src/ring.rs
@@ -1,9 +1,9 @@
-//! Ring (log in memory): keeps the last lines in bounded bytes, so that little is written while all is well and
-//! what led to a trouble can be read once it is there.
+//! Ring (log in memory): keeps the last lines in bounded bytes, so that little is written while all is well
+//! and what led to a trouble can be read once it is there.
 //!
-//! Lines of the own packages at the ring's level go into it; those at the set level are written at once, through
-//! `env_logger`. A line at `error`, a panic and `spill` write the ring to standard error: at most every 10 s, since
-//! writing costs processor time that a small machine in trouble has least of.
+//! Lines of the own packages at the ring's level go into it; those at the set level are written at once,
+//! through `env_logger`. A line at `error`, a panic and `spill` write the ring to standard error: at most
+//! every 10 s, since writing costs processor time that a small machine in trouble has least of.
 
 use std::collections::VecDeque;
 use std::fmt::{self, Write as _};
@@ -181,8 +181,9 @@
     }
 }
 
-/// Makes this the process's logger: lines at `written` (or as `RUST_LOG` says) go out at once, those of the own
-/// packages at `kept` go into the ring. A panic writes the ring out. Done once; later calls change nothing.
+/// Makes this the process's logger: lines at `written` (or as `RUST_LOG` says) go out at once, those of the
+/// own packages at `kept` go into the ring. A panic writes the ring out. Done once; later calls change
+/// nothing.
 pub fn install(written: LevelFilter, kept: LevelFilter) {
     let out = env_logger::Builder::new().filter_level(written).parse_default_env().build();
     let most = out.filter().max(kept);
--- a/crates/playhouse/src/settings.rs
+++ b/crates/playhouse/src/settings.rs
@@ -193,8 +193,8 @@
         missing.map(|(key, _, expected)| fault(key, "nothing".to_owned(), expected)).collect()
     }
 
-    /// Checks every key that is read; all faults at once. Keys that are not known are passed over, since later
-    /// versions bring others.
+    /// Checks every key that is read; all faults at once. Keys that are not known are passed over, since
+    /// later versions bring others.
     pub fn of(table: &toml::Table) -> Result<Settings, Vec<Fault>> {
         let mut faults = Vec::new();
         let mut top = Keys { table: Some(table), within: "", faults: &mut faults };
--- a/crates/promptbook/src/follow.rs
+++ b/crates/promptbook/src/follow.rs
@@ -23,9 +23,9 @@
         if self.leader != Some(from) || term > self.term || !matches!(self.role, Role::Following) {
             self.follow(term, Some(from));
             if self.log.last_term() == term {
-                // Entries of a term come from its one leader, each on top of all before it. A seat that starts
-                // again in the middle of a term has no need to be told them a second time, and is not: the
-                // leader knows that they are on its disk.
+                // Entries of a term come from its one leader, each on top of all before it. A seat that
+                // starts again in the middle of a term has no need to be told them a second time, and is not:
+                // the leader knows that they are on its disk.
                 self.verified = self.verified.max(self.log.last());
             }
         }
--- a/crates/promptbook/tests/world.rs
+++ b/crates/promptbook/tests/world.rs
@@ -382,8 +382,8 @@
         self.machines[at].book.as_ref().expect("it runs")
     }
 
-    /// True if in everybody's view a majority of the members stays beside this one and those that are gone. Two
-    /// disks lost at almost the same time are more than three or four seats bear.
+    /// True if in everybody's view a majority of the members stays beside this one and those that are gone.
+    /// Two disks lost at almost the same time are more than three or four seats bear.
     fn spares(&self, gone: usize) -> bool {
         if self.now - self.wiped < SECOND {
             return false;
--- a/crates/script/src/count.rs
+++ b/crates/script/src/count.rs
@@ -229,8 +229,7 @@
         }
     }
 
-    /// What stands at `now` on a service's trial; `None` where nobody has voted. Only a leader's is worth
-    /// something: votes are sent to it.
+    /// What stands at `now` on a service's trial, as it was heard here; `None` where nobody has voted.
     pub fn votes(&self, now: Micros, service: &str) -> Option<Votes> {
         let sum = self.trials.get(service)?.standing(&self.settings, now);
         let Standing { ons, backs, trial, failed, base, base_failed, .. } = sum;
--- a/crates/wings/src/hand.rs
+++ b/crates/wings/src/hand.rs
@@ -73,8 +73,8 @@
         false
     }
 
-    /// Whether writes are refused for good, until the ledger is opened anew. A disk that fails is no such case:
-    /// what it was handed stays in line.
+    /// Whether writes are refused for good, until the ledger is opened anew. A disk that fails is no such
+    /// case: what it was handed stays in line.
     pub fn refuses(&self) -> bool {
         self.refusing.load(Ordering::Relaxed)
     }
