--- a/crates/cue/src/lib.rs
+++ b/crates/cue/src/lib.rs
@@ -2,11 +2,15 @@
 //! known of the fleet, in the words of `garnetdoor`'s settings. No I/O. Each value that is chosen here stands
 //! with its reason; the others follow from the settings file or the configuration.
 
+mod part;
+
 use bill::{Bill, Kind};
 use garnetdoor::host::{Micros, Settings};
 use indexmap::IndexMap;
 use props::{MS, SECOND};
 
+pub use part::Share;
+
 /// Clients heed a time to come back up to a third of what they have left; longer ones are cut there, and this
 /// is the longest where much is left: a few answers' time, so that those turned back come again spread.
 const COME_BACK: Micros = 300 * MS;
@@ -30,6 +34,12 @@
 /// shorter queue here, but not one twice as long there.
 const CROSSING: f64 = 0.0625;
 
+/// When a client may come again whose request can't be sent anywhere yet: as late as it heeds, so that its few
+/// tries last until something is known here. Guards against clients that use them up while a fleet starts.
+pub fn come_back(left: Micros) -> Micros {
+    (COME_BACK_SHARE * left.max(0) as f64) as Micros
+}
+
 /// The rules' bounds that bind a foyer's decisions.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Bounds {
--- a/crates/playhouse/src/prompter.rs
+++ b/crates/playhouse/src/prompter.rs
@@ -19,7 +19,7 @@
 use script::{Command, Outcome};
 use simd_json::prelude::*;
 use tokio::sync::oneshot;
-use wings::{DiskHand, DiskStore, Post};
+use wings::{DiskHand, DiskStore, NoteHand, Post};
 
 use crate::calls::{self, Call, Wrong};
 use crate::control::{Control, In, Out, Told};
@@ -38,6 +38,8 @@
 
 /// The life of each first voter's disk: all must name the same seats before they have met.
 const FIRST_LIFE: Life = Life(0);
+/// The file of the instances that were known.
+const MEMORY: &str = "instances";
 
 pub struct Prompter {
     control: Control,
@@ -45,6 +47,7 @@
     settings: Rc<Settings>,
     post: Rc<Post>,
     disk: DiskHand<DiskStore>,
+    memory: NoteHand,
     asks: HashMap<Ask, oneshot::Sender<Told>>,
     next_ask: u64,
     changed: Rc<tokio::sync::Notify>,
@@ -65,6 +68,7 @@
     let first = settings.initial_start && settings.seeds().contains(&own);
     let (ledger, opened) = open(&dir, first)?;
     let (disk, mut done) = DiskHand::start(ledger)?;
+    let (memory, remembered) = NoteHand::start(&dir, MEMORY)?;
     let seat = Seat { place: own, life: opened.life };
     let voters = || settings.seeds().into_iter().map(|place| Seat { place, life: FIRST_LIFE });
     // A disk with nothing kept yet has promised nothing, also where the process was killed since it was
@@ -77,7 +81,10 @@
     // Among the nodes it is the process that lives: one that has left in order is never heard again, and this
     // one may come back with the same disk.
     let member = settings.member(Part::Prompter, Life(chance()));
-    let house = House::start(member, settings.seeds(), micros(settings.heartbeat_s), chance(), now);
+    let mut house = House::start(member, settings.seeds(), micros(settings.heartbeat_s), chance(), now);
+    if let Some(bytes) = remembered {
+        house.remember(now, &bytes);
+    }
     let (control, out) = Control::start(house, seat, first, opened.saved, chance(), now);
     let changed = Rc::new(tokio::sync::Notify::new());
     let mut prompter = Prompter {
@@ -86,6 +93,7 @@
         settings: settings.clone(),
         post: Rc::new(post),
         disk,
+        memory,
         asks: HashMap::new(),
         next_ask: 0,
         changed: changed.clone(),
@@ -183,6 +191,7 @@
                 Out::Write(write) => {
                     self.disk.write(write);
                 }
+                Out::Remember(bytes) => self.memory.keep(bytes),
                 Out::Tell { ask, told } => {
                     if let Some(reply) = self.asks.remove(&ask) {
                         let _ = reply.send(told);
