--- a/crates/playhouse/src/commands/ledger.rs
+++ b/crates/playhouse/src/commands/ledger.rs
@@ -121,6 +121,12 @@
         self.opened.saved.entries.last().map_or(snapshot, |entry| entry.index)
     }
 
+    /// Of the entry that `last` names: of two disks, the one with the higher has the newer state.
+    fn last_term(&self) -> u64 {
+        let snapshot = self.opened.saved.snapshot.as_ref().map_or(0, |snapshot| snapshot.term.0);
+        self.opened.saved.entries.last().map_or(snapshot, |entry| entry.term.0)
+    }
+
     /// Who votes after the last entry.
     fn members(&self) -> Members {
         let saved = &self.opened.saved;
@@ -156,6 +162,8 @@
             "SnapshotBytes": saved.snapshot.as_ref().map_or(0, |snapshot| snapshot.data.len()),
             "Entries": saved.entries.len(),
             "Last": self.last().0,
+            "LastTerm": self.last_term(),
+            "Committed": saved.committed.0,
             "Taken": self.taken,
             "Refused": self.refused,
             "Unreadable": self.unreadable.clone(),
