--- a/crates/playhouse/src/prompter.rs
+++ b/crates/playhouse/src/prompter.rs
@@ -9,7 +9,7 @@
 
 use bytes::Bytes;
 use company::Part;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode, header};
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -157,18 +157,27 @@
         |life| DiskStore::open(dir).map_err(LedgerError::from).and_then(|store| Ledger::open(store, life));
     // A file that was set aside tells of an earlier use, also where the process was killed right after.
     let first = first && !DiskStore::was_set_aside(dir);
-    let fresh = Life(chance() | 1);
-    match begin(if first { FIRST_LIFE } else { fresh }) {
-        Err(
-            error @ (LedgerError::Damaged { .. }
-            | LedgerError::Missing { .. }
-            | LedgerError::Store(StoreError::Damaged { .. })),
-        ) => {
+    let life = if first { FIRST_LIFE } else { Life(chance() | 1) };
+    let damage = |error: &LedgerError| {
+        matches!(
+            error,
+            LedgerError::Damaged { .. }
+                | LedgerError::Missing { .. }
+                | LedgerError::Store(StoreError::Damaged { .. })
+        )
+    };
+    // Read twice before it is given up: a fault on the way from the disk need not come again. A full or failing
+    // disk may come back, and a newer form is for the program that wrote it: those are errors.
+    let again = match begin(life) {
+        Err(error) if damage(&error) => begin(life),
+        done => return done,
+    };
+    match again {
+        Err(error) if damage(&error) => {
             log::error!("the ledger can't be used and is set aside; its disk begins a new life: {error}");
             DiskStore::set_aside(dir)?;
-            begin(fresh)
+            begin(Life(chance() | 1))
         }
-        // A full or failing disk may come back; a newer form is for the program that wrote it.
         done => done,
     }
 }
@@ -252,6 +261,11 @@
     reply(status, value.encode())
 }
 
+/// One fault of what was sent, as all faults are told.
+fn faults(place: &str, text: &str) -> Answer {
+    reply(StatusCode::BAD_REQUEST, bill::Faults::one(place, text).to_json())
+}
+
 fn unavailable(text: &str) -> Answer {
     fault(StatusCode::SERVICE_UNAVAILABLE, text)
 }
@@ -264,11 +278,14 @@
     };
     let body = match Limited::new(body, BODY_MOST).collect().await {
         Ok(body) => body.to_bytes(),
-        Err(error) => return fault(StatusCode::BAD_REQUEST, &format!("body: {error}")),
+        Err(error) if error.is::<LengthLimitError>() => {
+            return fault(StatusCode::PAYLOAD_TOO_LARGE, &format!("body: more than {BODY_MOST} bytes"));
+        }
+        Err(error) => return faults("body", &error.to_string()),
     };
     match take(&shared, call, &head, &body).await {
         Ok(answer) => answer,
-        Err(wrong) => fault(StatusCode::BAD_REQUEST, &wrong.to_string()),
+        Err(wrong) => faults("", &wrong.to_string()),
     }
 }
 
--- a/crates/wings/src/disk.rs
+++ b/crates/wings/src/disk.rs
@@ -202,9 +202,12 @@
         {
             Err(failed(doing, &error))
         }
-        Ok(Err(error @ (redb::Error::PreviousIo | redb::Error::DatabaseAlreadyOpen))) => {
-            Err(failed(doing, &error))
-        }
+        // A file of another version of the library is not damaged: it is for a program that can read it.
+        Ok(Err(
+            error @ (redb::Error::PreviousIo
+            | redb::Error::DatabaseAlreadyOpen
+            | redb::Error::UpgradeRequired(_)),
+        )) => Err(failed(doing, &error)),
         Ok(Err(error)) => Err(StoreError::Damaged { why: error.to_string() }),
         Err(_) => Err(StoreError::Damaged { why: format!("panic while {doing}") }),
     }
