--- a/crates/playhouse/src/prompter.rs
+++ b/crates/playhouse/src/prompter.rs
@@ -9,7 +9,7 @@
 
 use bytes::Bytes;
 use company::Part;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode, header};
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -36,10 +36,10 @@
 /// Callers that wait at once; more are answered 503.
 const ASKS_MOST: usize = 4096;
 
-/// The file of the instances that were known.
-const MEMORY: &str = "instances";
 /// The life of each first voter's disk: all must name the same seats before they have met.
 const FIRST_LIFE: Life = Life(0);
+/// The file of the instances that were known.
+const MEMORY: &str = "instances";
 
 pub struct Prompter {
     control: Control,
@@ -71,14 +71,15 @@
     let (memory, remembered) = NoteHand::start(&dir, MEMORY)?;
     let seat = Seat { place: own, life: opened.life };
     let voters = || settings.seeds().into_iter().map(|place| Seat { place, life: FIRST_LIFE });
-    // A disk with nothing kept yet has promised nothing, also where the process was killed since it was begun.
+    // A disk with nothing kept yet has promised nothing, also where the process was killed since it was
+    // begun.
     let unused = opened.life == FIRST_LIFE && opened.saved == Saved::default();
     let first = (first && unused).then(|| Members(voters().collect()));
     let (post, mut mail) =
         Post::bind(settings.ip_address, settings.internal_port(), wings::PostLimits::default())?;
     let now = clock.now();
-    // Among the nodes it is the process that lives: one that has left in order is never heard again, and this one
-    // may come back with the same disk.
+    // Among the nodes it is the process that lives: one that has left in order is never heard again, and this
+    // one may come back with the same disk.
     let member = settings.member(Part::Prompter, Life(chance()));
     let mut house = House::start(member, settings.seeds(), micros(settings.heartbeat_s), chance(), now);
     if let Some(bytes) = remembered {
@@ -104,6 +105,10 @@
     let mut signals = Signals::start()?;
     log::info!("prompter {seat} at {at}");
     loop {
+        if let Some(index) = shared.borrow().control.house.unreadable() {
+            // To go on would be to take a part of the state for the whole.
+            return Err(format!("the state at entry {} can't be read by this program", index.0).into());
+        }
         let due = clock.at(shared.borrow().control.due());
         tokio::select! {
             word = mail.recv() => {
@@ -143,26 +148,36 @@
     Ok(())
 }
 
-/// Opens the ledger in `dir`. One that can't be read, or lacks what must be there, is set aside and begun with a
-/// fresh life: this machine is a newcomer then, who is let in again and learns all from the others, and nothing that
-/// its disk promised before is expected of it. `first` draws the life of a first voter, on an unused disk only.
+/// Opens the ledger in `dir`. One that can't be read, or lacks what must be there, is set aside and begun
+/// with a fresh life: this machine is a newcomer then, who is let in again and learns all from the others,
+/// and nothing that its disk promised before is expected of it. `first` draws the life of a first voter, on
+/// an unused disk only.
 fn open(dir: &Path, first: bool) -> Result<(Ledger<DiskStore>, Opened), LedgerError> {
     let begin =
         |life| DiskStore::open(dir).map_err(LedgerError::from).and_then(|store| Ledger::open(store, life));
     // A file that was set aside tells of an earlier use, also where the process was killed right after.
     let first = first && !DiskStore::was_set_aside(dir);
-    let fresh = Life(chance() | 1);
-    match begin(if first { FIRST_LIFE } else { fresh }) {
-        Err(
-            error @ (LedgerError::Damaged { .. }
-            | LedgerError::Missing { .. }
-            | LedgerError::Store(StoreError::Damaged { .. })),
-        ) => {
+    let life = if first { FIRST_LIFE } else { Life(chance() | 1) };
+    let damage = |error: &LedgerError| {
+        matches!(
+            error,
+            LedgerError::Damaged { .. }
+                | LedgerError::Missing { .. }
+                | LedgerError::Store(StoreError::Damaged { .. })
+        )
+    };
+    // Read twice before it is given up: a fault on the way from the disk need not come again. A full or failing
+    // disk may come back, and a newer form is for the program that wrote it: those are errors.
+    let again = match begin(life) {
+        Err(error) if damage(&error) => begin(life),
+        done => return done,
+    };
+    match again {
+        Err(error) if damage(&error) => {
             log::error!("the ledger can't be used and is set aside; its disk begins a new life: {error}");
             DiskStore::set_aside(dir)?;
-            begin(fresh)
+            begin(Life(chance() | 1))
         }
-        // A full or failing disk may come back; a newer form is for the program that wrote it.
         done => done,
     }
 }
@@ -246,6 +261,11 @@
     reply(status, value.encode())
 }
 
+/// One fault of what was sent, as all faults are told.
+fn faults(place: &str, text: &str) -> Answer {
+    reply(StatusCode::BAD_REQUEST, bill::Faults::one(place, text).to_json())
+}
+
 fn unavailable(text: &str) -> Answer {
     fault(StatusCode::SERVICE_UNAVAILABLE, text)
 }
@@ -258,11 +278,14 @@
     };
     let body = match Limited::new(body, BODY_MOST).collect().await {
         Ok(body) => body.to_bytes(),
-        Err(error) => return fault(StatusCode::BAD_REQUEST, &format!("body: {error}")),
+        Err(error) if error.is::<LengthLimitError>() => {
+            return fault(StatusCode::PAYLOAD_TOO_LARGE, &format!("body: more than {BODY_MOST} bytes"));
+        }
+        Err(error) => return faults("body", &error.to_string()),
     };
     match take(&shared, call, &head, &body).await {
         Ok(answer) => answer,
-        Err(wrong) => fault(StatusCode::BAD_REQUEST, &wrong.to_string()),
+        Err(wrong) => faults("", &wrong.to_string()),
     }
 }
 
