--- a/crates/playhouse/src/floor/mod.rs
+++ b/crates/playhouse/src/floor/mod.rs
@@ -123,6 +123,9 @@
     /// Whether clients may be sent here, and since when a configuration is known.
     opened: bool,
     partly: Option<Micros>,
+    /// Final answers of the decisions that were no instance's, since the start.
+    turned_back: u64,
+    forfeited: u64,
     out: Vec<Out>,
 }
 
@@ -159,6 +162,8 @@
             leaving: false,
             opened: false,
             partly: None,
+            turned_back: 0,
+            forfeited: 0,
             out: Vec::new(),
         }
     }
@@ -170,7 +175,36 @@
     /// Whether clients may be sent here. Once it is so it stays so until the process leaves: what is missing
     /// later is missing everywhere.
     pub fn ready(&self) -> bool {
-        !self.leaving && self.opened
+        !self.leaving && self.opened && self.house.unreadable().is_none()
+    }
+
+    /// How this foyer stands, for people and scripts.
+    pub fn status(&self) -> simd_json::OwnedValue {
+        let of = |state: cast::State| {
+            self.house.cast.records().filter(|known| known.state == state).count() as u64
+        };
+        let why = match (self.leaving, &self.bill, self.house.unreadable()) {
+            (true, ..) => "it is leaving",
+            (_, _, Some(_)) => "the state is of a newer program",
+            (_, None, _) => "no configuration is known",
+            _ if !self.opened => "instances of some services are not known",
+            _ => "",
+        };
+        simd_json::json!({
+            "Node": self.house.own.name.as_str(),
+            "Ready": self.ready(),
+            "NotReadyFor": why,
+            "ConfigVersion": self.bill.as_ref().map(|bill| bill.version.to_string()),
+            "LogIndex": self.house.script.index().0,
+            "Prompters": self.house.up(Part::Prompter).len() as u64,
+            "Foyers": self.foyers.len() as u64,
+            "RequestsInHand": self.open.len() as u64,
+            "TurnedBack": self.turned_back,
+            "Forfeited": self.forfeited,
+            "InService": of(cast::State::InService),
+            "Silent": of(cast::State::Silent),
+            "Draining": of(cast::State::Draining),
+        })
     }
 
     /// Opens once a configuration is there, and instances of each service that a route leads to; without some
@@ -380,8 +414,14 @@
                     self.ended(ticket, trip, 0, Ending::Stopped, false);
                 }
             }
-            Do::TurnBack { ticket, wait } => self.out.push(Out::TurnBack { ticket, wait }),
-            Do::Forfeit { ticket } => self.out.push(Out::Forfeit { ticket }),
+            Do::TurnBack { ticket, wait } => {
+                self.turned_back += 1;
+                self.out.push(Out::TurnBack { ticket, wait });
+            }
+            Do::Forfeit { ticket } => {
+                self.forfeited += 1;
+                self.out.push(Out::Forfeit { ticket });
+            }
             Do::Vote { build, vote } => {
                 self.decide(service, |desk| {
                     desk.voted(build, vote);
--- a/crates/playhouse/src/foyer/front.rs
+++ b/crates/playhouse/src/foyer/front.rs
@@ -12,6 +12,7 @@
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use props::{Micros, SECOND};
+use simd_json::prelude::Writable;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
@@ -106,12 +107,13 @@
         let shared = shared.clone();
         tokio::task::spawn_local(async move {
             let service = hyper::service::service_fn(|request: Request<Incoming>| {
-                let status = match request.uri().path() {
-                    "/api/readiness" if shared.borrow().floor.ready() => StatusCode::OK,
-                    "/api/readiness" => StatusCode::SERVICE_UNAVAILABLE,
-                    _ => StatusCode::NOT_FOUND,
+                let answer = match request.uri().path() {
+                    "/api/readiness" if shared.borrow().floor.ready() => plain(StatusCode::OK, "{}"),
+                    "/api/readiness" => plain(StatusCode::SERVICE_UNAVAILABLE, "{}"),
+                    "/api/status" => json(shared.borrow().floor.status().encode()),
+                    _ => plain(StatusCode::NOT_FOUND, "{}"),
                 };
-                async move { Ok::<_, std::convert::Infallible>(plain(status, "{}")) }
+                async move { Ok::<_, std::convert::Infallible>(answer) }
             });
             let _ = hyper::server::conn::http1::Builder::new()
                 .timer(TokioTimer::new())
@@ -130,6 +132,13 @@
     answer
 }
 
+fn json(text: String) -> Response<Body> {
+    let body = Full::new(Bytes::from(text)).map_err(|never| match never {});
+    let mut answer = Response::new(body.boxed_unsync());
+    answer.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    answer
+}
+
 /// An answer after which the connection ends, since its request was not read whole.
 fn closing(status: StatusCode, text: &'static str) -> Response<Body> {
     let mut answer = plain(status, text);
