--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod plant;
 pub mod play;
+pub mod plot;
 pub mod rules;
 pub mod scenario;
 pub mod seen;
--- a/crates/rehearsal/src/plant.rs
+++ b/crates/rehearsal/src/plant.rs
@@ -5,7 +5,9 @@
 use playhouse::house::Word;
 use serde::{Deserialize, Serialize};
 
+use crate::play::{self, Day};
 use crate::rules::Rule;
+use crate::scenario::Scenario;
 use crate::world::World;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -74,6 +76,41 @@
         }
     }
 
+    /// The worst moment at which it shows most, where it is rare on drawn days.
+    fn moment(self) -> Option<u64> {
+        match self {
+            Planted::AckBeforeSync | Planted::OldSeat => Some(0),
+            Planted::NoCap => Some(3),
+            Planted::WholeBudget => Some(8),
+            Planted::ForgottenVote => Some(11),
+            _ => None,
+        }
+    }
+
+    /// Plays one day of those on which it is looked for: short ones with its worst moment, else drawn ones.
+    pub fn hunted(self, seed: u64) -> Day {
+        let scenario = match self.moment() {
+            Some(number) => Scenario::moment(seed, number),
+            None => Scenario::drawn(seed),
+        };
+        play::play(scenario, seed, Some(self))
+    }
+
+    /// How many seeds from `seed` on it takes until one of its rules is broken; none within `most`.
+    pub fn found_after(self, seed: u64, most: u64) -> Option<u64> {
+        (0..most)
+            .find(|number| self.found_on(&self.hunted(seed.wrapping_add(*number))))
+            .map(|number| number + 1)
+    }
+
+    /// Whether a day shows it by one of the rules that it is about.
+    pub fn found_on(self, day: &Day) -> bool {
+        day.broken.iter().any(|broken| self.breaks().contains(&broken.rule))
+    }
+
+    /// Within so many seeds each is found.
+    pub const SEEDS: u64 = 100;
+
     /// The rules that it may break first.
     pub fn breaks(self) -> &'static [Rule] {
         match self {
--- a/crates/rehearsal/src/texts.rs
+++ b/crates/rehearsal/src/texts.rs
@@ -57,8 +57,9 @@
         Kind::Upload => "upload",
     };
     let (own, other) = (usual(route), chance.rand_range(0..SERVICES as u64) as usize);
+    // Each service keeps a route of its own: one without requests can't be judged.
     let targets = match chance.rand_range(0..8) {
-        0 => {
+        0 | 2 if route >= SERVICES => {
             allows.push((route, other));
             format!(r#""TargetService":"{}""#, service(other))
         }
--- a/crates/rehearsal/src/world/machine.rs
+++ b/crates/rehearsal/src/world/machine.rs
@@ -49,6 +49,8 @@
     pub disk_fails: Micros,
     pub disk_hangs: Micros,
     pub disk_slow: (Micros, Micros),
+    /// Of the last process here: the planted old seat.
+    pub seat_life: Option<Life>,
     pub under_way: Option<Write>,
     /// The tick that counts.
     pub tick_at: Micros,
@@ -118,6 +120,7 @@
             disk_fails: 0,
             disk_hangs: 0,
             disk_slow: (0, 0),
+            seat_life: None,
             under_way: None,
             tick_at: Micros::MAX,
             ring: VecDeque::new(),
--- a/crates/rehearsal/src/world/mod.rs
+++ b/crates/rehearsal/src/world/mod.rs
@@ -126,7 +126,9 @@
     pub(crate) guests: Guests,
     /// What comes to those who acknowledge a configuration next: (until, all, wiped, back).
     pub(crate) after_ack: Vec<(Micros, bool, bool, Micros)>,
-    /// For the planted faults: an old state, and whether drains are kept from others.
+    /// Until when those who grant a vote are killed, and for how long.
+    pub(crate) after_vote: (Micros, Micros),
+    /// For the planted faults: an old state.
     pub(crate) old_scripts: BTreeMap<usize, script::Script>,
 }
 
@@ -162,6 +164,7 @@
             requests: Vec::new(),
             guests: Guests::new(scenario.machines()),
             after_ack: Vec::new(),
+            after_vote: (0, 0),
             old_scripts: BTreeMap::new(),
             scenario,
         };
--- a/crates/rehearsal/src/world/troubles.rs
+++ b/crates/rehearsal/src/world/troubles.rs
@@ -48,6 +48,7 @@
             }
             Do::AfterAckAll { wiped, back } => self.doom(true, wiped, ms(back)),
             Do::AfterAck { wiped, back } => self.doom(false, wiped, ms(back)),
+            Do::AfterVote { span, back } => self.after_vote = (self.now + ms(span), ms(back)),
             Do::Cut { machine, span } => {
                 for other in self.all_ends() {
                     if other != Some(machine) {
