--- a/crates/garnetdoor-lab/src/prove/mod.rs
+++ b/crates/garnetdoor-lab/src/prove/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod fleet;
 pub mod measure;
+pub mod rehearsal;
 pub mod websocket;
 
 use comfy_table::{Table, presets};
@@ -115,6 +116,11 @@
         "1, 3, 100 and 300 gateways in one emulated world: the rules, calls, connections, loads and verdicts",
         fleet::prove,
     ),
+    (
+        "rehearsal",
+        "the whole system's cores on days of trouble in simulated time: every rule, and planted faults found",
+        rehearsal::prove,
+    ),
     (
         "websocket",
         "upgrades, shares, drains, keys and stops of WebSocket sessions through the daemon, and what they cost",
--- a/crates/rehearsal/src/scenario.rs
+++ b/crates/rehearsal/src/scenario.rs
@@ -279,7 +279,8 @@
 
     /// When operators ask once more for a change, and all must go on.
     pub fn calm_from(&self) -> Micros {
-        let last = self.troubles.iter().map(Trouble::over).max().unwrap_or(0) as Micros * MS;
+        let faults = self.troubles.iter().filter(|trouble| trouble.faulty());
+        let last = faults.map(Trouble::over).max().unwrap_or(0) as Micros * MS;
         last.max(10 * SECOND) + 100 * MS
     }
 
@@ -293,6 +294,22 @@
 }
 
 impl Trouble {
+    /// Not the daily work of operators and instances, which goes on in calm times too.
+    pub fn faulty(&self) -> bool {
+        !matches!(
+            self.what,
+            What::Change
+                | What::Modify
+                | What::Invalid { .. }
+                | What::Race
+                | What::Again
+                | What::Rollout { .. }
+                | What::Crash { .. }
+                | What::Drain { .. }
+                | What::WrongBuild { .. }
+        )
+    }
+
     /// When it and what follows from it has ended, in milliseconds.
     pub fn over(&self) -> u64 {
         self.at
--- /dev/null
+++ b/crates/rehearsal/tests/rules.rs
@@ -0,0 +1,161 @@
+//! Each rule's checker, on a recorded run that breaks it and on the same run without the breach.
+
+use bill::Kind;
+use props::{MS, Micros, SECOND};
+use rehearsal::rules::{ALL, Rule, Terms, check};
+use rehearsal::seen::{Answer, Seen, What};
+
+fn at(second: f64, what: What) -> Seen {
+    Seen { at: (second * 1e6) as Micros, what }
+}
+
+fn sent(order: u32, base: u32, version: u32, valid: bool) -> What {
+    What::Sent { order, base, version, valid, allows: vec![(0, 0), (1, 1)] }
+}
+
+fn handled(request: u64, life: u64, version: u32, second: f64) -> Seen {
+    let sent = (second * 1e6) as Micros;
+    at(second, What::Handled { request, sent, foyer: 5, life, version, service: 0 })
+}
+
+fn asked(request: u64, kind: Kind) -> What {
+    What::Asked { request, route: if kind == Kind::Safe { 0 } else { 1 }, kind }
+}
+
+fn ran(request: u64, service: usize, version: u32) -> What {
+    What::Ran { request, foyer: 5, instance: 1, service, version }
+}
+
+fn arrived(request: u64, asked_for: usize) -> What {
+    What::Arrived { request, foyer: 5, instance: 2, service: 0, asked_for }
+}
+
+/// A run that keeps every rule: two changes, requests, a drain, a leader, a good end.
+fn good() -> Vec<Seen> {
+    let mut run = vec![
+        at(0.1, What::Leads { term: 2, machine: 0, life: 1 }),
+        at(0.5, sent(0, 0, 3, true)),
+        at(0.6, What::Acked { order: 0, by: 0 }),
+        at(5.0, sent(1, 3, 5, true)),
+        at(5.0, sent(2, 3, 6, true)),
+        at(5.0, sent(3, 3, 9, false)),
+        at(5.1, What::Acked { order: 1, by: 0 }),
+        at(5.1, What::Denied { order: 2, status: 412 }),
+        at(5.1, What::Denied { order: 3, status: 400 }),
+        at(6.0, asked(1, Kind::Unsafe)),
+        handled(1, 1, 5, 6.0),
+        at(6.1, arrived(1, 0)),
+        at(6.1, ran(1, 1, 1)),
+        at(6.2, What::Answered { request: 1, answer: Answer::Good }),
+        at(8.0, What::DrainAcked { instance: 1, by: 0 }),
+        at(9.0, asked(2, Kind::Safe)),
+        handled(2, 1, 5, 9.0),
+        at(9.1, arrived(2, 0)),
+        at(9.1, ran(2, 0, 1)),
+        at(10.0, What::Calm),
+        at(10.1, sent(4, 5, 20, true)),
+        at(10.2, What::Acked { order: 4, by: 0 }),
+    ];
+    for request in 100..130 {
+        let second = 16.0 + request as f64 / 100.0;
+        run.push(at(second, asked(request, Kind::Safe)));
+        run.push(at(second + 0.1, What::Answered { request, answer: Answer::Good }));
+    }
+    run.push(at(20.0, What::Read { asked: 19 * SECOND, version: 20, right: true }));
+    run
+}
+
+/// The run with more seen in it, in the order of time.
+fn with(more: Vec<Seen>) -> Vec<Seen> {
+    let mut run = good();
+    run.extend(more);
+    run.sort_by_key(|seen| seen.at);
+    run
+}
+
+fn broken(run: &[Seen]) -> Vec<Rule> {
+    check(run, &Terms::default()).into_iter().map(|broken| broken.rule).collect()
+}
+
+/// More tries of requests for service 0 than the budget allows, at 12 s.
+fn tries(extra: u64) -> Vec<Seen> {
+    let more = (0..=extra).map(|_| at(12.0, arrived(50, 0)));
+    std::iter::once(handled(50, 1, 5, 11.9)).chain(more).collect()
+}
+
+/// Requests at a version that is bad, `bad` of them answered badly at once.
+fn trial(count: u64, bad: u64, from: f64) -> Vec<Seen> {
+    let ordered = What::Ordered { service: 0, version: 2, bad: true, term: 15 * SECOND };
+    let mut run = vec![at(5.5, ordered)];
+    for request in 0..count {
+        run.push(at(5.6, asked(1_000 + request, Kind::Safe)));
+        run.push(at(from, ran(1_000 + request, 0, 2)));
+    }
+    run.extend((0..bad).map(|_| at(5.7, What::BadAnswer { service: 0, version: 2 })));
+    run
+}
+
+#[test]
+fn a_good_run_breaks_nothing() {
+    assert_eq!(broken(&good()), []);
+    assert_eq!(broken(&with(tries(58))), []);
+    assert_eq!(broken(&with(trial(50, 49, 14.0))), []);
+}
+
+#[test]
+fn each_rule_is_broken_by_its_own_breach_alone() {
+    let unserved = |mut run: Vec<Seen>| {
+        run.retain(|seen| seen.at < 16 * SECOND || !matches!(seen.what, What::Answered { .. }));
+        run
+    };
+    let unacked = |mut run: Vec<Seen>| {
+        run.retain(|seen| !matches!(seen.what, What::Acked { order: 4, .. }));
+        run
+    };
+    let late_one = What::Arrived { request: 9, foyer: 5, instance: 1, service: 0, asked_for: 0 };
+    let read = |version, right| at(20.1, What::Read { asked: 20 * SECOND, version, right });
+    let cases: Vec<(Rule, Vec<Seen>)> = vec![
+        (Rule::Lost, with(vec![read(5, true)])),
+        (Rule::Lost, with(vec![read(20, false)])),
+        (Rule::Lost, with(vec![at(20.2, What::Unread)])),
+        (Rule::Lost, with(vec![at(20.2, What::RolloutLost { service: 0, version: 2 })])),
+        (Rule::Winner, with(vec![at(5.0, sent(7, 3, 4, true)), at(5.3, What::Acked { order: 7, by: 1 })])),
+        (Rule::Winner, with(vec![at(9.5, What::Denied { order: 1, status: 412 })])),
+        (Rule::Invalid, with(vec![at(5.0, sent(7, 4, 4, false)), at(5.3, What::Acked { order: 7, by: 1 })])),
+        (Rule::Invalid, with(vec![handled(3, 2, 6, 6.0)])),
+        (Rule::Invalid, with(vec![handled(3, 2, 7, 6.0)])),
+        (Rule::Back, with(vec![handled(3, 1, 3, 6.5)])),
+        (Rule::Applied, with(vec![handled(3, 2, 3, 7.7)])),
+        (Rule::Drain, with(vec![at(10.6, late_one)])),
+        (Rule::Twice, with(vec![at(6.4, ran(1, 1, 1))])),
+        (Rule::Refused, with(vec![at(6.4, What::Answered { request: 1, answer: Answer::Promise })])),
+        (Rule::Route, with(vec![at(9.2, ran(2, 1, 1))])),
+        (Rule::Route, with(vec![at(9.2, ran(2, 0, 4))])),
+        (Rule::Route, with(vec![at(9.2, arrived(2, 3))])),
+        (Rule::Budget, with(tries(70))),
+        (Rule::Exposure, with(trial(60, 10, 14.0))),
+        (Rule::Exposure, with(trial(20, 50, 14.0))),
+        (Rule::Leader, with(vec![at(1.0, What::Leads { term: 2, machine: 1, life: 1 })])),
+        (Rule::Progress, unacked(good())),
+        (Rule::Served, unserved(good())),
+    ];
+    for (number, (rule, run)) in cases.iter().enumerate() {
+        assert_eq!(broken(run), [*rule], "case {number}");
+    }
+    for (rule, _) in ALL {
+        assert!(cases.iter().any(|(broken, _)| *broken == rule), "{rule:?} has a case");
+    }
+}
+
+#[test]
+fn bounds_in_time_hold_only_for_machines_in_touch() {
+    let late = || handled(3, 2, 3, 7.7);
+    let harmed = |machine, second: f64, until: f64| {
+        at(second, What::Harmed { machine, until: (until * 1e6) as Micros })
+    };
+    assert_eq!(broken(&with(vec![late(), harmed(5, 4.0, 4.8)])), []);
+    assert_eq!(broken(&with(vec![late(), harmed(6, 4.0, 4.8)])), [Rule::Applied]);
+    assert_eq!(broken(&with(vec![late(), harmed(5, 3.0, 4.5)])), [Rule::Applied]);
+    let unsettled = at(4.0, What::Unsettled { until: 4_700 * MS });
+    assert_eq!(broken(&with(vec![late(), unsettled])), []);
+}
