--- a/crates/intent/examples/fleet/world.rs
+++ b/crates/intent/examples/fleet/world.rs
@@ -1,4 +1,5 @@
-//! An emulated fleet: gateways with tables that go wrong in named ways, a leader, links, clients on routes that
+//! An emulated fleet: gateways with tables that go wrong in named ways, a leader, links, clients on routes
+//! that
 //! changed. One seed, one run.
 
 use std::cmp::Reverse;
--- a/crates/intent/src/judge.rs
+++ b/crates/intent/src/judge.rs
@@ -452,7 +452,8 @@
         for sight in report.sights.iter().take(OPINIONS_MAX * 6) {
             let of = self.nodes.get(&sight.of).filter(|node| node.life == sight.life);
             let Some(node) = of.filter(|_| sight.of != from) else { continue };
-            // One that was out of touch has its time from when it was heard again: until then only what speaks
+            // One that was out of touch has its time from when it was heard again: until then only what
+            // speaks
             // for it counts.
             let excused = !node.began && now - node.touch < self.tuning.late;
             for weight in sight.weights.iter().take(Part::COUNT) {
@@ -539,7 +540,8 @@
         }
     }
 
-    /// An accused node is cleared part by part: it holds today's by a fresh answer, and two witnesses at least
+    /// An accused node is cleared part by part: it holds today's by a fresh answer, and two witnesses at
+    /// least
     /// have seen it on traffic.
     fn back_in(&mut self, place: Place) {
         let (height, noise) = (self.tuning.shown, 1.0);
--- a/crates/intent/src/parts.rs
+++ b/crates/intent/src/parts.rs
@@ -218,7 +218,8 @@
 }
 
 impl Intent {
-    /// Reads an intent back from a bill and the roll-outs. For `Held` it must be handed those that the traffic
+    /// Reads an intent back from a bill and the roll-outs. For `Held` it must be handed those that the
+    /// traffic
     /// uses at that moment, not those that were received.
     pub fn read<'a>(index: Index, bill: &Bill, rollouts: impl Iterator<Item = &'a Rollout>) -> Intent {
         let routes = bill.routes.values();
--- a/crates/intent/src/remedy.rs
+++ b/crates/intent/src/remedy.rs
@@ -12,7 +12,8 @@
 
 /// Orders of one tick, over the fleet.
 const ORDERS_MAX: usize = 32;
-/// Nodes withdrawn at one time, as a share of the fleet; so many are left that nobody has more than half as much
+/// Nodes withdrawn at one time, as a share of the fleet; so many are left that nobody has more than half as
+/// much
 /// again to do.
 const OUT_SHARE: f64 = 0.34;
 /// Between two restarts of one node.
--- a/crates/intent/src/usher.rs
+++ b/crates/intent/src/usher.rs
@@ -1,4 +1,5 @@
-//! Usher (a node's side, joined): its witness, its ward, and what it says and answers. A driver hands it words
+//! Usher (a node's side, joined): its witness, its ward, and what it says and answers. A driver hands it
+//! words
 //! and time, and carries out what it asks for.
 
 use std::sync::Arc;
--- a/crates/intent/src/witness.rs
+++ b/crates/intent/src/witness.rs
@@ -26,7 +26,8 @@
     Applied(Arc<Intent>),
     /// All foyers that are up, this one too, alike at all nodes that know the same.
     Peers(Vec<Place>),
-    /// A look, or a client's request, was handled. `since`: when it was sent, by this node's clock. `said`: the
+    /// A look, or a client's request, was handled. `since`: when it was sent, by this node's clock. `said`:
+    /// the
     /// index that the node told with it, if any; `life`: which life of it.
     Saw {
         of: Place,
@@ -59,7 +60,8 @@
 }
 
 /// Likelihoods of what was seen of one part of one node since the last report: the log of (some of its
-/// effects are by an older intent, or by none that is known) over (all are by today's), in hundredths of a nat.
+/// effects are by an older intent, or by none that is known) over (all are by today's), in hundredths of a
+/// nat.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Weight {
     pub part: Part,
@@ -182,7 +184,8 @@
         }
     }
 
-    /// Whom this node looks at after this change: a few steps along the ring of places, alike for all, so that
+    /// Whom this node looks at after this change: a few steps along the ring of places, alike for all, so
+    /// that
     /// each node has as many witnesses, and others after each change.
     fn neighbours(&self) -> Vec<Place> {
         let Ok(at) = self.peers.binary_search(&self.own) else { return Vec::new() };
--- a/crates/intent/tests/intent.rs
+++ b/crates/intent/tests/intent.rs
@@ -360,7 +360,8 @@
     assert!(alone.open(), "nobody spoke");
 }
 
-/// Four ushers and an inspector, joined by lossless links; node 2's tables are not made anew until it is told.
+/// Four ushers and an inspector, joined by lossless links; node 2's tables are not made anew until it is
+/// told.
 #[test]
 fn an_usher_is_told_to_rebuild_and_admitted_when_it_has() {
     let day = day(5);
