--- a/crates/intent/src/remedy.rs
+++ b/crates/intent/src/remedy.rs
@@ -262,6 +262,14 @@
                 self.out.push(Effect::Repaired(place));
             }
             Stage::Entering | Stage::Well | Stage::Resent if late => self.resend(now, place, life),
+            // It is not ready before it holds what it is told, so it must be told.
+            Stage::Entering if now - node.renewed >= tuning.apply / 10 && node.resends < RESENDS_MAX => {
+                if let Some(node) = self.nodes.get_mut(&place).filter(|_| self.orders < ORDERS_MAX) {
+                    node.resends += 1;
+                    let (index, root) = self.today;
+                    self.order(now, place, Step::Resend { index, root });
+                }
+            }
             Stage::Resent if today => self.turn(now, place, Stage::Well, None),
             Stage::Rebuilt | Stage::Out | Stage::Restarting if !accused => {
                 self.turn(now, place, Stage::Well, Some(Step::Admit));
@@ -289,7 +297,9 @@
         let (index, root) = self.today;
         let again = self.tuning.apply / 10;
         let Some(node) = self.nodes.get_mut(&place).filter(|node| node.life == life) else { return };
-        if node.resends >= RESENDS_MAX || (node.stage == Stage::Resent && now - node.since < again) {
+        // Where too many wait, the rest has its turn in a later tick, and loses none of its tries.
+        let full = self.orders >= ORDERS_MAX;
+        if full || node.resends >= RESENDS_MAX || (node.stage == Stage::Resent && now - node.since < again) {
             return;
         }
         node.resends += 1;
