--- a/crates/intent/tests/intent.rs
+++ b/crates/intent/tests/intent.rs
@@ -299,6 +299,34 @@
     }
 }
 
+#[test]
+fn each_of_many_that_lack_an_intent_is_told_so_few_at_a_time() {
+    let mut remedy = Remedy::start(tuning());
+    let members = (0..100).map(|at| Member { place: place(at), life: Life(1), zone: 0 });
+    remedy.step(0, remedy::Event::Lead(Some(Term(1))));
+    remedy.step(0, remedy::Event::Members(members.collect()));
+    let mut told = std::collections::BTreeSet::new();
+    for tick in 1..40 {
+        for at in 0..100 {
+            let (life, part, why) = (Life(1), Part::Routes, intent::judge::Why::Said);
+            let event = remedy::Event::Changed { place: place(at), life, part, to: State::Behind, why };
+            assert!(remedy.step(tick * 125 * MS, event).is_empty(), "it waits for the tick");
+        }
+        let orders: Vec<Place> =
+            remedy.step(tick * 125 * MS, remedy::Event::Tick).iter().filter_map(order).collect();
+        assert!(orders.len() <= 32);
+        told.extend(orders);
+    }
+    assert_eq!(told.len(), 100);
+}
+
+fn order(effect: &remedy::Effect) -> Option<Place> {
+    match effect {
+        remedy::Effect::Order { to, step: Step::Resend { .. }, .. } => Some(*to),
+        _ => None,
+    }
+}
+
 #[test]
 fn a_restart_takes_no_accusation_back() {
     let mut inspector = Inspector::start(tuning(), 1, 0);
