--- a/crates/playhouse/src/control.rs
+++ b/crates/playhouse/src/control.rs
@@ -2,9 +2,11 @@
 //! without I/O: time and events in, effects out. What is decided, is decided in the rooms.
 
 use std::collections::HashMap;
+use std::sync::Arc;
 
 use cast::{Beat, InstanceId};
 use company::Part;
+use intent::{Inspector, inspector};
 use promptbook::{Effect, Event, Members, Promptbook, Saved, Timing, Write, WriteNo};
 use props::{Ask, MS, Micros, Place, SECOND, Seat};
 use script::{Command, Count, CountSettings, Outcome};
@@ -79,6 +81,8 @@
     seen: HashMap<String, Micros>,
     /// Commands of this node's own, which nobody waits for, have asks from here on.
     own_ask: u64,
+    /// Judges what foyers do while this node leads; none unless `check_intent` was called.
+    inspector: Option<Inspector>,
     out: Vec<Out>,
 }
 
@@ -99,6 +103,7 @@
             applied: 0,
             seen: HashMap::new(),
             own_ask: u64::MAX / 2,
+            inspector: None,
             out: Vec::new(),
         };
         control.did(now, effects);
@@ -110,6 +115,55 @@
         self.house.due().min(self.book.due()).min(self.count_due).min(self.memory_due)
     }
 
+    /// Takes part in the check of `docs/intent.md`, which is off unless this is called. `apply` is
+    /// `ConfigApplyS`.
+    pub fn check_intent(&mut self, now: Micros, apply: Micros) {
+        let tuning = intent::Tuning::of_apply(apply);
+        self.inspector = Some(Inspector::start(tuning, self.seat.life.0 ^ 5, now));
+        self.inspect_intent(now);
+        self.inspect_members(now);
+    }
+
+    fn inspect_intent(&mut self, now: Micros) {
+        if self.inspector.is_some()
+            && let Some(intent) = self.house.intent()
+        {
+            self.inspected(now, inspector::Event::Committed(Arc::new(intent)));
+        }
+    }
+
+    fn inspect_members(&mut self, now: Micros) {
+        let mut foyers: Vec<_> = self.house.company.up(Part::Foyer).collect();
+        foyers.sort_by_key(|foyer| foyer.place);
+        let mut zones: Vec<&str> = foyers.iter().map(|foyer| &*foyer.zone).collect();
+        zones.sort_unstable();
+        zones.dedup();
+        let zone = |name: &str| zones.binary_search(&name).unwrap_or(0) as u16;
+        let members = foyers.iter().map(|foyer| intent::judge::Member {
+            place: foyer.place,
+            life: foyer.life,
+            zone: zone(&foyer.zone),
+        });
+        let members = members.collect();
+        self.inspected(now, inspector::Event::Members(members));
+    }
+
+    fn inspected(&mut self, now: Micros, event: inspector::Event) {
+        let Some(inspector) = &mut self.inspector else { return };
+        for effect in inspector.step(now, event) {
+            match effect {
+                inspector::Effect::Send { to, word } => self.house.send(to, Word::Intent(word)),
+                inspector::Effect::Changed { place, part, from, to, why, .. } => {
+                    let accused = from.accused() || to.accused();
+                    let level = if accused { log::Level::Warn } else { log::Level::Debug };
+                    log::log!(level, "intent: {place} {part:?}: {from:?} -> {to:?} ({why:?})");
+                }
+                inspector::Effect::Write(note) => log::info!("intent: {note:?}"),
+                inspector::Effect::StepDown => log::warn!("intent: what is in force here looks older"),
+            }
+        }
+    }
+
     pub fn seat(&self) -> Seat {
         self.seat
     }
@@ -149,6 +203,12 @@
             if self.book.leads() {
                 self.lead(now);
             }
+            if self.inspector.is_some() {
+                // A leader that heard of no majority for an election's span has given up.
+                let term = self.book.leads().then(|| self.book.term());
+                self.inspected(now, inspector::Event::Lead(term));
+                self.inspected(now, inspector::Event::Tick);
+            }
         }
     }
 
@@ -234,8 +294,11 @@
     fn settle(&mut self, now: Micros) -> Vec<Out> {
         while let Some(happened) = self.house.happened() {
             match happened {
-                Happened::Applied { outcome, ask: Some(ask), .. } => {
-                    self.out.push(Out::Tell { ask, told: Told::Applied(outcome) });
+                Happened::Applied { outcome, ask, .. } => {
+                    if let Some(ask) = ask {
+                        self.out.push(Out::Tell { ask, told: Told::Applied(outcome) });
+                    }
+                    self.inspect_intent(now);
                 }
                 Happened::BeatTaken { ask, target } => {
                     self.out.push(Out::Tell { ask, told: Told::Beat { target } });
@@ -246,10 +309,13 @@
                 Happened::Peers => {
                     let places = self.house.up(Part::Prompter);
                     self.log(now, Event::Peers { places });
+                    self.inspect_members(now);
                 }
                 Happened::Book { from, message } => self.log(now, Event::Received { from, message }),
                 Happened::Vote { from, vote } => self.count.cast(now, from, vote),
-                Happened::Applied { .. } | Happened::Instance(_) | Happened::Restored => {}
+                Happened::Restored => self.inspect_intent(now),
+                Happened::Intent { from, word } => self.inspected(now, inspector::Event::Word { from, word }),
+                Happened::Instance(_) => {}
             }
         }
         self.tend_memory(now);
--- a/crates/playhouse/src/floor/mod.rs
+++ b/crates/playhouse/src/floor/mod.rs
@@ -13,6 +13,7 @@
 use company::Part;
 use garnetdoor::host::{Arrival, Ending, ServerId, Taken, TicketId, TripNo, Vote, Wake};
 use indexmap::IndexMap;
+use intent::{Intent, Usher, usher, ward};
 use props::{MS, Micros, Place, SECOND};
 
 use crate::house::{Happened, House, Word};
@@ -123,6 +124,8 @@
     /// Whether clients may be sent here, and since when a configuration is known.
     opened: bool,
     partly: Option<Micros>,
+    /// What it says of itself, and whom it looks at; none unless `check_intent` was called.
+    usher: Option<Usher>,
     out: Vec<Out>,
 }
 
@@ -159,6 +162,7 @@
             leaving: false,
             opened: false,
             partly: None,
+            usher: None,
             out: Vec::new(),
         }
     }
@@ -168,9 +172,18 @@
     }
 
     /// Whether clients may be sent here. Once it is so it stays so until the process leaves: what is missing
-    /// later is missing everywhere.
+    /// later is missing everywhere. Only the check of intents may withdraw it, where that is on.
     pub fn ready(&self) -> bool {
-        !self.leaving && self.opened
+        !self.leaving && self.opened && self.usher.as_ref().is_none_or(|usher| usher.ward.open())
+    }
+
+    /// Takes part in the check of `docs/intent.md`, which is off unless this is called: looks at other foyers
+    /// and restarts are not driven yet, so that nobody who was accused could show that it is well.
+    pub fn check_intent(&mut self, now: Micros) {
+        let own = &self.house.own;
+        let tuning = intent::Tuning::of_apply(micros(self.settings.timer_bounds.config_apply_s));
+        self.usher = Some(Usher::start(own.place, own.life, tuning, self.seed ^ 5, now));
+        self.tell_usher(now);
     }
 
     /// Opens once a configuration is there, and instances of each service that a route leads to; without some
@@ -196,7 +209,8 @@
 
     pub fn due(&self) -> Micros {
         let woken = self.wakes.peek().map_or(Micros::MAX, |Reverse((at, _))| *at);
-        self.house.due().min(woken).min(self.votes_due)
+        let ushered = self.usher.as_ref().map_or(Micros::MAX, Usher::due);
+        self.house.due().min(woken).min(self.votes_due).min(ushered)
     }
 
     pub fn step(&mut self, now: Micros, event: In<'_>) -> Vec<Out> {
@@ -238,6 +252,9 @@
         if self.votes_due <= now {
             self.tell_votes(now);
         }
+        if self.usher.as_ref().is_some_and(|usher| usher.due() <= now) {
+            self.ushered(now, usher::Event::Tick);
+        }
     }
 
     /// Carries on what has happened in the common part.
@@ -252,10 +269,12 @@
                 | Happened::BeatNotTaken { .. }
                 | Happened::Book { .. }
                 | Happened::Vote { .. } => {}
+                Happened::Intent { from, word } => self.ushered(now, usher::Event::Word { from, word }),
             }
         }
         if changed {
             self.script_changed(now);
+            self.tell_usher(now);
         }
         self.open(now);
     }
@@ -300,6 +319,49 @@
         }
     }
 
+    /// Tells the check what is ordered, what the tables hold, and who is there.
+    fn tell_usher(&mut self, now: Micros) {
+        if self.usher.is_none() {
+            return;
+        }
+        let (foyers, hubs) = (self.foyers.clone(), self.house.up(Part::Prompter));
+        self.ushered(now, usher::Event::Peers { foyers, hubs });
+        if let Some(taken) = self.house.intent() {
+            self.ushered(now, usher::Event::Taken(Arc::new(taken)));
+        }
+        if let Some(tables) = self.tables() {
+            self.ushered(now, usher::Event::Tables(tables));
+        }
+    }
+
+    /// Read back from what requests are handled by.
+    fn tables(&self) -> Option<Arc<Intent>> {
+        let script = &self.house.script;
+        Some(Arc::new(Intent::read(script.index(), self.bill.as_ref()?, script.rollouts.values())))
+    }
+
+    fn ushered(&mut self, now: Micros, event: usher::Event) {
+        let Some(usher) = &mut self.usher else { return };
+        for effect in usher.step(now, event) {
+            match effect {
+                usher::Effect::Send { to, word } => self.house.send(to, Word::Intent(word)),
+                usher::Effect::ReadBack { to, nonce } => {
+                    if let Some(tables) = self.tables() {
+                        self.ushered(now, usher::Event::ReadBack { to, nonce, tables });
+                    }
+                }
+                usher::Effect::Ward(ward::Effect::Rebuild { .. }) => {
+                    self.script_changed(now);
+                    self.tell_usher(now);
+                }
+                // The callboard asks by its own digests; `ready` reads the ward's door.
+                usher::Effect::Ward(ward::Effect::AskAgain | ward::Effect::Open(_)) => {}
+                // For the driver, in the next step.
+                usher::Effect::Ward(ward::Effect::Restart) | usher::Effect::Look { .. } => {}
+            }
+        }
+    }
+
     fn instance(&mut self, id: &cast::InstanceId) {
         let Some(known) = self.house.cast.get(id) else { return };
         let warmup = known.slow_until - known.first_seen;
--- a/crates/playhouse/src/house.rs
+++ b/crates/playhouse/src/house.rs
@@ -20,6 +20,7 @@
     Cast(cast::Message),
     Book { from: Seat, message: promptbook::Message },
     Vote(script::Vote),
+    Intent(intent::Word),
 }
 
 /// What has happened here, for the part that this node plays.
@@ -50,6 +51,10 @@
         from: Place,
         vote: script::Vote,
     },
+    Intent {
+        from: Place,
+        word: intent::Word,
+    },
 }
 
 /// The steady clock of this process, in microseconds since it began.
@@ -133,6 +138,12 @@
         self.unreadable
     }
 
+    /// What is ordered, as far as it has come here; none before the first configuration.
+    pub fn intent(&self) -> Option<intent::Intent> {
+        let bill = self.script.bill()?;
+        Some(intent::Intent::read(self.script.index(), bill, self.script.rollouts.values()))
+    }
+
     /// The nodes of one part that are up, without this one.
     pub fn up(&self, part: Part) -> Vec<Place> {
         self.company.up(part).map(|member| member.place).filter(|place| *place != self.own.place).collect()
@@ -189,6 +200,7 @@
             }
             Word::Book { from, message } => self.happened.push_back(Happened::Book { from, message }),
             Word::Vote(vote) => self.happened.push_back(Happened::Vote { from, vote }),
+            Word::Intent(word) => self.happened.push_back(Happened::Intent { from, word }),
         }
     }
 
