--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -5,6 +5,7 @@
 //! be: an entry that is missing, even the newest, is an error and never a shorter log.
 
 mod form;
+pub mod note;
 mod store;
 
 use promptbook::{Saved, Write};
@@ -94,7 +95,8 @@
         for write in writes {
             span = lay(&mut batch, span, write)?;
         }
-        let hard = Hard { term: newest.term, voted: newest.voted, base: span.base, last: span.last };
+        let (Write { term, voted, .. }, Index(committed)) = (newest, newest.committed);
+        let hard = Hard { term: *term, voted: *voted, base: span.base, last: span.last, committed };
         batch.put(form::HARD.to_vec(), form::seal_hard(&hard));
         self.store.put(&batch)?;
         self.span = span;
--- a/crates/playhouse/src/control.rs
+++ b/crates/playhouse/src/control.rs
@@ -2,9 +2,11 @@
 //! without I/O: time and events in, effects out. What is decided, is decided in the rooms.
 
 use std::collections::HashMap;
+use std::sync::Arc;
 
 use cast::{Beat, InstanceId};
 use company::Part;
+use intent::{Inspector, inspector};
 use promptbook::{Effect, Event, Members, Promptbook, Saved, Timing, Write, WriteNo};
 use props::{Ask, MS, Micros, Place, SECOND, Seat};
 use script::{Command, Count, CountSettings, Outcome};
@@ -13,6 +15,9 @@
 
 /// Bytes of commands applied after which the log is cut by a snapshot.
 const KEEP_AFTER: usize = 512 << 10;
+/// Changes of the instances are gathered for so long before they are kept, and kept at most so often.
+const MEMORY_GATHER: Micros = 100 * MS;
+const MEMORY_EVERY: Micros = SECOND;
 const COUNT_EVERY: Micros = 200 * MS;
 /// A service's first version is proposed again after this, if it has not come to be ordered.
 const SEEN_AGAIN: Micros = SECOND;
@@ -49,9 +54,17 @@
 /// What a prompter asks of its driver.
 #[derive(Debug)]
 pub enum Out {
-    Send { to: Place, word: Word },
+    Send {
+        to: Place,
+        word: Word,
+    },
     Write(Write),
-    Tell { ask: Ask, told: Told },
+    /// The instances as they are known now, for the next start; it may be lost.
+    Remember(Vec<u8>),
+    Tell {
+        ask: Ask,
+        told: Told,
+    },
 }
 
 pub struct Control {
@@ -60,11 +73,16 @@
     seat: Seat,
     count: Count,
     count_due: Micros,
+    /// Which of the instances' changes were kept, when, and when the next are.
+    kept: (u64, Micros),
+    memory_due: Micros,
     /// Bytes applied since the last snapshot.
     applied: usize,
     seen: HashMap<String, Micros>,
     /// Commands of this node's own, which nobody waits for, have asks from here on.
     own_ask: u64,
+    /// Judges what foyers do while this node leads; none unless `check_intent` was called.
+    inspector: Option<Inspector>,
     out: Vec<Out>,
 }
 
@@ -80,9 +98,12 @@
             seat,
             count: Count::new(CountSettings::default()),
             count_due: now,
+            kept: (0, now - MEMORY_EVERY),
+            memory_due: Micros::MAX,
             applied: 0,
             seen: HashMap::new(),
             own_ask: u64::MAX / 2,
+            inspector: None,
             out: Vec::new(),
         };
         control.did(now, effects);
@@ -91,7 +112,56 @@
     }
 
     pub fn due(&self) -> Micros {
-        self.house.due().min(self.book.due()).min(self.count_due)
+        self.house.due().min(self.book.due()).min(self.count_due).min(self.memory_due)
+    }
+
+    /// Takes part in the check of `docs/intent.md`, which is off unless this is called. `apply` is
+    /// `ConfigApplyS`.
+    pub fn check_intent(&mut self, now: Micros, apply: Micros) {
+        let tuning = intent::Tuning::of_apply(apply);
+        self.inspector = Some(Inspector::start(tuning, self.seat.life.0 ^ 5, now));
+        self.inspect_intent(now);
+        self.inspect_members(now);
+    }
+
+    fn inspect_intent(&mut self, now: Micros) {
+        if self.inspector.is_some()
+            && let Some(intent) = self.house.intent()
+        {
+            self.inspected(now, inspector::Event::Committed(Arc::new(intent)));
+        }
+    }
+
+    fn inspect_members(&mut self, now: Micros) {
+        let mut foyers: Vec<_> = self.house.company.up(Part::Foyer).collect();
+        foyers.sort_by_key(|foyer| foyer.place);
+        let mut zones: Vec<&str> = foyers.iter().map(|foyer| &*foyer.zone).collect();
+        zones.sort_unstable();
+        zones.dedup();
+        let zone = |name: &str| zones.binary_search(&name).unwrap_or(0) as u16;
+        let members = foyers.iter().map(|foyer| intent::judge::Member {
+            place: foyer.place,
+            life: foyer.life,
+            zone: zone(&foyer.zone),
+        });
+        let members = members.collect();
+        self.inspected(now, inspector::Event::Members(members));
+    }
+
+    fn inspected(&mut self, now: Micros, event: inspector::Event) {
+        let Some(inspector) = &mut self.inspector else { return };
+        for effect in inspector.step(now, event) {
+            match effect {
+                inspector::Effect::Send { to, word } => self.house.send(to, Word::Intent(word)),
+                inspector::Effect::Changed { place, part, from, to, why, .. } => {
+                    let accused = from.accused() || to.accused();
+                    let level = if accused { log::Level::Warn } else { log::Level::Debug };
+                    log::log!(level, "intent: {place} {part:?}: {from:?} -> {to:?} ({why:?})");
+                }
+                inspector::Effect::Write(note) => log::info!("intent: {note:?}"),
+                inspector::Effect::StepDown => log::warn!("intent: what is in force here looks older"),
+            }
+        }
     }
 
     pub fn seat(&self) -> Seat {
@@ -102,6 +172,11 @@
         &self.book
     }
 
+    /// The foyers' votes on a service's trial, as they stand here.
+    pub fn votes(&self, now: Micros, service: &str) -> Option<script::Votes> {
+        self.count.votes(now, service)
+    }
+
     pub fn step(&mut self, now: Micros, event: In) -> Vec<Out> {
         match event {
             In::Tick => self.tick(now),
@@ -128,6 +203,29 @@
             if self.book.leads() {
                 self.lead(now);
             }
+            if self.inspector.is_some() {
+                // A leader that heard of no majority for an election's span has given up.
+                let term = self.book.leads().then(|| self.book.term());
+                self.inspected(now, inspector::Event::Lead(term));
+                self.inspected(now, inspector::Event::Tick);
+            }
+        }
+    }
+
+    /// Has the instances kept where they have changed.
+    fn tend_memory(&mut self, now: Micros) {
+        let changes = self.house.cast.changes();
+        if changes == self.kept.0 {
+            return;
+        }
+        if self.memory_due == Micros::MAX {
+            self.memory_due = (now + MEMORY_GATHER).max(self.kept.1 + MEMORY_EVERY);
+        }
+        if self.memory_due <= now {
+            self.kept = (changes, now);
+            self.memory_due = Micros::MAX;
+            let memory = self.house.memory(now);
+            self.out.push(Out::Remember(memory));
         }
     }
 
@@ -196,8 +294,11 @@
     fn settle(&mut self, now: Micros) -> Vec<Out> {
         while let Some(happened) = self.house.happened() {
             match happened {
-                Happened::Applied { outcome, ask: Some(ask), .. } => {
-                    self.out.push(Out::Tell { ask, told: Told::Applied(outcome) });
+                Happened::Applied { outcome, ask, .. } => {
+                    if let Some(ask) = ask {
+                        self.out.push(Out::Tell { ask, told: Told::Applied(outcome) });
+                    }
+                    self.inspect_intent(now);
                 }
                 Happened::BeatTaken { ask, target } => {
                     self.out.push(Out::Tell { ask, told: Told::Beat { target } });
@@ -208,12 +309,16 @@
                 Happened::Peers => {
                     let places = self.house.up(Part::Prompter);
                     self.log(now, Event::Peers { places });
+                    self.inspect_members(now);
                 }
                 Happened::Book { from, message } => self.log(now, Event::Received { from, message }),
                 Happened::Vote { from, vote } => self.count.cast(now, from, vote),
-                Happened::Applied { .. } | Happened::Instance(_) | Happened::Restored => {}
+                Happened::Restored => self.inspect_intent(now),
+                Happened::Intent { from, word } => self.inspected(now, inspector::Event::Word { from, word }),
+                Happened::Instance(_) => {}
             }
         }
+        self.tend_memory(now);
         let words = self.house.out().into_iter().map(|(to, word)| Out::Send { to, word });
         let mut out: Vec<Out> = words.collect();
         out.append(&mut self.out);
--- a/crates/playhouse/src/foyer/front.rs
+++ b/crates/playhouse/src/foyer/front.rs
@@ -12,18 +12,22 @@
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use props::{Micros, SECOND};
+use simd_json::prelude::Writable;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
 use super::pool::Body;
 use super::trip::{Asked, REMAINING_TIME, strip};
+use super::watch::{Due, Watch, Watched};
 use super::{Reply, Shared, come_back};
 
 /// A request's body up to this size is kept, so that it can go to another instance.
 const KEPT: usize = 512 << 10;
 /// Client connections at once, of the descriptors that the machine has.
 const CLIENTS_SHARE: f64 = 0.6;
-const IDLE_UNTOLD: Micros = 15 * SECOND;
+/// Before any configuration: bounds of a head and of idleness, and bytes of a head.
+const UNTOLD: (Micros, Micros) = (3 * SECOND, 15 * SECOND);
+const HEADER_BYTES: u64 = 16 << 10;
 
 /// Takes clients until told to stop; then ends idle connections and lets the others finish.
 pub async fn serve(listener: TcpListener, shared: Shared, mut stopping: watch::Receiver<bool>) {
@@ -40,23 +44,52 @@
         count.set(count.get() + 1);
         let (shared, count, mut stopping) = (shared.clone(), count.clone(), stopping.clone());
         tokio::task::spawn_local(async move {
-            let idle = shared.borrow().floor.bill().map_or(IDLE_UNTOLD, |bill| bill.limits.idle_time);
-            let header_bytes = shared.borrow().floor.bill().map_or(16384, |bill| bill.limits.header_bytes);
+            let (clock, limits) = {
+                let foyer = shared.borrow();
+                (foyer.clock, foyer.floor.bill().map(|bill| bill.limits))
+            };
+            let (head, idle) = limits.map_or(UNTOLD, |limits| (limits.header_time, limits.idle_time));
+            let header_bytes = limits.map_or(HEADER_BYTES, |limits| limits.header_bytes);
+            let watch = Watch::start(clock);
             let service = hyper::service::service_fn(|request| {
-                let shared = shared.clone();
-                async move { Ok::<_, std::convert::Infallible>(answer(shared, request).await) }
+                let (shared, watch) = (shared.clone(), watch.clone());
+                watch.served(false);
+                async move {
+                    let mut answer = answer(shared, request).await;
+                    // A second less, so that a client that heeds it never meets the end.
+                    if idle >= 3 * SECOND && !answer.headers().contains_key(header::CONNECTION) {
+                        let told = format!("timeout={}", idle / SECOND - 1);
+                        if let Ok(value) = HeaderValue::from_str(&told) {
+                            answer.headers_mut().insert("keep-alive", value);
+                        }
+                    }
+                    watch.served(true);
+                    Ok::<_, std::convert::Infallible>(answer)
+                }
             });
+            let io = Watched { io: TokioIo::new(stream), watch: watch.clone() };
             let connection = hyper::server::conn::http1::Builder::new()
                 .timer(TokioTimer::new())
-                .header_read_timeout(Duration::from_micros(idle.max(SECOND) as u64))
+                .header_read_timeout(None)
                 .max_buf_size((header_bytes as usize).clamp(8192, 1 << 20))
-                .serve_connection(TokioIo::new(stream), service);
+                .serve_connection(io, service);
             let mut connection = std::pin::pin!(connection);
-            let ended = tokio::select! {
-                ended = connection.as_mut() => ended,
-                _ = stopping.wait_for(|stop| *stop) => {
-                    connection.as_mut().graceful_shutdown();
-                    connection.await
+            let (mut at, mut stops) = (clock.now() + head.min(idle), false);
+            let ended = loop {
+                tokio::select! {
+                    ended = connection.as_mut() => break ended,
+                    _ = stopping.wait_for(|stop| *stop), if !stops => {
+                        stops = true;
+                        connection.as_mut().graceful_shutdown();
+                    }
+                    _ = tokio::time::sleep_until(clock.at(at)) => match watch.due(head, idle) {
+                        Due::At(next) => at = next,
+                        Due::End => {
+                            at = clock.now() + idle;
+                            connection.as_mut().graceful_shutdown();
+                        }
+                        Due::Cut => break Ok(()),
+                    },
                 }
             };
             if let Err(error) = ended {
@@ -74,12 +107,13 @@
         let shared = shared.clone();
         tokio::task::spawn_local(async move {
             let service = hyper::service::service_fn(|request: Request<Incoming>| {
-                let status = match request.uri().path() {
-                    "/api/readiness" if shared.borrow().floor.ready() => StatusCode::OK,
-                    "/api/readiness" => StatusCode::SERVICE_UNAVAILABLE,
-                    _ => StatusCode::NOT_FOUND,
+                let answer = match request.uri().path() {
+                    "/api/readiness" if shared.borrow().floor.ready() => plain(StatusCode::OK, "{}"),
+                    "/api/readiness" => plain(StatusCode::SERVICE_UNAVAILABLE, "{}"),
+                    "/api/status" => json(shared.borrow().floor.status().encode()),
+                    _ => plain(StatusCode::NOT_FOUND, "{}"),
                 };
-                async move { Ok::<_, std::convert::Infallible>(plain(status, "{}")) }
+                async move { Ok::<_, std::convert::Infallible>(answer) }
             });
             let _ = hyper::server::conn::http1::Builder::new()
                 .timer(TokioTimer::new())
@@ -98,6 +132,13 @@
     answer
 }
 
+fn json(text: String) -> Response<Body> {
+    let body = Full::new(Bytes::from(text)).map_err(|never| match never {});
+    let mut answer = Response::new(body.boxed_unsync());
+    answer.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    answer
+}
+
 /// An answer after which the connection ends, since its request was not read whole.
 fn closing(status: StatusCode, text: &'static str) -> Response<Body> {
     let mut answer = plain(status, text);
@@ -138,16 +179,17 @@
         let foyer = shared.borrow();
         (foyer.clock.now(), foyer.floor.bill().cloned())
     };
-    let Some(bill) = bill else { return turned_back(None) };
     let (mut head, mut body) = request.into_parts();
+    let told = head.headers.get(REMAINING_TIME).and_then(|value| value.to_str().ok());
+    let told = told.and_then(|text| text.trim().parse::<f64>().ok()).filter(|left| left.is_finite());
+    let told = told.map(|ms| (ms.clamp(0.0, 1e9) * 1e3) as Micros);
+    let Some(bill) = bill else { return turned_back(Some(cue::come_back(told.unwrap_or(SECOND)))) };
     let host = head.headers.get(header::HOST).and_then(|host| host.to_str().ok());
     let host = host.or_else(|| head.uri.host()).unwrap_or("");
     let Some(route) = bill.route(host, head.uri.path()) else {
         return plain(StatusCode::NOT_FOUND, "{\"Error\":\"no route\"}");
     };
-    let told = head.headers.get(REMAINING_TIME).and_then(|value| value.to_str().ok());
-    let told = told.and_then(|text| text.trim().parse::<f64>().ok()).filter(|left| left.is_finite());
-    let left = told.map_or(route.timeout, |ms| ((ms.clamp(0.0, 1e9)) * 1e3) as Micros).min(route.timeout);
+    let left = told.unwrap_or(route.timeout).min(route.timeout);
     let until = came + left;
     if body.size_hint().lower() > bill.limits.body_bytes {
         return closing(StatusCode::PAYLOAD_TOO_LARGE, "{\"Error\":\"the body is over MaxBodyBytes\"}");
@@ -188,7 +230,7 @@
         streams,
         repeats: route.kind.may_repeat(),
     };
-    let Some(service) = pick(route) else { return turned_back(None) };
+    let Some(service) = pick(route) else { return turned_back(Some(cue::come_back(left))) };
     let (id, told) = shared.borrow_mut().came(shared, service, route, asked, until);
     let _here = Here { shared: shared.clone(), id };
     match told.await {
--- a/crates/playhouse/src/house.rs
+++ b/crates/playhouse/src/house.rs
@@ -9,7 +9,7 @@
 use cast::Cast;
 use company::{Company, Member, Part, Standing};
 use props::{Ask, Index, Micros, Place, Seat};
-use script::{Outcome, Script};
+use script::{Broken, Outcome, Script};
 use serde::{Deserialize, Serialize};
 
 /// What nodes say to each other, each word of one room.
@@ -20,6 +20,7 @@
     Cast(cast::Message),
     Book { from: Seat, message: promptbook::Message },
     Vote(script::Vote),
+    Intent(intent::Word),
 }
 
 /// What has happened here, for the part that this node plays.
@@ -50,6 +51,10 @@
         from: Place,
         vote: script::Vote,
     },
+    Intent {
+        from: Place,
+        word: intent::Word,
+    },
 }
 
 /// The steady clock of this process, in microseconds since it began.
@@ -82,13 +87,14 @@
     pub board: Callboard,
     pub cast: Cast,
     pub script: Script,
+    unreadable: Option<Index>,
     happened: VecDeque<Happened>,
     out: Vec<(Place, Word)>,
 }
 
 impl House {
-    /// Begins to look for the others. `own.life` is the process's, or the disk's where there is one; `beat`
-    /// is what instances let pass between beats; `seed` moves all that is left to chance.
+    /// Begins to look for the others. `own.life` is the process's; `beat` is what instances let pass between
+    /// beats; `seed` moves all that is left to chance.
     pub fn start(own: Member, seeds: Vec<Place>, beat: Micros, seed: u64, now: Micros) -> House {
         let mode = match own.part {
             Part::Prompter => callboard::Mode::Source,
@@ -99,16 +105,45 @@
         let cast = Cast::start(own.place, cast::Timing::of_heartbeat(beat), seed ^ 2, now);
         let script = Script::new();
         let (happened, out) = (VecDeque::new(), Vec::new());
-        let mut house = House { own, company, board, cast, script, happened, out };
+        let mut house = House { own, company, board, cast, script, unreadable: None, happened, out };
         house.company_did(now, effects);
         house
     }
 
+    /// What a prompter knew of the instances before its start, as `memory` gave it; right after `start`.
+    pub fn remember(&mut self, now: Micros, bytes: &[u8]) {
+        match postcard::from_bytes(bytes) {
+            Ok(records) => {
+                let effects = self.cast.remember(now, records);
+                self.cast_did(effects);
+            }
+            Err(error) => log::warn!("remembered instances can't be read: {error}"),
+        }
+    }
+
+    /// The instances, to be remembered.
+    pub fn memory(&self, now: Micros) -> Vec<u8> {
+        // Plain types into a growing vector: this fails only where a type can't be written at all.
+        postcard::to_stdvec(&self.cast.memory(now)).expect("a type that postcard can't write")
+    }
+
     /// What has happened since this was asked last, oldest first.
     pub fn happened(&mut self) -> Option<Happened> {
         self.happened.pop_front()
     }
 
+    /// The entry whose state came and can't be read here, as one of a newer program. What is applied after it
+    /// is built on too little, so that a prompter must not go on.
+    pub fn unreadable(&self) -> Option<Index> {
+        self.unreadable
+    }
+
+    /// What is ordered, as far as it has come here; none before the first configuration.
+    pub fn intent(&self) -> Option<intent::Intent> {
+        let bill = self.script.bill()?;
+        Some(intent::Intent::read(self.script.index(), bill, self.script.rollouts.values()))
+    }
+
     /// The nodes of one part that are up, without this one.
     pub fn up(&self, part: Part) -> Vec<Place> {
         self.company.up(part).map(|member| member.place).filter(|place| *place != self.own.place).collect()
@@ -165,6 +200,7 @@
             }
             Word::Book { from, message } => self.happened.push_back(Happened::Book { from, message }),
             Word::Vote(vote) => self.happened.push_back(Happened::Vote { from, vote }),
+            Word::Intent(word) => self.happened.push_back(Happened::Intent { from, word }),
         }
     }
 
@@ -211,7 +247,12 @@
     fn restore(&mut self, now: Micros, index: Index, data: &[u8]) {
         match self.script.restore(now, index, data) {
             Ok(()) => self.happened.push_back(Happened::Restored),
-            Err(error) => log::error!("the state at {} can't be read: {error}", index.0),
+            // What is here is newer; nothing is lacking.
+            Err(error @ Broken::Older { .. }) => log::warn!("a state is passed over: {error}"),
+            Err(error) => {
+                self.unreadable = Some(index);
+                log::error!("the state at {} can't be read: {error}", index.0);
+            }
         }
     }
 
@@ -266,7 +307,12 @@
                     self.happened.push_back(Happened::BeatTaken { ask, target });
                 }
                 cast::Effect::NotTaken { ask } => self.happened.push_back(Happened::BeatNotTaken { ask }),
-                cast::Effect::Changed { record } => self.happened.push_back(Happened::Instance(record.id)),
+                cast::Effect::Changed { record } => {
+                    if record.state == cast::State::Silent {
+                        log::info!("instance {} of {} is silent", record.id.0, record.service);
+                    }
+                    self.happened.push_back(Happened::Instance(record.id));
+                }
             }
         }
     }
--- a/crates/playhouse/src/prompter.rs
+++ b/crates/playhouse/src/prompter.rs
@@ -3,26 +3,29 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::path::Path;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use company::Part;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode, header};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use promptbook::Members;
+use ledger::{Ledger, LedgerError, Opened, StoreError};
+use promptbook::{Members, Saved};
 use props::{Ask, Life, Place, Seat};
 use script::{Command, Outcome};
 use simd_json::prelude::*;
 use tokio::sync::oneshot;
-use wings::{DiskHand, DiskStore, Post};
+use wings::{DiskHand, DiskStore, NoteHand, Post};
 
 use crate::calls::{self, Call, Wrong};
 use crate::control::{Control, In, Out, Told};
 use crate::house::{Clock, House, chance};
 use crate::post::send;
+use crate::ring;
 use crate::settings::{Settings, micros};
 use crate::signals::{Signals, Told as Signal};
 
@@ -33,15 +36,23 @@
 /// Callers that wait at once; more are answered 503.
 const ASKS_MOST: usize = 4096;
 
+/// The life of each first voter's disk: all must name the same seats before they have met.
+const FIRST_LIFE: Life = Life(0);
+/// The file of the instances that were known.
+const MEMORY: &str = "instances";
+
 pub struct Prompter {
     control: Control,
     clock: Clock,
     settings: Rc<Settings>,
     post: Rc<Post>,
     disk: DiskHand<DiskStore>,
+    memory: NoteHand,
     asks: HashMap<Ask, oneshot::Sender<Told>>,
     next_ask: u64,
     changed: Rc<tokio::sync::Notify>,
+    /// Whether it led after the last step.
+    led: bool,
 }
 
 type Shared = Rc<RefCell<Prompter>>;
@@ -55,17 +66,25 @@
     let dir = settings.data_directory.clone().ok_or("DataDirectory is missing")?;
     let own = settings.place();
     let first = settings.initial_start && settings.seeds().contains(&own);
-    let fresh = if first { Life(0) } else { Life(chance() | 1) };
-    let (ledger, opened) = ledger::Ledger::open(DiskStore::open(&dir)?, fresh)?;
+    let (ledger, opened) = open(&dir, first)?;
     let (disk, mut done) = DiskHand::start(ledger)?;
+    let (memory, remembered) = NoteHand::start(&dir, MEMORY)?;
     let seat = Seat { place: own, life: opened.life };
-    let voters = || settings.seeds().into_iter().map(|place| Seat { place, life: Life(0) });
-    let first = (first && opened.fresh).then(|| Members(voters().collect()));
+    let voters = || settings.seeds().into_iter().map(|place| Seat { place, life: FIRST_LIFE });
+    // A disk with nothing kept yet has promised nothing, also where the process was killed since it was
+    // begun.
+    let unused = opened.life == FIRST_LIFE && opened.saved == Saved::default();
+    let first = (first && unused).then(|| Members(voters().collect()));
     let (post, mut mail) =
         Post::bind(settings.ip_address, settings.internal_port(), wings::PostLimits::default())?;
     let now = clock.now();
-    let member = settings.member(Part::Prompter, seat.life);
-    let house = House::start(member, settings.seeds(), micros(settings.heartbeat_s), chance(), now);
+    // Among the nodes it is the process that lives: one that has left in order is never heard again, and this
+    // one may come back with the same disk.
+    let member = settings.member(Part::Prompter, Life(chance()));
+    let mut house = House::start(member, settings.seeds(), micros(settings.heartbeat_s), chance(), now);
+    if let Some(bytes) = remembered {
+        house.remember(now, &bytes);
+    }
     let (control, out) = Control::start(house, seat, first, opened.saved, chance(), now);
     let changed = Rc::new(tokio::sync::Notify::new());
     let mut prompter = Prompter {
@@ -74,9 +93,11 @@
         settings: settings.clone(),
         post: Rc::new(post),
         disk,
+        memory,
         asks: HashMap::new(),
         next_ask: 0,
         changed: changed.clone(),
+        led: false,
     };
     prompter.carry(out);
     let shared: Shared = Rc::new(RefCell::new(prompter));
@@ -84,6 +105,10 @@
     let mut signals = Signals::start()?;
     log::info!("prompter {seat} at {at}");
     loop {
+        if let Some(index) = shared.borrow().control.house.unreadable() {
+            // To go on would be to take a part of the state for the whole.
+            return Err(format!("the state at entry {} can't be read by this program", index.0).into());
+        }
         let due = clock.at(shared.borrow().control.due());
         tokio::select! {
             word = mail.recv() => {
@@ -96,7 +121,15 @@
             }
             done = done.recv() => {
                 let Some(done) = done else { return Err("the disk's hand has gone".into()) };
-                shared.borrow_mut().step(In::Written { no: done.no, ok: done.ok });
+                let mut prompter = shared.borrow_mut();
+                prompter.step(In::Written { no: done.no, ok: done.ok });
+                if prompter.disk.refuses() {
+                    // What this process holds is not what its disk holds, and never will be.
+                    return Err("the disk's hand refuses writes; the ledger is to be opened anew".into());
+                }
+                if !done.ok {
+                    ring::spill("a write is not on disk");
+                }
             }
             _ = tokio::time::sleep_until(due) => shared.borrow_mut().step(In::Tick),
             _ = changed.notified() => {}
@@ -115,10 +148,48 @@
     Ok(())
 }
 
+/// Opens the ledger in `dir`. One that can't be read, or lacks what must be there, is set aside and begun
+/// with a fresh life: this machine is a newcomer then, who is let in again and learns all from the others,
+/// and nothing that its disk promised before is expected of it. `first` draws the life of a first voter, on
+/// an unused disk only.
+fn open(dir: &Path, first: bool) -> Result<(Ledger<DiskStore>, Opened), LedgerError> {
+    let begin =
+        |life| DiskStore::open(dir).map_err(LedgerError::from).and_then(|store| Ledger::open(store, life));
+    // A file that was set aside tells of an earlier use, also where the process was killed right after.
+    let first = first && !DiskStore::was_set_aside(dir);
+    let life = if first { FIRST_LIFE } else { Life(chance() | 1) };
+    let damage = |error: &LedgerError| {
+        matches!(
+            error,
+            LedgerError::Damaged { .. }
+                | LedgerError::Missing { .. }
+                | LedgerError::Store(StoreError::Damaged { .. })
+        )
+    };
+    // Read twice before it is given up: a fault on the way from the disk need not come again. A full or failing
+    // disk may come back, and a newer form is for the program that wrote it: those are errors.
+    let again = match begin(life) {
+        Err(error) if damage(&error) => begin(life),
+        done => return done,
+    };
+    match again {
+        Err(error) if damage(&error) => {
+            log::error!("the ledger can't be used and is set aside; its disk begins a new life: {error}");
+            DiskStore::set_aside(dir)?;
+            begin(Life(chance() | 1))
+        }
+        done => done,
+    }
+}
+
 impl Prompter {
     fn step(&mut self, event: In) {
         let out = self.control.step(self.clock.now(), event);
         self.carry(out);
+        let leads = self.control.book().leads();
+        if std::mem::replace(&mut self.led, leads) && !leads {
+            ring::spill("leadership was lost");
+        }
     }
 
     fn carry(&mut self, out: Vec<Out>) {
@@ -129,6 +200,7 @@
                 Out::Write(write) => {
                     self.disk.write(write);
                 }
+                Out::Remember(bytes) => self.memory.keep(bytes),
                 Out::Tell { ask, told } => {
                     if let Some(reply) = self.asks.remove(&ask) {
                         let _ = reply.send(told);
@@ -185,10 +257,15 @@
 }
 
 fn fault(status: StatusCode, text: &str) -> Answer {
-    let value = simd_json::json!({ "Error": text });
+    let value = simd_json::json!({ "Problem": text });
     reply(status, value.encode())
 }
 
+/// One fault of what was sent, as all faults are told.
+fn faults(place: &str, text: &str) -> Answer {
+    reply(StatusCode::BAD_REQUEST, bill::Faults::one(place, text).to_json())
+}
+
 fn unavailable(text: &str) -> Answer {
     fault(StatusCode::SERVICE_UNAVAILABLE, text)
 }
@@ -201,11 +278,14 @@
     };
     let body = match Limited::new(body, BODY_MOST).collect().await {
         Ok(body) => body.to_bytes(),
-        Err(error) => return fault(StatusCode::BAD_REQUEST, &format!("body: {error}")),
+        Err(error) if error.is::<LengthLimitError>() => {
+            return fault(StatusCode::PAYLOAD_TOO_LARGE, &format!("body: more than {BODY_MOST} bytes"));
+        }
+        Err(error) => return faults("body", &error.to_string()),
     };
     match take(&shared, call, &head, &body).await {
         Ok(answer) => answer,
-        Err(wrong) => fault(StatusCode::BAD_REQUEST, &wrong.to_string()),
+        Err(wrong) => faults("", &wrong.to_string()),
     }
 }
 
@@ -236,6 +316,11 @@
             Ok(()) => rollout(&shared.borrow().control.house.script, &service),
             Err(answer) => answer,
         },
+        Call::Status => {
+            let prompter = shared.borrow();
+            let now = prompter.clock.now();
+            reply(StatusCode::OK, crate::commands::view::view(&prompter.control, now).encode())
+        }
         Call::Heartbeat(id) => {
             let beat = calls::beat(id, body)?;
             let told = shared.borrow_mut().begin(|ask| In::Beat { ask, beat });
@@ -340,16 +425,19 @@
     if let Outcome::Invalid(faults) = &outcome {
         return reply(status, faults.to_json());
     }
+    if let Outcome::Raced { current } = &outcome {
+        let value = simd_json::json!({ "ConfigVersion": current.to_string() });
+        return reply(status, value.encode());
+    }
     fault(status, &refusal(&outcome))
 }
 
 /// What a refusal says to a person.
 fn refusal(outcome: &Outcome) -> String {
     match outcome {
-        Outcome::Raced { current } => format!("the current version is {current}"),
         Outcome::Conflict(text) | Outcome::Unknown(text) => text.clone(),
         Outcome::Unreadable => "no command of ours".to_owned(),
         Outcome::Old => "the state has passed this by; ask again".to_owned(),
-        Outcome::Taken | Outcome::Again | Outcome::Invalid(_) => String::new(),
+        Outcome::Taken | Outcome::Again | Outcome::Invalid(_) | Outcome::Raced { .. } => String::new(),
     }
 }
--- a/crates/wings/src/disk.rs
+++ b/crates/wings/src/disk.rs
@@ -86,6 +86,12 @@
         folder.rename(NAME, ASIDE).map_err(|e| failed("setting the file aside", &e))?;
         folder.sync().map_err(|e| failed("syncing the folder", &e))
     }
+
+    /// Whether a damaged file was ever put out of the way in `dir`: the disk then has been in use before, even
+    /// where nothing has been kept on it since.
+    pub fn was_set_aside(dir: &Path) -> bool {
+        dir.join(ASIDE).exists()
+    }
 }
 
 impl<F: Folder> DiskStore<F> {
@@ -196,9 +202,12 @@
         {
             Err(failed(doing, &error))
         }
-        Ok(Err(error @ (redb::Error::PreviousIo | redb::Error::DatabaseAlreadyOpen))) => {
-            Err(failed(doing, &error))
-        }
+        // A file of another version of the library is not damaged: it is for a program that can read it.
+        Ok(Err(
+            error @ (redb::Error::PreviousIo
+            | redb::Error::DatabaseAlreadyOpen
+            | redb::Error::UpgradeRequired(_)),
+        )) => Err(failed(doing, &error)),
         Ok(Err(error)) => Err(StoreError::Damaged { why: error.to_string() }),
         Err(_) => Err(StoreError::Damaged { why: format!("panic while {doing}") }),
     }
