--- a/crates/script/src/count.rs
+++ b/crates/script/src/count.rs
@@ -84,6 +84,9 @@
     pub complete_from: f64,
     /// Part of the period from which on half of the foyers is enough, and doubt sends the version back.
     pub complete_by: f64,
+    /// Periods after which a version completes that has had fewer than `joint_least` requests: an idle service is
+    /// not held for ever, and what had so few by then gets few bad answers before a new order.
+    pub unseen_by: f64,
     /// Outcomes on trial, over all foyers, without which nothing completes before `complete_by`.
     pub seen: u64,
     /// Failure rates of the version in service as they are taken: a few late answers of few instances are no
@@ -127,6 +130,7 @@
             lone_stands: 2 * SECOND,
             complete_from: 0.75,
             complete_by: 0.93,
+            unseen_by: 4.0,
             seen: 30,
             base_rate: (0.05, 0.5),
             base_least: 30,
@@ -406,7 +410,9 @@
         }
         let clear = self.clear_since.is_some_and(|since| now - since >= settings.clear_for);
         let enough = if part >= settings.complete_by {
-            sum.ons > 0 && sum.ons * 2 >= foyers_up
+            // A version that next to nobody has tried is not cleared by its term alone: it waits for requests.
+            let tried = sum.trial >= settings.joint_least || part >= settings.unseen_by;
+            tried && sum.ons > 0 && sum.ons * 2 >= foyers_up
         } else {
             part >= settings.complete_from && sum.trial >= settings.seen && sum.ons * 2 > foyers_up
         };
--- a/crates/script/tests/count.rs
+++ b/crates/script/tests/count.rs
@@ -247,6 +247,23 @@
     assert_eq!(end(0), Some(true));
 }
 
+#[test]
+fn a_version_that_nobody_tried_waits_past_its_term_and_not_for_ever() {
+    let script = script();
+    let ends = |trial: u32| {
+        let mut count = Count::new(CountSettings::default());
+        (0..60 * 2).map(|half| half * SECOND / 2).find(|now| {
+            (0..4).for_each(|n| count.cast(*now, place(n), vote(Voice::On, trial, 0)));
+            count
+                .verdicts(*now, &script, 4)
+                .iter()
+                .any(|verdict| matches!(verdict, Command::Verdict { completed: true, .. }))
+        })
+    };
+    assert!(ends(25).is_some_and(|at| at <= 12 * SECOND), "with a hundred good answers: {:?}", ends(25));
+    assert_eq!(ends(1), Some(48 * SECOND), "with four it waits for four periods");
+}
+
 fn chance(seed: u64) -> impl FnMut() -> f64 {
     let mut state = seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1;
     move || {
