--- a/crates/purse/src/lib.rs
+++ b/crates/purse/src/lib.rs
@@ -1,15 +1,13 @@
 //! Purse (shared budgets): each foyer's part of what all foyers together may spend: further tries to a service
-//! in every sliding window, and trial requests to a new version. No I/O, and no messages: the parts are such
-//! that their sum holds whoever is cut off, dies, starts or gets the traffic; `docs/purse.md` has the argument.
+//! in every sliding window, and a part of any other whole. No I/O, and no messages: the parts are such that
+//! their sum holds whoever is cut off, dies, starts or gets the traffic; `docs/purse.md` has the argument.
 
-mod exposure;
 mod party;
 mod window;
 
 use indexmap::IndexMap;
 use props::{Micros, SECOND};
 
-pub use exposure::Exposure;
 pub use party::Party;
 use window::Window;
 
