--- a/crates/playhouse/src/control.rs
+++ b/crates/playhouse/src/control.rs
@@ -19,6 +19,8 @@
 const MEMORY_GATHER: Micros = 100 * MS;
 const MEMORY_EVERY: Micros = SECOND;
 const COUNT_EVERY: Micros = 200 * MS;
+/// A leader that is to end waits so long for somebody to take over, at most.
+const HAND_OVER: Micros = SECOND;
 /// A service's first version is proposed again after this, if it has not come to be ordered.
 const SEEN_AGAIN: Micros = SECOND;
 
@@ -81,6 +83,8 @@
     seen: HashMap<String, Micros>,
     /// Commands of this node's own, which nobody waits for, have asks from here on.
     own_ask: u64,
+    /// Until when a leader that is to end looks for another one; the others are told then that this node goes.
+    leaving: Option<Micros>,
     /// Judges what foyers do while this node leads; none unless `check_intent` was called.
     inspector: Option<Inspector>,
     out: Vec<Out>,
@@ -103,6 +107,7 @@
             applied: 0,
             seen: HashMap::new(),
             own_ask: u64::MAX / 2,
+            leaving: None,
             inspector: None,
             out: Vec::new(),
         };
@@ -112,7 +117,13 @@
     }
 
     pub fn due(&self) -> Micros {
-        self.house.due().min(self.book.due()).min(self.count_due).min(self.memory_due)
+        let due = self.house.due().min(self.book.due()).min(self.count_due).min(self.memory_due);
+        self.leaving.map_or(due, |until| due.min(until))
+    }
+
+    /// Whether a leave has begun that waits for another leader.
+    pub fn hands_over(&self) -> bool {
+        self.leaving.is_some()
     }
 
     /// Takes part in the check of `docs/intent.md`, which is off unless this is called. `apply` is
@@ -188,7 +199,10 @@
             In::Beat { ask, beat } => self.house.beat(now, ask, beat),
             In::Detach { ask, id } => self.house.detach(now, ask, id),
             In::Seeds { places } => self.house.seeds_changed(now, places),
-            In::Leave => self.house.leave(now),
+            In::Leave => {
+                self.leaving = Some(now + HAND_OVER);
+                self.log(now, Event::Leave);
+            }
         }
         self.settle(now)
     }
@@ -212,6 +226,15 @@
         }
     }
 
+    /// Tells the others that this node goes, once another one leads or the time for it is over. A node that goes
+    /// is not asked any more, so a leader must not say it while it still leads.
+    fn tend_leave(&mut self, now: Micros) {
+        if self.leaving.is_some_and(|until| now >= until || !self.book.leads()) {
+            self.leaving = None;
+            self.house.leave(now);
+        }
+    }
+
     /// Has the instances kept where they have changed.
     fn tend_memory(&mut self, now: Micros) {
         let changes = self.house.cast.changes();
@@ -277,6 +300,9 @@
                 Effect::Refused { ask, leader, .. } => {
                     self.out.push(Out::Tell { ask, told: Told::Refused { leader } });
                 }
+                Effect::Leader { leader: None, term } if self.leaving.is_some() => {
+                    log::info!("the lead of term {} is handed over before the end", term.0);
+                }
                 Effect::Leader { leader, term } => {
                     let name = leader.map_or("nobody".to_owned(), |seat| seat.to_string());
                     log::info!("{name} leads in term {}", term.0);
@@ -318,6 +344,7 @@
                 Happened::Instance(_) => {}
             }
         }
+        self.tend_leave(now);
         self.tend_memory(now);
         let words = self.house.out().into_iter().map(|(to, word)| Out::Send { to, word });
         let mut out: Vec<Out> = words.collect();
--- a/crates/playhouse/src/prompter.rs
+++ b/crates/playhouse/src/prompter.rs
@@ -104,7 +104,11 @@
     tokio::task::spawn_local(serve(crate::listen::bind(at, 512)?, shared.clone()));
     let mut signals = Signals::start()?;
     log::info!("prompter {seat} at {at}");
+    let mut ending = false;
     loop {
+        if ending && !shared.borrow().control.hands_over() {
+            break;
+        }
         if let Some(index) = shared.borrow().control.house.unreadable() {
             // To go on would be to take a part of the state for the whole.
             return Err(format!("the state at entry {} can't be read by this program", index.0).into());
@@ -134,7 +138,11 @@
             _ = tokio::time::sleep_until(due) => shared.borrow_mut().step(In::Tick),
             _ = changed.notified() => {}
             signal = signals.next() => match signal {
-                Signal::End => break,
+                Signal::End if ending => break,
+                Signal::End => {
+                    ending = true;
+                    shared.borrow_mut().step(In::Leave);
+                }
                 Signal::Reload => match Settings::path().and_then(|path| Settings::read(&path)) {
                     Ok(settings) => shared.borrow_mut().step(In::Seeds { places: settings.seeds() }),
                     Err(error) => log::warn!("settings stay as they were: {error}"),
@@ -143,7 +151,6 @@
         }
     }
     log::info!("prompter ends");
-    shared.borrow_mut().step(In::Leave);
     tokio::time::sleep(Duration::from_millis(200)).await;
     Ok(())
 }
--- a/crates/playhouse/tests/loopback.rs
+++ b/crates/playhouse/tests/loopback.rs
@@ -389,6 +389,12 @@
         let routes = routes();
         let mut house = House::open(&routes, Duration::from_millis(5)).await;
         let asking = crowd(&house, 20.0);
+        // One that is told to end has handed over before it is gone, so that nobody waits for an election.
+        let told = house.leader().await;
+        house.stage.term(told).expect("it is told to end");
+        house.wait("it ends", async |house| house.stage.ended(told).expect("a process").is_some()).await;
+        assert!(house.stage.logs(20).contains("is handed over before the end"), "{}", house.stage.logs(20));
+        house.stage.start(told).expect("it starts again");
         let killed = house.leader().await;
         house.stage.kill(killed).expect("it is killed");
         let since = Instant::now();
--- a/crates/promptbook/src/book.rs
+++ b/crates/promptbook/src/book.rs
@@ -65,6 +65,8 @@
     next_knock: Micros,
     /// Started again, and has neither heard a leader nor stood yet: its first try doesn't wait long.
     pub(crate) hasty: bool,
+    /// The process is about to end: it takes no proposals and stands for nothing.
+    pub(crate) leaving: bool,
     /// What the last `Effect::Leader` said.
     told: (Option<Seat>, Term),
     pub(crate) out: Vec<Effect>,
@@ -105,6 +107,7 @@
             places: Vec::new(),
             next_knock: now,
             hasty: false,
+            leaving: false,
             told: (None, Term(0)),
             out: Vec::new(),
         };
@@ -158,6 +161,7 @@
                 self.places = places;
             }
             Event::Kept { index, data } => self.kept(index, data),
+            Event::Leave => self.leaving = true,
         }
         self.finish()
     }
@@ -278,7 +282,7 @@
         }
         if self.now >= self.deadline {
             self.arm();
-            if self.is_member() && self.disk_well() {
+            if self.is_member() && self.disk_well() && !self.leaving {
                 self.ask_to_stand();
             } else if !matches!(self.role, Role::Following) || self.leader.is_some() {
                 self.follow(self.term, None);
@@ -350,6 +354,7 @@
             Word::Appended { matched, got, round } => self.appended(from, matched, got, round),
             Word::Gap { prev, hint, round } => self.gap(from, prev, hint, round),
             Word::Taken { index, upto, round } => self.taken(from, index, upto, round),
+            Word::Go { next } => self.handed(from, next),
         }
     }
 
@@ -372,8 +377,10 @@
     fn finish(&mut self) -> Vec<Effect> {
         if self.leads() {
             self.commit_more();
-            self.tend_members();
-            self.commit_more();
+            if !self.leaving {
+                self.tend_members();
+                self.commit_more();
+            }
         }
         if self.applied < self.commit {
             self.disk.committed(self.now, self.commit);
@@ -382,6 +389,9 @@
         if self.leads() {
             self.answer_reads();
             self.pump();
+            if self.leaving {
+                self.hand_over();
+            }
         }
         if let Some(write) = self.disk.issue(self.now, self.term, self.voted, &self.log, self.commit) {
             self.out.push(Effect::Write(write));
--- a/crates/promptbook/src/lead.rs
+++ b/crates/promptbook/src/lead.rs
@@ -249,7 +249,7 @@
     }
 
     pub(crate) fn propose(&mut self, ask: Ask, data: Vec<u8>) {
-        if !matches!(&self.role, Role::Leading(lead) if lead.open + data.len() <= MOST_OPEN) {
+        if self.leaving || !matches!(&self.role, Role::Leading(lead) if lead.open + data.len() <= MOST_OPEN) {
             return self.refuse(ask);
         }
         let index = self.place(What::Command(data));
@@ -261,13 +261,38 @@
     pub(crate) fn read(&mut self, ask: Ask) {
         match &mut self.role {
             // Only what is sent after the ask can prove that it still leads.
-            Role::Leading(lead) if lead.reads.len() < MOST_READS => {
+            Role::Leading(lead) if !self.leaving && lead.reads.len() < MOST_READS => {
                 lead.reads.push_back((lead.round + 1, ask))
             }
             _ => self.refuse(ask),
         }
     }
 
+    /// Of a leader about to end: once all that it placed is committed and a voter that answered lately has all of
+    /// it on disk, that voter is to stand at once, and the rest are told not to wait for this one. Guards against
+    /// an election's span without a leader whenever a machine is stopped in order. Without such a voter it goes on
+    /// leading until it ends.
+    pub(crate) fn hand_over(&mut self) {
+        let Role::Leading(lead) = &self.role else { return };
+        let last = self.log.last();
+        let members = &self.log.members().0;
+        let fit = |peer: &&Peer| {
+            peer.matched == last
+                && peer.heard.is_some()
+                && peer.silent(self.now) < 2 * self.timing.beat
+                && members.contains(&peer.seat)
+        };
+        let next = lead.peers.iter().filter(fit).max_by_key(|peer| peer.heard).map(|peer| peer.seat);
+        let (Some(next), true) = (next, self.commit == last && lead.reads.is_empty()) else { return };
+        let others: Vec<Seat> =
+            members.iter().copied().filter(|seat| *seat != self.own && *seat != next).collect();
+        // The one that stands is told last, so that its question finds the others ready.
+        for seat in others.into_iter().chain([next]) {
+            self.say(seat, Word::Go { next });
+        }
+        self.follow(self.term, None);
+    }
+
     pub(crate) fn knows_peer(&self, seat: Seat) -> bool {
         matches!(&self.role, Role::Leading(lead) if lead.peer(seat).is_some())
     }
--- a/crates/promptbook/src/lib.rs
+++ b/crates/promptbook/src/lib.rs
@@ -120,6 +120,9 @@
     Taken { index: Index, upto: u64, round: u64 },
     /// To a leader of an older term: the sender's term is newer.
     Late,
+    /// The leader leads no more, as it is about to end; `next` is to stand at once, and nobody waits for the
+    /// one that goes.
+    Go { next: Seat },
 }
 
 #[derive(Clone, Debug)]
@@ -154,6 +157,9 @@
         index: Index,
         data: Vec<u8>,
     },
+    /// The process is about to end in order: it never stands again, and hands over if it leads. It goes on
+    /// answering and voting until it ends.
+    Leave,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/promptbook/src/stand.rs
+++ b/crates/promptbook/src/stand.rs
@@ -62,6 +62,19 @@
         self.leads() || (self.leader.is_some() && lately)
     }
 
+    /// The leader of this term leads no more, and names the seat that is to stand: that one asks nobody first
+    /// whether it may, as all that would refuse are told the same.
+    pub(crate) fn handed(&mut self, from: Seat, next: Seat) {
+        if self.leader != Some(from) {
+            return;
+        }
+        self.follow(self.term, None);
+        self.arm();
+        if next == self.own && self.is_member() && self.disk_well() && !self.leaving {
+            self.stand();
+        }
+    }
+
     /// A seat without any log never votes, be it asked or not: it has not been let in.
     fn may_vote(&self) -> bool {
         self.disk_well() && self.log.last() > Index(0)
--- a/crates/promptbook/tests/world.rs
+++ b/crates/promptbook/tests/world.rs
@@ -15,6 +15,7 @@
     Tick { at: usize, run: u64 },
     Kept { at: usize, run: u64, index: Index, data: Vec<u8> },
     Doom { at: usize, run: u64 },
+    End { at: usize, run: u64 },
     Start { at: usize },
     Clients,
     Fault,
@@ -319,6 +320,7 @@
                     self.stop(at, true);
                     self.later(20 * MS, What::Start { at });
                 }
+                What::End { at, run } if self.machines[at].run == run => self.stop(at, false),
                 What::Start { at } => self.start(at, None),
                 What::Clients => self.clients(),
                 What::Fault if !self.calm => self.fault(),
@@ -326,6 +328,7 @@
                 | What::Kept { .. }
                 | What::Disk { .. }
                 | What::Doom { .. }
+                | What::End { .. }
                 | What::Fault => {}
             }
         }
@@ -436,6 +439,12 @@
                 self.later(back, What::Start { at: led });
             }
             8 => self.machines[at].full = until,
+            14 => {
+                self.step(at, Event::Leave);
+                let run = self.machines[at].run;
+                self.later(200 * MS, What::End { at, run });
+                self.later(200 * MS + back, What::Start { at });
+            }
             9 => self.machines[at].hung = until,
             10 => self.cut_off(&[at], until),
             11 => {
@@ -636,6 +645,53 @@
     assert!(!world.leads(old) && !world.machines[old].open.contains_key(&1), "refused at once");
 }
 
+/// Without it the others wait for an election's span, here 250 to 500 ms, each time a leader is stopped.
+#[test]
+fn a_leader_that_is_stopped_in_order_hands_over_and_is_not_missed() {
+    let mut world = calm(5);
+    for round in 0..10 {
+        let (old, acks) = (world.leader(), world.acks);
+        if round == 4 {
+            // One hears of it only by the next beat of whoever leads then.
+            let until = world.now + 100 * MS;
+            world.cut_off(&[(old + 1) % 5], until);
+        }
+        world.step(old, Event::Leave);
+        world.run(60 * MS);
+        let next = world.leader();
+        assert_ne!(next, old, "round {round}: nobody took over");
+        world.run(60 * MS);
+        assert!(world.acks > acks, "round {round}: nothing is ordered");
+        assert!(world.machines[old].open.is_empty(), "whoever asked it has an answer");
+        world.run(80 * MS);
+        world.stop(old, false);
+        world.run(SECOND);
+        world.start(old, None);
+        world.run(SECOND);
+        assert!(world.leads(next), "the one that comes back deposes nobody");
+    }
+}
+
+#[test]
+fn a_leader_without_anybody_to_follow_it_leads_until_it_ends() {
+    let mut world = calm(3);
+    let (old, until) = (world.leader(), world.now + 100 * MS);
+    world.cut_off(&[old], until);
+    world.idle = true;
+    world.run(20 * MS);
+    // A command that the others lack: none of them may be named.
+    let data = 5u64.to_le_bytes().to_vec();
+    world.machines[old].open.insert(5, (Some(data.clone()), 0));
+    world.step(old, Event::Propose { ask: Ask(5), data });
+    world.step(old, Event::Leave);
+    assert!(world.leads(old));
+    world.run(75 * MS);
+    assert!(world.leads(old), "all that it could name lack the command");
+    world.run(200 * MS);
+    assert!(!world.leads(old) && (0..3).any(|at| world.leads(at)), "they have it now");
+    assert!(world.machines[old].open.is_empty(), "it was ordered before it went");
+}
+
 #[test]
 fn replaced_machines_leave_before_the_next_are_lost() {
     let mut world = calm(5);
