--- a/crates/cue/src/part.rs
+++ b/crates/cue/src/part.rs
@@ -28,17 +28,25 @@
         if self.foyers >= foyers.len() {
             return true;
         }
-        let rank = |place: Place| (mix(instance, place), place);
+        let named = fold(START, instance.as_bytes());
+        let rank = |place: Place| (mix(named, place), place);
         let first = rank(own);
         foyers.iter().filter(|place| rank(**place) > first).count() < self.foyers
     }
 }
 
-/// FNV-1a over both names, with a last stir so that near addresses differ in all bits.
-fn mix(instance: &str, place: Place) -> u64 {
-    let bytes = instance.bytes().chain(place.0.octets());
-    let hash = bytes
-        .fold(0xcbf2_9ce4_8422_2325u64, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3));
+/// Where FNV-1a begins.
+const START: u64 = 0xcbf2_9ce4_8422_2325;
+
+/// FNV-1a.
+fn fold(hash: u64, bytes: &[u8]) -> u64 {
+    bytes.iter().fold(hash, |hash, byte| (hash ^ u64::from(*byte)).wrapping_mul(0x0100_0000_01b3))
+}
+
+/// FNV-1a over both names, `named` that of the instance, with a last stir so that near addresses differ in all
+/// bits.
+fn mix(named: u64, place: Place) -> u64 {
+    let hash = fold(named, &place.0.octets());
     let hash = (hash ^ (hash >> 33)).wrapping_mul(0xff51_afd7_ed55_8ccd);
     hash ^ (hash >> 29)
 }
--- /dev/null
+++ b/crates/cue/tests/part.rs
@@ -0,0 +1,52 @@
+//! Which foyers use which instances: all work it out alike, each instance has as many as it takes, and a foyer
+//! that goes moves nobody else's places.
+
+use std::net::Ipv4Addr;
+
+use cue::Share;
+use props::Place;
+
+fn foyers(count: u8) -> Vec<Place> {
+    (0..count).map(|number| Place(Ipv4Addr::new(10, 1 + number % 3, 0, 15 + number))).collect()
+}
+
+fn users(share: Share, foyers: &[Place], instance: &str) -> Vec<Place> {
+    foyers.iter().copied().filter(|own| share.mine(*own, foyers, instance)).collect()
+}
+
+#[test]
+fn each_instance_has_as_many_foyers_as_it_takes_and_few_move_when_one_goes() {
+    let all = foyers(59);
+    let share = Share::of(18, all.len());
+    assert_eq!((share.foyers, share.connections), (15, 1));
+    let mut load = vec![0; all.len()];
+    let gone = all[20];
+    let rest: Vec<Place> = all.iter().copied().filter(|place| *place != gone).collect();
+    for number in 0..180 {
+        let instance = format!("i-{:08x}", (number * 0x9e37_79b9_u64) & 0xffff_ffff);
+        let before = users(share, &all, &instance);
+        assert_eq!(before.len(), 15);
+        for place in &before {
+            load[all.iter().position(|known| known == place).expect("one of them")] += 1;
+        }
+        let after = users(share, &rest, &instance);
+        assert_eq!(after.len(), 15);
+        let kept = before.iter().filter(|place| after.contains(place)).count();
+        assert_eq!(
+            kept,
+            15 - usize::from(before.contains(&gone)),
+            "only the place of the one that went moves"
+        );
+    }
+    // 180 instances by 15 over 59 foyers is 46 each.
+    assert!(load.iter().all(|count| (25..=70).contains(count)), "{load:?}");
+}
+
+#[test]
+fn where_there_is_enough_for_all_everybody_uses_every_instance() {
+    let all = foyers(9);
+    let share = Share::of(94, all.len());
+    assert_eq!((share.foyers, share.connections), (9, 8));
+    assert_eq!(users(share, &all, "i-7f3a91c2").len(), 9);
+    assert_eq!(Share::of(0, 0), Share { foyers: 1, connections: 1 });
+}
--- a/crates/playhouse/src/floor/desk.rs
+++ b/crates/playhouse/src/floor/desk.rs
@@ -5,6 +5,7 @@
 use std::collections::VecDeque;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
+use std::sync::Arc;
 
 use bill::{Bill, Kind};
 use cast::{InstanceId, State};
@@ -118,7 +119,11 @@
     pub(super) asked: Rc<RefCell<VecDeque<Do>>>,
     pub service: Rc<str>,
     given: Given,
+    /// What the settings were worked out from: all but the profiles' numbers, which follow.
+    from: (Arc<Bill>, Fleet, bool),
     servers: IndexMap<InstanceId, Seen>,
+    /// What the decisions were told of each, by number.
+    listed: Vec<Listing>,
     profiles: Profiles,
     bounds: Bounds,
     told: Option<(u32, Phase)>,
@@ -134,7 +139,7 @@
 impl Desk {
     /// `now` is the time, set by whoever drives the desk; `seed` moves what the decisions leave to chance.
     pub fn start(
-        service: &str, now: Rc<Cell<Micros>>, bounds: Bounds, purse: Rc<RefCell<Purse>>, bill: &Bill,
+        service: &str, now: Rc<Cell<Micros>>, bounds: Bounds, purse: Rc<RefCell<Purse>>, bill: &Arc<Bill>,
         fleet: &Fleet, seed: u64,
     ) -> Desk {
         let asked = Rc::new(RefCell::new(VecDeque::new()));
@@ -156,7 +161,9 @@
             asked,
             service: service.into(),
             given,
+            from: (bill.clone(), fleet.clone(), false),
             servers: IndexMap::new(),
+            listed: Vec::new(),
             profiles,
             bounds,
             told: None,
@@ -169,7 +176,12 @@
     }
 
     /// The configuration, or what is known of the fleet, has changed.
-    pub fn bill_changed(&mut self, bill: &Bill, fleet: &Fleet, settled: bool) {
+    pub fn bill_changed(&mut self, bill: &Arc<Bill>, fleet: &Fleet, settled: bool) {
+        let (known, of, was) = &self.from;
+        if Arc::ptr_eq(known, bill) && of == fleet && *was == settled {
+            return;
+        }
+        self.from = (bill.clone(), fleet.clone(), settled);
         let given = cue::settings(&self.service, &self.bounds, bill, fleet, settled, &mut self.profiles);
         if given != self.given {
             self.given = given.clone();
@@ -185,9 +197,20 @@
         self.servers.get_index(server.0 as usize).map(|(_, seen)| seen)
     }
 
-    /// Tells the decisions of one instance as it is known now; `None`: of nothing that may get tickets.
-    /// `mine`: this foyer may hold connections to it.
-    pub fn instance(&mut self, known: &cast::Known, rollout: Option<&Rollout>, mine: bool) {
+    /// Tells the decisions of instances as they are known now, and whether this foyer may hold connections to
+    /// each: what they were told already is not told again.
+    pub fn instances<'a>(
+        &mut self, known: impl Iterator<Item = (&'a cast::Known, bool)>, rollout: Option<&Rollout>,
+    ) {
+        let news: Vec<Listing> =
+            known.filter_map(|(known, mine)| self.instance(known, rollout, mine)).collect();
+        if !news.is_empty() {
+            self.balance.list_changed(news);
+        }
+    }
+
+    /// One of them; `None`: it never may get tickets, or nothing is new.
+    fn instance(&mut self, known: &cast::Known, rollout: Option<&Rollout>, mine: bool) -> Option<Listing> {
         let build = rollout.and_then(|rollout| rollout.build_of(&known.version));
         let condition = match (build, known.state) {
             (Some(_), State::InService) => Condition::Healthy,
@@ -195,7 +218,7 @@
             _ => Condition::Gone,
         };
         if condition == Condition::Gone && !self.servers.contains_key(&known.id) {
-            return;
+            return None;
         }
         let seen = Seen { id: known.id.clone(), address: known.address };
         let (number, _) = self.servers.insert_full(known.id.clone(), seen);
@@ -206,7 +229,7 @@
             room.at[number].0 = mine;
         }
         let zone = self.zones.iter().position(|zone| *zone == known.zone).unwrap_or(self.zones.len());
-        self.balance.list_changed(vec![Listing {
+        let listing = Listing {
             server: ServerId(number as u32),
             build: BuildNo(build.unwrap_or(0)),
             zone: ZoneId(zone),
@@ -215,7 +238,13 @@
             condition,
             size: f64::from(known.slots.max(1)),
             started: Some(known.first_seen),
-        }]);
+        };
+        let fresh = number >= self.listed.len();
+        if fresh {
+            self.listed.resize(number + 1, Listing::default());
+        }
+        let told = std::mem::replace(&mut self.listed[number], listing.clone());
+        (fresh || told != listing).then_some(listing)
     }
 
     /// Connections that this foyer may hold to each instance that it may use.
--- a/crates/playhouse/src/floor/mod.rs
+++ b/crates/playhouse/src/floor/mod.rs
@@ -21,10 +21,15 @@
 use cue::{Bounds, Fleet, Share};
 use desk::{Desk, Do, Seen};
 use purse::{Party, Purse};
+use script::Outcome;
 
 const VOTES_EVERY: Micros = SECOND;
 /// A foyer that knows instances of some services opens after this without the others: two beats are under it.
 const PARTLY: Micros = 1_500 * MS;
+/// Foyers that come or go are gathered for so long, as each one moves every service's settings and this foyer's part of
+/// the instances: where many go at once that is worked out a few times, not once for each. Well under the second or
+/// more in which they are found to be gone.
+const PEERS_GATHER: Micros = 200 * MS;
 /// A foyer that has been up for less when a roll-out comes may have had an earlier life that served in it.
 const SETTLED: Micros = 5 * SECOND;
 
@@ -119,6 +124,8 @@
     party: Party,
     began: Micros,
     votes_due: Micros,
+    /// When foyers that came or went are to count, where some did.
+    peers_due: Micros,
     seed: u64,
     leaving: bool,
     /// Whether clients may be sent here, and since when a configuration is known.
@@ -161,6 +168,7 @@
             party: Party::default(),
             began: now,
             votes_due: now,
+            peers_due: Micros::MAX,
             seed,
             leaving: false,
             opened: false,
@@ -247,7 +255,7 @@
     pub fn due(&self) -> Micros {
         let woken = self.wakes.peek().map_or(Micros::MAX, |Reverse((at, _))| *at);
         let ushered = self.usher.as_ref().map_or(Micros::MAX, Usher::due);
-        self.house.due().min(woken).min(self.votes_due).min(ushered)
+        self.house.due().min(woken).min(self.votes_due).min(self.peers_due).min(ushered)
     }
 
     pub fn step(&mut self, now: Micros, event: In<'_>) -> Vec<Out> {
@@ -286,6 +294,9 @@
                 self.decide(&service, |desk| desk.balance.woke(wake));
             }
         }
+        if self.peers_due <= now {
+            self.script_changed(now);
+        }
         if self.votes_due <= now {
             self.tell_votes(now);
         }
@@ -296,10 +307,16 @@
 
     /// Carries on what has happened in the common part.
     fn settle(&mut self, now: Micros) {
-        let mut changed = false;
+        let (mut changed, mut told) = (false, false);
         while let Some(happened) = self.house.happened() {
             match happened {
-                Happened::Applied { .. } | Happened::Restored | Happened::Peers => changed = true,
+                Happened::Applied { outcome: Outcome::Taken, .. } | Happened::Restored => changed = true,
+                // What was refused changes nothing, but the index goes on.
+                Happened::Applied { .. } => told = true,
+                Happened::Peers => {
+                    told = true;
+                    changed |= self.peers_changed(now);
+                }
                 Happened::Instance(id) => self.instance(&id),
                 // What is for prompters only.
                 Happened::BeatTaken { .. }
@@ -311,13 +328,28 @@
         }
         if changed {
             self.script_changed(now);
+        }
+        if changed || told {
             self.tell_usher(now);
         }
         self.open(now);
     }
 
+    /// The part of what is shared is this foyer's at once; all else is worked out soon, or now (`true`) where
+    /// there is no configuration to work it out from.
+    fn peers_changed(&mut self, now: Micros) -> bool {
+        let foyers = self.house.up(Part::Foyer).len() + 1;
+        self.party.note(now, foyers);
+        self.purse.borrow_mut().foyers(now, foyers);
+        if self.bill.is_some() {
+            self.peers_due = self.peers_due.min(now + PEERS_GATHER);
+        }
+        self.bill.is_none()
+    }
+
     /// The configuration, a roll-out or the number of foyers is another.
     fn script_changed(&mut self, now: Micros) {
+        self.peers_due = Micros::MAX;
         let mut foyers = self.house.up(Part::Foyer);
         foyers.push(self.house.own.place);
         foyers.sort_unstable();
@@ -345,10 +377,9 @@
             desk.bill_changed(&bill, &self.fleet, settled);
             let share = share(Some(&bill), &service, foyers.len());
             desk.connections(share.connections);
-            for known in self.house.cast.records().filter(|known| *known.service == *service) {
-                let mine = share.mine(self.house.own.place, &foyers, &known.id.0);
-                desk.instance(known, rollout, mine);
-            }
+            let known = self.house.cast.records().filter(|known| *known.service == *service);
+            let own = self.house.own.place;
+            desk.instances(known.map(|known| (known, share.mine(own, &foyers, &known.id.0))), rollout);
             if let Some(rollout) = rollout {
                 desk.rollout(now, cap, rollout);
             }
@@ -408,7 +439,7 @@
         let Some(desk) = self.desks.get_mut(known.service.as_str()) else { return };
         let share = share(self.bill.as_deref(), &known.service, self.foyers.len());
         let mine = share.mine(self.house.own.place, &self.foyers, &known.id.0);
-        desk.instance(known, self.house.script.rollouts.get(&known.service), mine);
+        desk.instances([(known, mine)].into_iter(), self.house.script.rollouts.get(&known.service));
         let service = desk.service.clone();
         self.decide(&service, |_| {});
     }
--- a/src/host.rs
+++ b/src/host.rs
@@ -94,7 +94,7 @@
 }
 
 /// One server as the list shows it.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Listing {
     pub server: ServerId,
     pub build: BuildNo,
