--- a/crates/company/src/node.rs
+++ b/crates/company/src/node.rs
@@ -164,6 +164,11 @@
         self.roster.iter().map(|peer| (&peer.member, peer.standing))
     }
 
+    /// Since when a node stands as it does, by the clock of the events; `None` for one that is not known.
+    pub fn since(&self, place: Place) -> Option<Micros> {
+        self.roster.iter().find(|peer| peer.member.place == place).map(|peer| peer.since)
+    }
+
     /// Those of a part that are alive or suspect, without this node.
     pub fn up(&self, part: Part) -> impl Iterator<Item = &Member> {
         self.roster.up().map(|peer| &peer.member).filter(move |member| member.part == part)
--- a/crates/playhouse/src/commands/call.rs
+++ b/crates/playhouse/src/commands/call.rs
@@ -16,7 +16,7 @@
 pub struct At {
     /// A prompter's Control address; may be given several times. Without it: SeedNodes of the settings file
     /// that GARNETDOOR_SETTINGS names.
-    #[arg(long, value_name = "HOST:PORT")]
+    #[arg(long, value_name = "IP:PORT", value_parser = address)]
     pub at: Vec<SocketAddrV4>,
     /// Seconds for which a call is tried, at one machine after the other.
     #[arg(long, value_name = "S", default_value = "10", value_parser = seconds)]
@@ -26,6 +26,10 @@
     pub json: bool,
 }
 
+fn address(text: &str) -> Result<SocketAddrV4, String> {
+    text.parse().map_err(|_| "an IPv4 address and a port expected, such as 10.1.0.18:8649".to_owned())
+}
+
 /// Seconds above 0 as a span.
 pub fn seconds(text: &str) -> Result<Duration, String> {
     let found = text.parse::<f64>().ok().filter(|found| (0.001..=1e6).contains(found));
@@ -37,7 +41,7 @@
         let prompters = if self.at.is_empty() {
             let path = Settings::path().map_err(|_| {
                 Failed::Wrong(
-                    "name a prompter by --at HOST:PORT, or a settings file by GARNETDOOR_SETTINGS".into(),
+                    "name a prompter by --at IP:PORT, or a settings file by GARNETDOOR_SETTINGS".into(),
                 )
             })?;
             Settings::read(&path)?.seed_nodes
--- a/crates/playhouse/src/commands/check.rs
+++ b/crates/playhouse/src/commands/check.rs
@@ -169,7 +169,9 @@
         };
         let faults: String = self.faults.iter().map(line).collect();
         let more = if self.more > 0 { format!("  and {} more\n", self.more) } else { String::new() };
-        format!("{path}: {} faults\n{faults}{more}", self.faults.len() + self.more)
+        let number = self.faults.len() + self.more;
+        let many = if number == 1 { "" } else { "s" };
+        format!("{path}: {number} fault{many}\n{faults}{more}")
     }
 
     fn json(&self) -> OwnedValue {
--- a/crates/playhouse/src/commands/ledger.rs
+++ b/crates/playhouse/src/commands/ledger.rs
@@ -1,11 +1,13 @@
 //! `ledger`: the data folder of a prompter that does not run, read without touching it.
 
 use std::fs::{self, File, TryLockError};
+use std::io::ErrorKind;
+use std::net::Ipv4Addr;
 use std::path::{Path, PathBuf};
 
 use ::ledger::{Ledger, LedgerError, Opened};
-use promptbook::{Members, What};
-use props::{Index, Life};
+use promptbook::{Members, Snapshot, What, Write, WriteNo};
+use props::{Index, Life, Place, Seat, Term};
 use script::{Command, Outcome, Script};
 use simd_json::OwnedValue;
 use simd_json::prelude::*;
@@ -16,6 +18,9 @@
 
 /// The file within a data folder.
 const NAME: &str = "ledger.redb";
+/// A new core's entries and terms begin so far above those of the old one's disk, which may lack the newest:
+/// whoever saw those takes the new core's state for newer than anything it holds.
+const ABOVE: u64 = 1 << 32;
 
 #[derive(Debug, clap::Subcommand)]
 pub enum LedgerVerb {
@@ -44,6 +49,21 @@
         #[arg(long, value_name = "FOLDER", default_value = ".")]
         to: PathBuf,
     },
+    /// Begin a new core from one disk of an old one, of which a majority is lost for good. What that disk had
+    /// not heard of is lost. Without --the-others-are-gone it tells what would be kept, and writes nothing.
+    Begin {
+        /// The data folder that is left; it stays as it is.
+        dir: PathBuf,
+        /// The data folder of the new core's first voter: new, or empty.
+        #[arg(long, value_name = "FOLDER")]
+        to: PathBuf,
+        /// IpAddress of the machine that will run on the new folder.
+        #[arg(long, value_name = "IP")]
+        address: Ipv4Addr,
+        /// No other prompter of the old core runs, nor will again on its old folder. Else there are two cores.
+        #[arg(long)]
+        the_others_are_gone: bool,
+    },
 }
 
 /// What a ledger holds, and the state after its last entry.
@@ -79,11 +99,31 @@
     Failed::Process(format!("{}: {why}", dir.display()).into())
 }
 
+/// Why there is nothing to look at.
+fn nothing(dir: &Path) -> String {
+    let is = match dir.metadata() {
+        Ok(found) if !found.is_dir() => "it is no folder; name the DataDirectory of a prompter",
+        Ok(_) if DiskStore::was_set_aside(dir) => {
+            "no ledger.redb here, but one that was set aside: ledger.bad"
+        }
+        Ok(_) => "no ledger.redb here; name the DataDirectory of a prompter",
+        Err(_) => "there is no such folder",
+    };
+    format!("{}: {is}", dir.display())
+}
+
 /// Reads a copy, since opening a store rewrites it, and a damaged one is to stay as it was found.
 fn hold(dir: &Path) -> Result<Held, Failed> {
     let path = dir.join(NAME);
     let at = |error| Failed::File { path: path.clone(), error };
-    let file = File::open(&path).map_err(at)?;
+    let file = match File::open(&path) {
+        Ok(file) => file,
+        Err(error) if error.kind() == ErrorKind::NotFound => return Err(Failed::Wrong(nothing(dir))),
+        Err(error) => return Err(at(error)),
+    };
+    if file.metadata().map_err(at)?.len() == 0 {
+        return Err(damaged(dir, "ledger.redb is empty: no program of ours left it so"));
+    }
     match file.try_lock_shared() {
         Ok(()) => {}
         Err(TryLockError::WouldBlock) => {
@@ -183,6 +223,9 @@
             }
             LedgerVerb::Verify { dir, json } => verify(dir, *json),
             LedgerVerb::Export { dir, to } => export(dir, to),
+            LedgerVerb::Begin { dir, to, address, the_others_are_gone } => {
+                begin(dir, to, Place(*address), *the_others_are_gone)
+            }
         }
     }
 }
@@ -237,3 +280,63 @@
             .as_bytes(),
     )
 }
+
+/// Writes the state of one disk as the first of a new core of one voter, into a folder of its own. The new
+/// disk has a new life, so that nothing is expected of it that the old one promised, and nobody of the old
+/// core takes its voice for one of theirs.
+fn begin(dir: &Path, to: &Path, place: Place, sure: bool) -> Done {
+    let held = hold(dir)?;
+    if !held.unreadable.is_empty() {
+        return Err(damaged(dir, format!("entries that hold no command of ours: {:?}", held.unreadable)));
+    }
+    if held.last() == Index(0) {
+        let text = format!("{}: it holds nothing; start as on the first start of all", dir.display());
+        return Err(Failed::Wrong(text));
+    }
+    let at = |error| Failed::File { path: to.to_owned(), error };
+    let found = match fs::read_dir(to) {
+        Ok(mut found) => found.next().is_some(),
+        Err(error) if error.kind() == ErrorKind::NotFound => false,
+        Err(error) => return Err(at(error)),
+    };
+    if found {
+        return Err(Failed::Wrong(format!("{}: not empty; name a new folder", to.display())));
+    }
+    let old: Vec<String> = held.members().0.iter().map(|seat| seat.place.to_string()).collect();
+    let kept = format!(
+        "kept: configuration {}, {} services' roll-outs, all up to entry {} of term {}\n\
+         lost: what {} had not heard of, perhaps changes that were acknowledged\n\
+         also kept: what it had heard of and was never acknowledged, after entry {}\n\
+         voters before: {}\n",
+        held.script.version(),
+        held.script.rollouts.len(),
+        held.last().0,
+        held.last_term(),
+        dir.display(),
+        held.opened.saved.committed.0,
+        old.join(", "),
+    );
+    if !sure {
+        print(kept.as_bytes())?;
+        return Err(Failed::Wrong(
+            "nothing is written: stop the others, put their data folders out of reach, and add \
+             --the-others-are-gone"
+                .to_owned(),
+        ));
+    }
+    let failed = |error: LedgerError| Failed::Process(format!("{}: {error}", to.display()).into());
+    let life = Life(crate::house::chance() | 1);
+    let store = DiskStore::open(to).map_err(|error| failed(error.into()))?;
+    let (mut ledger, _) = Ledger::open(store, life).map_err(failed)?;
+    let term = Term(held.opened.saved.term.0.max(held.last_term()) + ABOVE);
+    let index = Index(held.last().0 + ABOVE);
+    let members = Members(vec![Seat { place, life }]);
+    let snapshot = Some(Snapshot { index, term, members, data: held.script.snapshot() });
+    let (no, voted, cut_from, entries) = (WriteNo(1), None, None, Vec::new());
+    let write = Write { no, term, voted, committed: index, cut_from, entries, snapshot };
+    ledger.keep(&write).map_err(failed)?;
+    print(
+        format!("{kept}{} begins a new core: its one voter is {place}/{:x}\n", to.display(), life.0)
+            .as_bytes(),
+    )
+}
--- a/crates/playhouse/src/commands/mod.rs
+++ b/crates/playhouse/src/commands/mod.rs
@@ -5,8 +5,9 @@
 mod check;
 mod config;
 mod ledger;
+mod rehearse;
 mod rollout;
-mod show;
+pub mod show;
 pub mod view;
 
 use std::io::Write as _;
@@ -79,6 +80,14 @@
     Ledger(ledger::LedgerVerb),
     /// Show the whole system at work on loopback, with stand-ins of all that is around it.
     Demo(demo::Line),
+    /// Play days of the whole system in simulated time: runs playhouse-rehearse, which lies beside this
+    /// program.
+    #[command(disable_help_flag = true)]
+    Rehearse {
+        /// As `playhouse rehearse --help` tells them: --seed, --days, --scenario, --plot and more.
+        #[arg(trailing_var_arg = true, allow_hyphen_values = true, value_name = "ARGS")]
+        args: Vec<std::ffi::OsString>,
+    },
     /// Print what a shell completes this program's words by.
     Completions { shell: clap_complete::Shell },
     /// Print the manual page, or write one for each verb into a folder.
@@ -136,7 +145,8 @@
         Err(failed) => {
             let text = failed.to_string();
             if !text.is_empty() {
-                eprintln!("playhouse: {text}");
+                // Nobody can be told that standard error is gone.
+                let _ = writeln!(std::io::stderr().lock(), "playhouse: {text}");
             }
             ExitCode::from(failed.code())
         }
@@ -161,6 +171,7 @@
         Verb::Status { at } => show::status(&at).await,
         Verb::Ledger(verb) => verb.run(),
         Verb::Demo(line) => demo::run(line).await.map_err(Failed::Process),
+        Verb::Rehearse { args } => Err(rehearse::run(&args)),
         Verb::Completions { shell } => {
             let mut bytes = Vec::new();
             clap_complete::generate(shell, &mut Line::command(), "playhouse", &mut bytes);
--- a/crates/playhouse/src/commands/show.rs
+++ b/crates/playhouse/src/commands/show.rs
@@ -76,13 +76,132 @@
 pub async fn status(at: &At) -> Done {
     let status = at.status().await?;
     if at.json {
+        let (mut status, troubles) = (status.clone(), troubles(&status));
+        if let Some(fields) = status.as_object_mut() {
+            fields.insert("Well".to_owned(), troubles.is_empty().into());
+            fields.insert("NotWell".to_owned(), troubles.into());
+        }
         return print_json(&status);
     }
     print(words(&status).as_bytes())
 }
 
-fn words(status: &OwnedValue) -> String {
-    let mut out = format!("{}\n", by(status));
+/// Troubles named in the first line; the others are counted.
+const TROUBLES_MOST: usize = 6;
+
+fn up(standing: &str) -> bool {
+    matches!(standing, "alive" | "suspect")
+}
+
+fn span(seconds: f64) -> String {
+    match seconds {
+        ..120.0 => format!("{seconds:.0} s"),
+        ..7_200.0 => format!("{:.0} min", seconds / 60.0),
+        _ => format!("{:.0} h", seconds / 3_600.0),
+    }
+}
+
+fn number(value: &OwnedValue, key: &str) -> Option<f64> {
+    value.get(key).and_then(|found| found.cast_f64())
+}
+
+/// What is not as it should be, as one prompter knows it; what hurts most comes first.
+pub fn troubles(status: &OwnedValue) -> Vec<String> {
+    let mut found = Vec::new();
+    let members = list(status, "Members");
+    let since = |member: &OwnedValue| match number(member, "SinceS") {
+        Some(seconds) => format!("{} for {}", text(member, "Standing"), span(seconds)),
+        None => text(member, "Standing").to_owned(),
+    };
+    let leads = status.get("Leads").and_then(|leads| leads.as_bool()).unwrap_or(false);
+    if !leads && text(status, "Leader").is_empty() {
+        found.push("nobody is known to lead, so that no change is taken".to_owned());
+    }
+    let voters = list(status, "Voters");
+    let mut lost = Vec::new();
+    for voter in voters {
+        let place = text(voter, "Place");
+        match members.iter().find(|member| text(member, "Place") == place) {
+            Some(member) if up(text(member, "Standing")) => {}
+            Some(member) => {
+                lost.push(format!("voter {} ({place}) is {}", text(member, "Name"), since(member)))
+            }
+            None => lost.push(format!("voter {place} is not known here")),
+        }
+    }
+    let (there, needed) = (voters.len() - lost.len(), voters.len() / 2 + 1);
+    if !lost.is_empty() && there < needed {
+        found.push(format!("{there} of {} voters up, {needed} needed", voters.len()));
+    }
+    let last = !lost.is_empty() && there == needed;
+    found.append(&mut lost);
+    if last {
+        found.push("the next voter lost stops all changes".to_owned());
+    }
+    if (1..3).contains(&voters.len()) {
+        found.push(format!("a core of {} bears no loss: start prompters", voters.len()));
+    }
+    if let Some(disk) = status.get("Disk") {
+        let waits = number(disk, "WaitsS").unwrap_or(0.0);
+        let fails = disk.get("Fails").and_then(|fails| fails.as_bool()).unwrap_or(false);
+        if fails || waits >= 1.0 {
+            let what = if fails { "the disk fails" } else { "the disk hangs" };
+            let name = status.get("Node").map_or("", |node| text(node, "Name"));
+            found.push(format!("{what} at {name}, a write has waited for {}", span(waits)));
+        }
+    }
+    if !voters.is_empty() && matches!(text(status, "ConfigVersion"), "" | "00000000") {
+        found.push("no configuration has been taken yet".to_owned());
+    }
+    let foyers: Vec<&OwnedValue> = members.iter().filter(|member| text(member, "Part") == "foyer").collect();
+    if !foyers.iter().any(|foyer| up(text(foyer, "Standing"))) {
+        found.push("no foyer is up".to_owned());
+    }
+    for foyer in foyers {
+        let name = text(foyer, "Name");
+        let behind = count(foyer, "Behind");
+        if text(foyer, "Standing") == "dead" {
+            found.push(format!("foyer {name} is {}", since(foyer)));
+        } else if up(text(foyer, "Standing")) && behind > 0 {
+            found.push(format!("foyer {name} is behind by {behind} entries"));
+        }
+    }
+    for rollout in list(status, "Rollouts") {
+        let waited = number(rollout, "SinceS").unwrap_or(0.0);
+        let period = number(rollout, "RolloutPeriodS").unwrap_or(f64::MAX);
+        if text(rollout, "State") == "in_progress" && waited > period {
+            let (service, version) = (text(rollout, "Service"), text(rollout, "TargetVersion"));
+            let (waited, period) = (span(waited), span(period));
+            found.push(format!("the roll-out of {service} to {version} waits: {waited} of {period}"));
+        }
+    }
+    for service in list(status, "InstanceCounts") {
+        let (name, silent) = (text(service, "Service"), count(service, "Silent"));
+        if count(service, "InService") == 0 {
+            found.push(format!("{name} has no instance in service"));
+        }
+        if silent > 0 {
+            found.push(format!("{silent} of {name}'s instances silent"));
+        }
+    }
+    found
+}
+
+/// The first line: whether all is well, or what is not.
+fn first(status: &OwnedValue) -> String {
+    let troubles = troubles(status);
+    if troubles.is_empty() {
+        return "all is well".to_owned();
+    }
+    let more = troubles.len().saturating_sub(TROUBLES_MOST);
+    let more = if more > 0 { format!("; and {more} more") } else { String::new() };
+    let told: Vec<String> = troubles.into_iter().take(TROUBLES_MOST).collect();
+    format!("NOT WELL: {}{more}", told.join("; "))
+}
+
+/// The whole for people, as one prompter knows it.
+pub fn words(status: &OwnedValue) -> String {
+    let mut out = format!("{}\n{}\n", first(status), by(status));
     let (committed, applied) = (count(status, "LogCommitted"), count(status, "LogApplied"));
     out.push_str(&format!("term {}, log at {committed}, applied {applied}\n", count(status, "Term")));
     out.push_str(&format!("configuration {}\n", text(status, "ConfigVersion")));
@@ -97,16 +216,15 @@
         let (name, stands) = standing(place);
         vec![name.to_owned(), place.to_owned(), text(voter, "Life").to_owned(), stands.to_owned()]
     };
-    let up =
-        voters.iter().filter(|voter| matches!(standing(text(voter, "Place")).1, "alive" | "suspect")).count();
-    out.push_str(&format!("\nvoters: {} of {} up, {} needed\n", up, voters.len(), voters.len() / 2 + 1));
+    let there = voters.iter().filter(|voter| up(standing(text(voter, "Place")).1)).count();
+    out.push_str(&format!("\nvoters: {} of {} up, {} needed\n", there, voters.len(), voters.len() / 2 + 1));
     out.push_str(&table(&["name", "place", "life", "standing"], voters.iter().map(row).collect()));
     let foyers: Vec<&OwnedValue> = members.iter().filter(|member| text(member, "Part") == "foyer").collect();
-    let ready = foyers.iter().filter(|foyer| matches!(text(foyer, "Standing"), "alive" | "suspect")).count();
+    let ready = foyers.iter().filter(|foyer| up(text(foyer, "Standing"))).count();
     out.push_str(&format!("\nfoyers: {ready} of {} up\n", foyers.len()));
-    let keys = ["Name", "Place", "Zone", "Standing"];
+    let keys = ["Name", "Place", "Zone", "Standing", "Behind"];
     out.push_str(&table(
-        &["name", "place", "zone", "standing"],
+        &["name", "place", "zone", "standing", "behind"],
         foyers.iter().map(|foyer| cells(foyer, &keys)).collect(),
     ));
     let keys = ["Service", "InService", "Silent", "Draining", "Gone"];
--- a/crates/playhouse/src/commands/view.rs
+++ b/crates/playhouse/src/commands/view.rs
@@ -9,9 +9,21 @@
 use simd_json::prelude::*;
 
 use crate::control::Control;
+use crate::house::House;
 
 /// Instances that are listed; more are counted.
 const INSTANCES_MOST: usize = 2048;
+/// Within so long after a change every node that is in touch has it, and has told so.
+const HEARD_WITHIN: Micros = 2 * SECOND;
+
+/// How the writes of this prompter fare.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Disk {
+    /// For how long the oldest write has waited.
+    pub waits: Option<Micros>,
+    /// The disk said that it failed, and nothing has been written since.
+    pub fails: bool,
+}
 
 fn seconds(span: Micros) -> f64 {
     span as f64 / SECOND as f64
@@ -40,15 +52,15 @@
 }
 
 /// The system as this prompter sees it at `now`.
-pub fn view(control: &Control, now: Micros) -> OwnedValue {
+pub fn view(control: &Control, disk: Disk, now: Micros) -> OwnedValue {
     let (house, book) = (&control.house, control.book());
     let seat = control.seat();
     let voters: Vec<OwnedValue> = (book.members().0.iter())
         .map(|seat| simd_json::json!({ "Place": seat.place.to_string(), "Life": life(seat.life) }))
         .collect();
-    let mut members = vec![member(&house.own, "alive")];
+    let mut members = vec![member(house, now, &house.own, "alive")];
     let others = house.company.members().filter(|(member, _)| member.place != house.own.place);
-    members.extend(others.map(|(one, stands)| member(one, standing(stands))));
+    members.extend(others.map(|(one, stands)| member(house, now, one, standing(stands))));
     let rollouts: Vec<OwnedValue> =
         house.script.rollouts.values().map(|rollout| trial(control, now, rollout)).collect();
     let mut counts: BTreeMap<&str, [usize; 4]> = BTreeMap::new();
@@ -79,6 +91,7 @@
         "LogCommitted": book.committed().0,
         "LogApplied": house.script.index().0,
         "ConfigVersion": house.script.version().to_string(),
+        "Disk": { "WaitsS": disk.waits.map(seconds), "Fails": disk.fails },
         "Voters": voters,
         "Members": members,
         "Rollouts": rollouts,
@@ -88,14 +101,18 @@
     })
 }
 
-fn member(member: &company::Member, standing: &str) -> OwnedValue {
+fn member(house: &House, now: Micros, member: &company::Member, standing: &str) -> OwnedValue {
     let part = match member.part {
         Part::Foyer => "foyer",
         Part::Prompter => "prompter",
     };
+    let here = house.board.index().0;
+    let behind = house.holds(member.place, HEARD_WITHIN).map(|index| here.saturating_sub(index.0));
     simd_json::json!({
         "Name": member.name.clone(), "Place": member.place.to_string(), "Life": life(member.life), "Part": part,
         "Zone": member.zone.clone(), "Standing": standing,
+        "SinceS": house.company.since(member.place).map(|since| seconds(now - since)),
+        "Behind": behind,
     })
 }
 
--- a/crates/playhouse/src/demo/operator.rs
+++ b/crates/playhouse/src/demo/operator.rs
@@ -20,7 +20,7 @@
 
 /// A call that had no clear answer in its time.
 #[derive(Debug, thiserror::Error)]
-#[error("no clear answer after {after:?}; the last: {last}")]
+#[error("no clear answer after {:.1} s; the last: {last}", after.as_secs_f64())]
 pub struct Unclear {
     pub after: Duration,
     pub last: String,
@@ -69,7 +69,9 @@
         let mut last = "nobody was asked".to_owned();
         for number in first.. {
             let Some(at) = self.prompters.get(number % self.prompters.len().max(1)) else { break };
-            match follow(*at, ask, SILENCE).await {
+            // The last one asked, too, gets some time.
+            let left = self.patience.saturating_sub(began.elapsed()).clamp(LONGEST_PAUSE, SILENCE);
+            match follow(*at, ask, left).await {
                 Ok(answer) if clear(answer.status) => return Ok(answer),
                 Ok(answer) => last = format!("{at}: {} {}", answer.status, answer.text()),
                 Err(error) => last = error.to_string(),
--- a/crates/playhouse/src/foyer/front.rs
+++ b/crates/playhouse/src/foyer/front.rs
@@ -43,7 +43,7 @@
         }
         count.set(count.get() + 1);
         let (shared, count, mut stopping) = (shared.clone(), count.clone(), stopping.clone());
-        tokio::task::spawn_local(async move {
+        crate::tasks::spawn_local(async move {
             let (clock, limits) = {
                 let foyer = shared.borrow();
                 (foyer.clock, foyer.floor.bill().map(|bill| bill.limits))
@@ -105,7 +105,7 @@
     loop {
         let stream = crate::listen::accept(&listener).await;
         let shared = shared.clone();
-        tokio::task::spawn_local(async move {
+        crate::tasks::spawn_local(async move {
             let service = hyper::service::service_fn(|request: Request<Incoming>| {
                 let answer = match request.uri().path() {
                     "/api/readiness" if shared.borrow().floor.ready() => plain(StatusCode::OK, "{}"),
--- a/crates/playhouse/src/foyer/mod.rs
+++ b/crates/playhouse/src/foyer/mod.rs
@@ -92,8 +92,8 @@
     let shared: Shared = Rc::new(RefCell::new(foyer));
     let (stop, stopping) = tokio::sync::watch::channel(false);
     let listener = crate::listen::bind(frontend, 1024)?;
-    let clients = tokio::task::spawn_local(front::serve(listener, shared.clone(), stopping));
-    tokio::task::spawn_local(front::readiness(crate::listen::bind(readiness, 64)?, shared.clone()));
+    let clients = crate::tasks::spawn_local(front::serve(listener, shared.clone(), stopping));
+    crate::tasks::spawn_local(front::readiness(crate::listen::bind(readiness, 64)?, shared.clone()));
     let mut signals = Signals::start()?;
     let grace = Duration::from_micros(micros(settings.timer_bounds.grace_s) as u64);
     let mut ends: Option<tokio::time::Instant> = None;
@@ -220,7 +220,7 @@
         let (pool, clock, asked) = (self.pool.clone(), self.clock, open.asked.clone());
         let going = Trip { pool, clock, to, asked, until, connections };
         let (foyer, sent) = (shared.clone(), clock.now());
-        let task = tokio::task::spawn_local(async move {
+        let task = crate::tasks::spawn_local(async move {
             let outcome = going.run().await;
             let mut ending = foyer.borrow_mut();
             let took = clock.now() - sent;
--- a/crates/playhouse/src/foyer/pool.rs
+++ b/crates/playhouse/src/foyer/pool.rs
@@ -96,7 +96,7 @@
 
 async fn shake(stream: TcpStream) -> hyper::Result<Sender> {
     let (sender, connection) = Builder::new().handshake(TokioIo::new(stream)).await?;
-    tokio::task::spawn_local(async move {
+    crate::tasks::spawn_local(async move {
         if let Err(error) = connection.await {
             log::debug!("a connection to an instance ended: {error}");
         }
--- a/crates/playhouse/src/foyer/trip.rs
+++ b/crates/playhouse/src/foyer/trip.rs
@@ -234,7 +234,7 @@
             }
             Ok(Ok(false)) => {
                 let (frames, coming) = tokio::sync::mpsc::channel(FRAMES);
-                tokio::task::spawn_local(pass_on(taken.freeze(), body, frames, held, closes, rest));
+                crate::tasks::spawn_local(pass_on(taken.freeze(), body, frames, held, closes, rest));
                 let body = Passed(coming).boxed_unsync();
                 Outcome::Answer { response: Response::from_parts(head, body), ending }
             }
--- a/crates/playhouse/src/house.rs
+++ b/crates/playhouse/src/house.rs
@@ -2,7 +2,7 @@
 //! instances. It moves words and time between the rooms and decides nothing; no I/O, so that rehearsals
 //! drive the same code as the sockets do.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Instant;
 
 use callboard::Callboard;
@@ -88,6 +88,9 @@
     pub cast: Cast,
     pub script: Script,
     unreadable: Option<Index>,
+    /// When the state changed last, and what a prompter heard that others hold, with its moment.
+    applied_at: Micros,
+    holds: BTreeMap<Place, (Index, Micros)>,
     happened: VecDeque<Happened>,
     out: Vec<(Place, Word)>,
 }
@@ -105,7 +108,9 @@
         let cast = Cast::start(own.place, cast::Timing::of_heartbeat(beat), seed ^ 2, now);
         let script = Script::new();
         let (happened, out) = (VecDeque::new(), Vec::new());
-        let mut house = House { own, company, board, cast, script, unreadable: None, happened, out };
+        let (unreadable, applied_at, holds) = (None, now, BTreeMap::new());
+        let mut house =
+            House { own, company, board, cast, script, unreadable, applied_at, holds, happened, out };
         house.company_did(now, effects);
         house
     }
@@ -138,6 +143,26 @@
         self.unreadable
     }
 
+    /// The newest entry that another node is known to hold, where it has told of it since it must have heard
+    /// of what is here: `slack` after the last change. Kept by prompters only.
+    pub fn holds(&self, place: Place, slack: Micros) -> Option<Index> {
+        let (index, at) = self.holds.get(&place)?;
+        (*index >= self.board.index() || *at >= self.applied_at + slack).then_some(*index)
+    }
+
+    /// Notes what a node tells that it holds, for those who look after the system; nothing is decided by it.
+    fn heard_that_it_holds(&mut self, now: Micros, from: Place, message: &callboard::Message) {
+        let index = match message {
+            callboard::Message::Have { index, .. } => *index,
+            callboard::Message::Want { have, .. } => *have,
+            _ => return,
+        };
+        // Bounded by those who are known; others are no nodes of this system yet.
+        if self.own.part == Part::Prompter && self.company.since(from).is_some() {
+            self.holds.insert(from, (index, now));
+        }
+    }
+
     /// What is ordered, as far as it has come here; none before the first configuration.
     pub fn intent(&self) -> Option<intent::Intent> {
         let bill = self.script.bill()?;
@@ -191,6 +216,7 @@
                 self.company_did(now, effects);
             }
             Word::Board(message) => {
+                self.heard_that_it_holds(now, from, &message);
                 let effects = self.board.step(now, callboard::Event::Received { from, message });
                 self.board_did(now, effects);
             }
@@ -240,13 +266,17 @@
     }
 
     fn apply(&mut self, now: Micros, index: Index, data: &[u8], ask: Option<Ask>) {
+        self.applied_at = now;
         let outcome = self.script.apply(now, index, data);
         self.happened.push_back(Happened::Applied { index, outcome, ask });
     }
 
     fn restore(&mut self, now: Micros, index: Index, data: &[u8]) {
         match self.script.restore(now, index, data) {
-            Ok(()) => self.happened.push_back(Happened::Restored),
+            Ok(()) => {
+                self.applied_at = now;
+                self.happened.push_back(Happened::Restored);
+            }
             // What is here is newer; nothing is lacking.
             Err(error @ Broken::Older { .. }) => log::warn!("a state is passed over: {error}"),
             Err(error) => {
@@ -272,6 +302,8 @@
             }
         }
         if changed {
+            let known = &self.company;
+            self.holds.retain(|place, _| known.since(*place).is_some());
             let (hubs, others) = (self.up(Part::Prompter), self.up(Part::Foyer));
             let event = callboard::Event::Peers { hubs: hubs.clone(), others: others.clone() };
             let effects = self.board.step(now, event);
--- a/crates/playhouse/src/lib.rs
+++ b/crates/playhouse/src/lib.rs
@@ -14,3 +14,4 @@
 pub mod ring;
 pub mod settings;
 mod signals;
+pub mod tasks;
--- a/crates/playhouse/src/prompter.rs
+++ b/crates/playhouse/src/prompter.rs
@@ -14,14 +14,15 @@
 use hyper::{Request, Response, StatusCode, header};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use ledger::{Ledger, LedgerError, Opened, StoreError};
-use promptbook::{Members, Saved};
-use props::{Ask, Life, Place, Seat};
+use promptbook::{Members, Saved, WriteNo};
+use props::{Ask, Index, Life, Micros, Place, SECOND, Seat};
 use script::{Command, Outcome};
 use simd_json::prelude::*;
 use tokio::sync::oneshot;
 use wings::{DiskHand, DiskStore, NoteHand, Post};
 
 use crate::calls::{self, Call, Wrong};
+use crate::commands::view::{Disk, view};
 use crate::control::{Control, In, Out, Told};
 use crate::house::{Clock, House, chance};
 use crate::post::send;
@@ -36,6 +37,11 @@
 /// Callers that wait at once; more are answered 503.
 const ASKS_MOST: usize = 4096;
 
+/// A write that waits longer has been left by a disk that hangs.
+const DISK_HANGS: Micros = 3 * SECOND;
+/// Beats that are refused are told of once in so long, since instances come again, all of them.
+const REFUSED_EVERY: Micros = 60 * SECOND;
+
 /// The life of each first voter's disk: all must name the same seats before they have met.
 const FIRST_LIFE: Life = Life(0);
 /// The file of the instances that were known.
@@ -53,6 +59,66 @@
     changed: Rc<tokio::sync::Notify>,
     /// Whether it led after the last step.
     led: bool,
+    writes: Writes,
+    refused: ring::Pace,
+    reverted: Reverted,
+}
+
+/// What this process waits for from its disk.
+#[derive(Default)]
+struct Writes {
+    newest: WriteNo,
+    since: Option<Micros>,
+    fails: bool,
+    /// A hang is told of once.
+    told: bool,
+}
+
+impl Writes {
+    fn handed(&mut self, now: Micros, no: WriteNo) {
+        self.newest = no;
+        self.since.get_or_insert(now);
+    }
+
+    fn answered(&mut self, no: WriteNo, ok: bool) {
+        if !ok {
+            self.fails = true;
+        } else if no == self.newest {
+            (self.since, self.fails, self.told) = (None, false, false);
+        }
+    }
+
+    /// For how long a disk has hung, once for each time.
+    fn hangs(&mut self, now: Micros) -> Option<Micros> {
+        let waited = now - self.since?;
+        if self.told || waited < DISK_HANGS {
+            return None;
+        }
+        self.told = true;
+        Some(waited)
+    }
+}
+
+/// Which roll-outs had gone back, as of an entry.
+#[derive(Default)]
+struct Reverted {
+    at: Index,
+    orders: Vec<(String, String)>,
+}
+
+impl Reverted {
+    /// Those that have gone back since the last look.
+    fn more(&mut self, script: &script::Script) -> Vec<(String, String)> {
+        if script.index() == self.at {
+            return Vec::new();
+        }
+        self.at = script.index();
+        let back = script.rollouts.values().filter(|one| one.state == Some(script::State::Reverted));
+        let orders: Vec<_> = back.map(|one| (one.service.clone(), one.target.clone())).collect();
+        let more = orders.iter().filter(|order| !self.orders.contains(order)).cloned().collect();
+        self.orders = orders;
+        more
+    }
 }
 
 type Shared = Rc<RefCell<Prompter>>;
@@ -98,10 +164,13 @@
         next_ask: 0,
         changed: changed.clone(),
         led: false,
+        writes: Writes::default(),
+        refused: ring::Pace::of(REFUSED_EVERY),
+        reverted: Reverted::default(),
     };
     prompter.carry(out);
     let shared: Shared = Rc::new(RefCell::new(prompter));
-    tokio::task::spawn_local(serve(crate::listen::bind(at, 512)?, shared.clone()));
+    crate::tasks::spawn_local(serve(crate::listen::bind(at, 512)?, shared.clone()));
     let mut signals = Signals::start()?;
     log::info!("prompter {seat} at {at}");
     loop {
@@ -122,6 +191,7 @@
             done = done.recv() => {
                 let Some(done) = done else { return Err("the disk's hand has gone".into()) };
                 let mut prompter = shared.borrow_mut();
+                prompter.writes.answered(done.no, done.ok);
                 prompter.step(In::Written { no: done.no, ok: done.ok });
                 if prompter.disk.refuses() {
                     // What this process holds is not what its disk holds, and never will be.
@@ -184,8 +254,21 @@
 
 impl Prompter {
     fn step(&mut self, event: In) {
-        let out = self.control.step(self.clock.now(), event);
+        let now = self.clock.now();
+        let out = self.control.step(now, event);
         self.carry(out);
+        if let Some(waited) = self.writes.hangs(now) {
+            log::warn!("disk: a write has waited for {} ms", waited / props::MS);
+            ring::spill("a write hangs");
+        }
+        let back = self.reverted.more(&self.control.house.script);
+        // One tells, the one that counted the votes; what foyers saw is in their own rings.
+        if self.control.book().leads() && !back.is_empty() {
+            for (service, version) in back {
+                log::warn!("the roll-out of {service} to {version} has gone back");
+            }
+            ring::spill("a roll-out has gone back");
+        }
         let leads = self.control.book().leads();
         if std::mem::replace(&mut self.led, leads) && !leads {
             ring::spill("leadership was lost");
@@ -198,6 +281,7 @@
                 Out::Send { to, word } => send(&self.post, to, &word),
                 // One that is refused is answered as failed by the hand itself.
                 Out::Write(write) => {
+                    self.writes.handed(self.clock.now(), write.no);
                     self.disk.write(write);
                 }
                 Out::Remember(bytes) => self.memory.keep(bytes),
@@ -210,6 +294,20 @@
         }
     }
 
+    /// A beat or a leave was answered 503: told of at a pace, with how many more there were.
+    fn refused(&mut self, id: &str, why: &str) {
+        if let Some(more) = self.refused.may(self.clock.now()) {
+            let id = &id[..id.floor_char_boundary(64)];
+            log::warn!("a beat of {id} was refused: {why}; {more} more since the last such line");
+            ring::spill("a beat was refused");
+        }
+    }
+
+    fn disk(&self) -> Disk {
+        let waits = self.writes.since.map(|since| self.clock.now() - since);
+        Disk { waits, fails: self.writes.fails }
+    }
+
     /// Begins a call that waits; more than `ASKS_MOST` are not kept.
     fn begin(&mut self, event: impl FnOnce(Ask) -> In) -> oneshot::Receiver<Told> {
         let (reply, told) = oneshot::channel();
@@ -232,7 +330,7 @@
     loop {
         let stream = crate::listen::accept(&listener).await;
         let shared = shared.clone();
-        tokio::task::spawn_local(async move {
+        crate::tasks::spawn_local(async move {
             let service = hyper::service::service_fn(move |request| {
                 let shared = shared.clone();
                 async move { Ok::<_, std::convert::Infallible>(answer(shared, request).await) }
@@ -319,16 +417,17 @@
         Call::Status => {
             let prompter = shared.borrow();
             let now = prompter.clock.now();
-            reply(StatusCode::OK, crate::commands::view::view(&prompter.control, now).encode())
+            reply(StatusCode::OK, view(&prompter.control, prompter.disk(), now).encode())
         }
         Call::Heartbeat(id) => {
             let beat = calls::beat(id, body)?;
+            let id = beat.id.clone();
             let told = shared.borrow_mut().begin(|ask| In::Beat { ask, beat });
-            beaten(shared, told).await
+            beaten(shared, &id.0, told).await
         }
         Call::Detach(id) => {
-            let told = shared.borrow_mut().begin(|ask| In::Detach { ask, id });
-            beaten(shared, told).await
+            let told = shared.borrow_mut().begin(|ask| In::Detach { ask, id: id.clone() });
+            beaten(shared, &id.0, told).await
         }
     })
 }
@@ -352,15 +451,20 @@
     tokio::time::timeout(CALL_WAIT, told).await.ok()?.ok()
 }
 
-async fn beaten(shared: &Shared, told: oneshot::Receiver<Told>) -> Answer {
-    match wait(told).await {
+async fn beaten(shared: &Shared, id: &str, told: oneshot::Receiver<Told>) -> Answer {
+    let told = wait(told).await;
+    match told {
         Some(Told::Beat { target }) => {
             let port = shared.borrow().settings.control_port();
             let text =
                 target.map_or("{}".to_owned(), |place| format!("{{\"HeartbeatTarget\":\"{place}:{port}\"}}"));
             reply(StatusCode::OK, text)
         }
-        _ => unavailable("not known to others in time"),
+        told => {
+            let why = if told.is_some() { "not known to others" } else { "no answer in time" };
+            shared.borrow_mut().refused(id, why);
+            unavailable("not known to others in time")
+        }
     }
 }
 
--- a/crates/playhouse/src/ring.rs
+++ b/crates/playhouse/src/ring.rs
@@ -20,6 +20,10 @@
 const LINE_BYTES: usize = 400;
 /// No spill within so long of the one before.
 const SPILL_EVERY: Micros = 10 * SECOND;
+/// Lines written at once: so many in a burst, then one in so long. Where a fault repeats with each datagram or
+/// connection, writing all of it would cost more than the fault; the ring keeps the last of them anyway.
+const BURST: u32 = 60;
+const LINE_EVERY: Micros = SECOND;
 /// Packages whose lines are kept; others' say little about what this system did.
 const OWN: [&str; 11] = [
     "playhouse",
@@ -78,17 +82,29 @@
     }
 }
 
-/// When the ring may be written out.
-#[derive(Clone, Copy, Debug, Default)]
+/// When something may be written: the ring, or a line that a storm would repeat.
+#[derive(Clone, Copy, Debug)]
 pub struct Pace {
+    every: Micros,
     last: Option<Micros>,
     held: u64,
 }
 
+impl Default for Pace {
+    fn default() -> Pace {
+        Pace::of(SPILL_EVERY)
+    }
+}
+
 impl Pace {
+    /// Once in so long.
+    pub fn of(every: Micros) -> Pace {
+        Pace { every, last: None, held: 0 }
+    }
+
     /// Whether it may be now, by the steady clock; and how many times it was held back since the last.
     pub fn may(&mut self, now: Micros) -> Option<u64> {
-        if self.last.is_some_and(|last| now - last < SPILL_EVERY) {
+        if self.last.is_some_and(|last| now - last < self.every) {
             self.held += 1;
             return None;
         }
@@ -97,6 +113,36 @@
     }
 }
 
+/// How many lines may be written at once.
+#[derive(Clone, Copy, Debug)]
+pub struct Allowance {
+    most: u32,
+    every: Micros,
+    left: u32,
+    filled: Micros,
+    held: u64,
+}
+
+impl Allowance {
+    /// `most` in a burst, then one in `every`.
+    pub fn of(most: u32, every: Micros) -> Allowance {
+        Allowance { most, every, left: most, filled: 0, held: 0 }
+    }
+
+    /// Whether one may be now, by the steady clock; and how many were held back since the last.
+    pub fn may(&mut self, now: Micros) -> Option<u64> {
+        let due = (now - self.filled) / self.every;
+        self.left = u32::try_from(due).map_or(self.most, |due| self.left.saturating_add(due).min(self.most));
+        self.filled += due * self.every;
+        if self.left == 0 {
+            self.held += 1;
+            return None;
+        }
+        self.left -= 1;
+        Some(std::mem::take(&mut self.held))
+    }
+}
+
 /// A line in the making, on the stack: what is too long is cut, and nothing is allocated.
 struct Line {
     bytes: [u8; LINE_BYTES],
@@ -119,6 +165,8 @@
     began: Instant,
     ring: Mutex<Ring>,
     pace: Mutex<Pace>,
+    /// None where more than warnings are asked for: whoever does so wants them all.
+    allowance: Option<Mutex<Allowance>>,
 }
 
 fn lock<T>(what: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -149,6 +197,18 @@
         lock(&self.ring).push(&line.bytes[..line.used]);
     }
 
+    fn write(&self, record: &Record<'_>) {
+        if let Some(allowance) = self.allowance.as_ref().filter(|_| self.out.matches(record)) {
+            let Some(held) = lock(allowance).may(self.now()) else { return };
+            if held > 0 {
+                let mut line = Record::builder();
+                line.level(Level::Warn).target(module_path!());
+                self.out.log(&line.args(format_args!("{held} lines were left out here")).build());
+            }
+        }
+        self.out.log(record);
+    }
+
     fn spill(&self, reason: &str) {
         let Some(held) = lock(&self.pace).may(self.now()) else { return };
         let (text, dropped) = lock(&self.ring).take();
@@ -170,7 +230,7 @@
         if kept {
             self.keep(record);
         }
-        self.out.log(record);
+        self.write(record);
         if kept && record.level() == Level::Error {
             self.spill("a line at error");
         }
@@ -187,12 +247,15 @@
 pub fn install(written: LevelFilter, kept: LevelFilter) {
     let out = env_logger::Builder::new().filter_level(written).parse_default_env().build();
     let most = out.filter().max(kept);
+    let few = out.filter() <= LevelFilter::Warn;
+    let allowance = few.then(|| Mutex::new(Allowance::of(BURST, LINE_EVERY)));
     let recorder = RECORDER.get_or_init(|| Recorder {
         out,
         level: kept,
         began: Instant::now(),
         ring: Mutex::new(Ring::new(if kept == LevelFilter::Off { 0 } else { RING_BYTES })),
         pace: Mutex::new(Pace::default()),
+        allowance,
     });
     if log::set_logger(recorder).is_err() {
         return;
