--- a/crates/playhouse/src/commands/config.rs
+++ b/crates/playhouse/src/commands/config.rs
@@ -115,6 +115,45 @@
     keys.into_iter().filter_map(differs).collect()
 }
 
+/// The fields in which two values differ, a line each: its path, what it was, what it is.
+fn fields(path: &str, before: &OwnedValue, after: &OwnedValue, out: &mut String) {
+    if before == after {
+        return;
+    }
+    let (Some(was), Some(is)) = (before.as_object(), after.as_object()) else {
+        out.push_str(&format!("    {path}: {} -> {}\n", before.encode(), after.encode()));
+        return;
+    };
+    let mut keys: Vec<&String> = was.keys().chain(is.keys()).collect();
+    keys.sort();
+    keys.dedup();
+    for key in keys {
+        let path = joined(path, key);
+        match (was.get(key), is.get(key)) {
+            (Some(was), Some(is)) => fields(&path, was, is, out),
+            (Some(was), None) => out.push_str(&format!("    {path}: {} -> nothing\n", was.encode())),
+            (None, Some(is)) => out.push_str(&format!("    {path}: nothing -> {}\n", is.encode())),
+            (None, None) => {}
+        }
+    }
+}
+
+/// All fields of an item that comes or goes.
+fn leaves(path: &str, value: &OwnedValue, out: &mut String) {
+    let Some(object) = value.as_object().filter(|object| !object.is_empty()) else {
+        return out.push_str(&format!("    {path}: {}\n", value.encode()));
+    };
+    let mut keys: Vec<&String> = object.keys().collect();
+    keys.sort();
+    for key in keys {
+        leaves(&joined(path, key), &object[key], out);
+    }
+}
+
+fn joined(path: &str, key: &str) -> String {
+    if path.is_empty() { key.to_owned() } else { format!("{path}.{key}") }
+}
+
 async fn diff(at: &At, path: &Path) -> Done {
     let bytes = read(path)?;
     let now = current(at).await?;
@@ -143,12 +182,18 @@
         let mut out = format!("{} in force, {} in {}\n", before.version, after.version, path.display());
         for differs in &found {
             out.push_str(&format!("{} {} {}\n", differs.sign, differs.kind, differs.name));
-            for (sign, value) in [('-', &differs.before), ('+', &differs.after)] {
-                if let Some(value) = value {
-                    out.push_str(&format!("    {sign} {}\n", value.encode()));
+            match (&differs.before, &differs.after) {
+                (Some(before), Some(after)) => fields("", before, after, &mut out),
+                (one, other) => {
+                    for value in one.iter().chain(other) {
+                        leaves("", value, &mut out);
+                    }
                 }
             }
         }
+        if found.is_empty() {
+            out.push_str("no difference\n");
+        }
         print(out.as_bytes())?;
     }
     if found.is_empty() { Ok(()) } else { Err(Failed::NotWell) }
--- a/crates/playhouse/src/commands/ledger.rs
+++ b/crates/playhouse/src/commands/ledger.rs
@@ -48,6 +48,9 @@
         /// The folder that the files are written to.
         #[arg(long, value_name = "FOLDER", default_value = ".")]
         to: PathBuf,
+        /// Print JSON, for scripts.
+        #[arg(long)]
+        json: bool,
     },
     /// Begin a new core from one disk of an old one, of which a majority is lost for good. What that disk had
     /// not heard of is lost. Without --the-others-are-gone it tells what would be kept, and writes nothing.
@@ -63,6 +66,9 @@
         /// No other prompter of the old core runs, nor will again on its old folder. Else there are two cores.
         #[arg(long)]
         the_others_are_gone: bool,
+        /// Print JSON, for scripts.
+        #[arg(long)]
+        json: bool,
     },
 }
 
@@ -222,9 +228,9 @@
                 if *json { print_json(&held.json()) } else { print(words(&held).as_bytes()) }
             }
             LedgerVerb::Verify { dir, json } => verify(dir, *json),
-            LedgerVerb::Export { dir, to } => export(dir, to),
-            LedgerVerb::Begin { dir, to, address, the_others_are_gone } => {
-                begin(dir, to, Place(*address), *the_others_are_gone)
+            LedgerVerb::Export { dir, to, json } => export(dir, to, *json),
+            LedgerVerb::Begin { dir, to, address, the_others_are_gone, json } => {
+                begin(dir, to, Place(*address), *the_others_are_gone, *json)
             }
         }
     }
@@ -263,7 +269,7 @@
     if sound { Ok(()) } else { Err(Failed::NotWell) }
 }
 
-fn export(dir: &Path, to: &Path) -> Done {
+fn export(dir: &Path, to: &Path, json: bool) -> Done {
     let held = hold(dir)?;
     fs::create_dir_all(to).map_err(|error| Failed::File { path: to.to_owned(), error })?;
     let write = |name: &str, bytes: &[u8]| {
@@ -275,6 +281,11 @@
     if let Some(bill) = held.script.bill() {
         write("configuration.json", &bill.text())?;
     }
+    if json {
+        return print_json(&simd_json::json!({
+            "Folder": to.display().to_string(), "ConfigVersion": version.to_string(), "Last": held.last().0,
+        }));
+    }
     print(
         format!("configuration {version}, as of entry {}, is in {}\n", held.last().0, to.display())
             .as_bytes(),
@@ -284,7 +295,7 @@
 /// Writes the state of one disk as the first of a new core of one voter, into a folder of its own. The new
 /// disk has a new life, so that nothing is expected of it that the old one promised, and nobody of the old
 /// core takes its voice for one of theirs.
-fn begin(dir: &Path, to: &Path, place: Place, sure: bool) -> Done {
+fn begin(dir: &Path, to: &Path, place: Place, sure: bool, json: bool) -> Done {
     let held = hold(dir)?;
     if !held.unreadable.is_empty() {
         return Err(damaged(dir, format!("entries that hold no command of ours: {:?}", held.unreadable)));
@@ -302,22 +313,36 @@
     if found {
         return Err(Failed::Wrong(format!("{}: not empty; name a new folder", to.display())));
     }
-    let old: Vec<String> = held.members().0.iter().map(|seat| seat.place.to_string()).collect();
-    let kept = format!(
-        "kept: configuration {}, {} services' roll-outs, all up to entry {} of term {}\n\
-         lost: what {} had not heard of, perhaps changes that were acknowledged\n\
-         also kept: what it had heard of and was never acknowledged, after entry {}\n\
-         voters before: {}\n",
-        held.script.version(),
-        held.script.rollouts.len(),
-        held.last().0,
-        held.last_term(),
-        dir.display(),
-        held.opened.saved.committed.0,
-        old.join(", "),
-    );
+    let told = |voter: Option<Seat>| {
+        if json {
+            let voter = voter.map(|seat| seat.to_string());
+            return print_json(&simd_json::json!({
+                "Folder": to.display().to_string(), "Begun": voter.is_some(), "Voter": voter,
+                "ConfigVersion": held.script.version().to_string(), "Last": held.last().0,
+                "LastTerm": held.last_term(), "Committed": held.opened.saved.committed.0,
+            }));
+        }
+        let old: Vec<String> = held.members().0.iter().map(|seat| seat.place.to_string()).collect();
+        let begun =
+            voter.map(|seat| format!("{} begins a new core: its one voter is {seat}\n", to.display()));
+        let kept = format!(
+            "kept: configuration {}, roll-outs of {} services, all up to entry {} of term {}\n\
+             lost: what {} had not heard of, perhaps changes that were acknowledged\n\
+             also kept: entries after {}, perhaps never acknowledged\n\
+             voters before: {}\n{}",
+            held.script.version(),
+            held.script.rollouts.len(),
+            held.last().0,
+            held.last_term(),
+            dir.display(),
+            held.opened.saved.committed.0,
+            old.join(", "),
+            begun.unwrap_or_default(),
+        );
+        print(kept.as_bytes())
+    };
     if !sure {
-        print(kept.as_bytes())?;
+        told(None)?;
         return Err(Failed::Wrong(
             "nothing is written: stop the others, put their data folders out of reach, and add \
              --the-others-are-gone"
@@ -335,8 +360,5 @@
     let (no, voted, cut_from, entries) = (WriteNo(1), None, None, Vec::new());
     let write = Write { no, term, voted, committed: index, cut_from, entries, snapshot };
     ledger.keep(&write).map_err(failed)?;
-    print(
-        format!("{kept}{} begins a new core: its one voter is {place}/{:x}\n", to.display(), life.0)
-            .as_bytes(),
-    )
+    told(Some(Seat { place, life }))
 }
--- a/crates/playhouse/src/commands/rollout.rs
+++ b/crates/playhouse/src/commands/rollout.rs
@@ -1,5 +1,6 @@
 //! `rollout`: new versions of services, ordered and watched.
 
+use std::io::{IsTerminal, Write as _};
 use std::time::Duration;
 
 use hyper::{Method, StatusCode};
@@ -65,6 +66,9 @@
     let path: String = service.bytes().map(in_path).collect();
     let ask = Ask::new(Method::GET, &format!("/api/Rollouts.Retrieve/{path}"));
     let mut last = String::new();
+    let began = std::time::Instant::now();
+    // Only for somebody who looks on; a script gets the states alone.
+    let looked_at = std::io::stderr().is_terminal();
     loop {
         let answer = at.ask(&ask).await?;
         if answer.status == StatusCode::NOT_FOUND {
@@ -73,7 +77,20 @@
         let value = json(&good(answer)?.body);
         let value = value.ok_or_else(|| Failed::NoAnswer("the answer is no JSON".to_owned()))?;
         let (state, version) = (text(&value, "State").to_owned(), text(&value, "TargetVersion"));
+        if looked_at {
+            let waited = began.elapsed().as_secs();
+            let mut to = std::io::stderr().lock();
+            // Nobody can be told that standard error is gone.
+            let _ = match state.as_str() {
+                "completed" | "reverted" => write!(to, "\r\x1b[K"),
+                _ => write!(to, "\r\x1b[K{service} {version}: {state}, watched for {waited} s"),
+            };
+            let _ = to.flush();
+        }
         if state != last {
+            if looked_at {
+                let _ = write!(std::io::stderr().lock(), "\r\x1b[K");
+            }
             if at.json {
                 print_json(&value)?;
             } else {
--- a/crates/playhouse/src/lib.rs
+++ b/crates/playhouse/src/lib.rs
@@ -15,3 +15,4 @@
 pub mod settings;
 mod signals;
 pub mod tasks;
+pub mod troubles;
--- a/crates/playhouse/src/prompter.rs
+++ b/crates/playhouse/src/prompter.rs
@@ -14,8 +14,8 @@
 use hyper::{Request, Response, StatusCode, header};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use ledger::{Ledger, LedgerError, Opened, StoreError};
-use promptbook::{Members, Saved, WriteNo};
-use props::{Ask, Index, Life, Micros, Place, SECOND, Seat};
+use promptbook::{Members, Saved};
+use props::{Ask, Life, Micros, Place, SECOND, Seat};
 use script::{Command, Outcome};
 use simd_json::prelude::*;
 use tokio::sync::oneshot;
@@ -29,6 +29,7 @@
 use crate::ring;
 use crate::settings::{Settings, micros};
 use crate::signals::{Signals, Told as Signal};
+use crate::troubles::{Reverted, Writes};
 
 /// Bytes of a call's body at most.
 const BODY_MOST: usize = 8 << 20;
@@ -37,8 +38,6 @@
 /// Callers that wait at once; more are answered 503.
 const ASKS_MOST: usize = 4096;
 
-/// A write that waits longer has been left by a disk that hangs.
-const DISK_HANGS: Micros = 3 * SECOND;
 /// Beats that are refused are told of once in so long, since instances come again, all of them.
 const REFUSED_EVERY: Micros = 60 * SECOND;
 
@@ -64,63 +63,6 @@
     reverted: Reverted,
 }
 
-/// What this process waits for from its disk.
-#[derive(Default)]
-struct Writes {
-    newest: WriteNo,
-    since: Option<Micros>,
-    fails: bool,
-    /// A hang is told of once.
-    told: bool,
-}
-
-impl Writes {
-    fn handed(&mut self, now: Micros, no: WriteNo) {
-        self.newest = no;
-        self.since.get_or_insert(now);
-    }
-
-    fn answered(&mut self, no: WriteNo, ok: bool) {
-        if !ok {
-            self.fails = true;
-        } else if no == self.newest {
-            (self.since, self.fails, self.told) = (None, false, false);
-        }
-    }
-
-    /// For how long a disk has hung, once for each time.
-    fn hangs(&mut self, now: Micros) -> Option<Micros> {
-        let waited = now - self.since?;
-        if self.told || waited < DISK_HANGS {
-            return None;
-        }
-        self.told = true;
-        Some(waited)
-    }
-}
-
-/// Which roll-outs had gone back, as of an entry.
-#[derive(Default)]
-struct Reverted {
-    at: Index,
-    orders: Vec<(String, String)>,
-}
-
-impl Reverted {
-    /// Those that have gone back since the last look.
-    fn more(&mut self, script: &script::Script) -> Vec<(String, String)> {
-        if script.index() == self.at {
-            return Vec::new();
-        }
-        self.at = script.index();
-        let back = script.rollouts.values().filter(|one| one.state == Some(script::State::Reverted));
-        let orders: Vec<_> = back.map(|one| (one.service.clone(), one.target.clone())).collect();
-        let more = orders.iter().filter(|order| !self.orders.contains(order)).cloned().collect();
-        self.orders = orders;
-        more
-    }
-}
-
 type Shared = Rc<RefCell<Prompter>>;
 type Answer = Response<Full<Bytes>>;
 type Failed = Box<dyn std::error::Error>;
@@ -304,8 +246,8 @@
     }
 
     fn disk(&self) -> Disk {
-        let waits = self.writes.since.map(|since| self.clock.now() - since);
-        Disk { waits, fails: self.writes.fails }
+        let (waits, fails) = self.writes.stand(self.clock.now());
+        Disk { waits, fails }
     }
 
     /// Begins a call that waits; more than `ASKS_MOST` are not kept.
