--- a/crates/playhouse/src/lib.rs
+++ b/crates/playhouse/src/lib.rs
@@ -14,3 +14,5 @@
 pub mod ring;
 pub mod settings;
 mod signals;
+pub mod tasks;
+pub mod troubles;
