--- a/crates/playhouse/src/prompter.rs
+++ b/crates/playhouse/src/prompter.rs
@@ -58,6 +58,8 @@
     changed: Rc<tokio::sync::Notify>,
     /// Whether it led after the last step.
     led: bool,
+    /// It was told to end: to lead no more is then as it should be.
+    ending: bool,
     writes: Writes,
     refused: ring::Pace,
     reverted: Reverted,
@@ -106,6 +108,7 @@
         next_ask: 0,
         changed: changed.clone(),
         led: false,
+        ending: false,
         writes: Writes::default(),
         refused: ring::Pace::of(REFUSED_EVERY),
         reverted: Reverted::default(),
@@ -115,8 +118,8 @@
     crate::tasks::spawn_local(serve(crate::listen::bind(at, 512)?, shared.clone()));
     let mut signals = Signals::start()?;
     log::info!("prompter {seat} at {at}");
-    let mut ending = false;
     loop {
+        let ending = shared.borrow().ending;
         if ending && !shared.borrow().control.hands_over() {
             break;
         }
@@ -152,8 +155,9 @@
             signal = signals.next() => match signal {
                 Signal::End if ending => break,
                 Signal::End => {
-                    ending = true;
-                    shared.borrow_mut().step(In::Leave);
+                    let mut prompter = shared.borrow_mut();
+                    prompter.ending = true;
+                    prompter.step(In::Leave);
                 }
                 Signal::Reload => match Settings::path().and_then(|path| Settings::read(&path)) {
                     Ok(settings) => shared.borrow_mut().step(In::Seeds { places: settings.seeds() }),
@@ -219,7 +223,7 @@
             ring::spill("a roll-out has gone back");
         }
         let leads = self.control.book().leads();
-        if std::mem::replace(&mut self.led, leads) && !leads {
+        if std::mem::replace(&mut self.led, leads) && !leads && !self.ending {
             ring::spill("leadership was lost");
         }
     }
