--- a/crates/playhouse/src/foyer/mod.rs
+++ b/crates/playhouse/src/foyer/mod.rs
@@ -1,6 +1,8 @@
 //! Foyer (data plane): takes requests from clients and has them answered by instances; which, whether and
 //! how often is decided in `garnetdoor`. A driver: sockets, timers, signals.
 
+mod cloakroom;
+mod crowd;
 mod front;
 mod pool;
 mod trip;
@@ -24,6 +26,8 @@
 use crate::post::send;
 use crate::settings::{Settings, micros};
 use crate::signals::{Signals, Told as Signal};
+use cloakroom::Cloakroom;
+use crowd::Crowd;
 use pool::{Body, Pool};
 use trip::{Asked, Outcome, Trip};
 
@@ -31,6 +35,8 @@
 const STILL_COMING: Duration = Duration::from_millis(2_600);
 /// Of `GraceS`, so much is left for the end itself.
 const END_BEFORE: Duration = Duration::from_millis(700);
+/// Of that, so much for the last answers to leave.
+const LAST_WORDS: Duration = Duration::from_millis(400);
 const TIDY_EVERY: Micros = SECOND;
 
 /// How a request ends.
@@ -60,6 +66,7 @@
     open: HashMap<TicketId, Open>,
     next_ticket: u64,
     pool: Rc<RefCell<Pool>>,
+    cloakroom: Cloakroom,
     tidy_due: Micros,
     changed: Rc<tokio::sync::Notify>,
 }
@@ -86,13 +93,16 @@
         open: HashMap::new(),
         next_ticket: 0,
         pool: Rc::default(),
+        cloakroom: Cloakroom::of_memory(settings.limit_set.memory_mb * 1e6),
         tidy_due: 0,
         changed: changed.clone(),
     };
     let shared: Shared = Rc::new(RefCell::new(foyer));
     let (stop, stopping) = tokio::sync::watch::channel(false);
     let listener = crate::listen::bind(frontend, 1024)?;
-    let clients = tokio::task::spawn_local(front::serve(listener, shared.clone(), stopping));
+    let crowd: Rc<Crowd> = Rc::default();
+    let clients =
+        tokio::task::spawn_local(front::serve(listener, shared.clone(), crowd.clone(), stopping.clone()));
     tokio::task::spawn_local(front::readiness(crate::listen::bind(readiness, 64)?, shared.clone()));
     let mut signals = Signals::start()?;
     let grace = Duration::from_micros(micros(settings.timer_bounds.grace_s) as u64);
@@ -105,9 +115,7 @@
             if !*stop.borrow() && since >= STILL_COMING {
                 let _ = stop.send(true);
             }
-            if told >= end
-                || (*stop.borrow() && shared.borrow().open.is_empty() && since >= STILL_COMING * 5 / 4)
-            {
+            if told >= end {
                 break;
             }
         }
@@ -122,6 +130,8 @@
             }
             _ = tokio::time::sleep_until(due) => shared.borrow_mut().tick(&shared),
             _ = changed.notified() => {}
+            // All that was taken has been answered to the last byte.
+            () = crowd.gone(), if *stop.borrow() && clients.is_finished() => break,
             signal = signals.next() => match signal {
                 Signal::End if ends.is_none() => {
                     shared.borrow_mut().step(&shared, In::Leave);
@@ -138,9 +148,7 @@
         }
     }
     shared.borrow_mut().step(&shared, In::Stops);
-    // What was answered last still has to leave.
-    tokio::time::sleep(Duration::from_millis(100)).await;
-    clients.abort();
+    let _ = tokio::time::timeout(LAST_WORDS, crowd.gone()).await;
     Ok(())
 }
 
@@ -218,7 +226,8 @@
         let Some(open) = self.open.get_mut(&ticket) else { return };
         let until = until.unwrap_or(open.until).min(open.until);
         let (pool, clock, asked) = (self.pool.clone(), self.clock, open.asked.clone());
-        let going = Trip { pool, clock, to, asked, until, connections };
+        let coat = self.cloakroom.coat();
+        let going = Trip { pool, clock, to, asked, until, connections, coat };
         let (foyer, sent) = (shared.clone(), clock.now());
         let task = tokio::task::spawn_local(async move {
             let outcome = going.run().await;
--- a/crates/playhouse/src/foyer/watch.rs
+++ b/crates/playhouse/src/foyer/watch.rs
@@ -4,13 +4,21 @@
 use std::cell::Cell;
 use std::pin::Pin;
 use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 
-use hyper::rt::{Read, ReadBufCursor, Write};
+use hyper::rt::{Read, ReadBuf, ReadBufCursor, Write};
 use props::Micros;
 
 use crate::house::Clock;
 
+/// How long, and for how many bytes, a client that still sends what nobody wants is read after its answer. Closed
+/// with bytes unread, the connection would be reset, and the answer be lost with it.
+const LINGER: Duration = Duration::from_secs(1);
+const LINGER_BYTES: usize = 4 << 20;
+
 /// What a connection is about, and since when.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Doing {
@@ -25,6 +33,10 @@
 pub struct Watch {
     clock: Clock,
     doing: Rc<Cell<Doing>>,
+    /// Since when the client has taken nothing of what is to be written.
+    stuck: Rc<Cell<Option<Micros>>>,
+    /// Some of the request's body has not been read. Bodies, which tell it, must be `Send`.
+    unread: Arc<AtomicBool>,
 }
 
 /// What is due of a connection that is watched.
@@ -34,13 +46,23 @@
     At(Micros),
     /// It has been idle for too long: it may end.
     End,
-    /// A head has taken too long: it is cut, so that slow senders hold nothing.
+    /// A head has taken too long, or a client takes nothing of its answer: it is cut, so that slow ones hold nothing.
     Cut,
 }
 
 impl Watch {
     pub fn start(clock: Clock) -> Watch {
-        Watch { clock, doing: Rc::new(Cell::new(Doing::Idle(clock.now()))) }
+        let doing = Rc::new(Cell::new(Doing::Idle(clock.now())));
+        Watch { clock, doing, stuck: Rc::default(), unread: Arc::default() }
+    }
+
+    pub fn doing(&self) -> Doing {
+        self.doing.get()
+    }
+
+    /// Whether some of the request's body is unread; shared with the body.
+    pub fn unread(&self) -> &Arc<AtomicBool> {
+        &self.unread
     }
 
     /// A whole head has been read, or its answer is done.
@@ -54,9 +76,27 @@
         }
     }
 
-    /// What is due now, by `head` and `idle` at most.
+    /// Some of what is to be written could go out, or nothing of it.
+    fn wrote(&self, some: bool) {
+        match (some, self.stuck.get()) {
+            (false, None) => self.stuck.set(Some(self.clock.now())),
+            (true, Some(_)) => {
+                self.stuck.set(None);
+                // What came of the next head meanwhile was not waited for.
+                if let Doing::Head(_) = self.doing.get() {
+                    self.doing.set(Doing::Head(self.clock.now()));
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// What is due now, by `head` and `idle` at most; a client that takes nothing has as long as an idle one.
     pub fn due(&self, head: Micros, idle: Micros) -> Due {
         let now = self.clock.now();
+        if let Some(since) = self.stuck.get() {
+            return if now >= since + idle { Due::Cut } else { Due::At((since + idle).min(now + head)) };
+        }
         match self.doing.get() {
             Doing::Idle(since) if now >= since + idle => Due::End,
             Doing::Head(since) if now >= since + head => Due::Cut,
@@ -70,8 +110,16 @@
 
 /// A connection whose bytes are watched.
 pub struct Watched<T> {
-    pub io: T,
-    pub watch: Watch,
+    io: T,
+    watch: Watch,
+    /// Nothing more is written; until then, and for so many bytes more, the client is read.
+    lingers: Option<(Pin<Box<tokio::time::Sleep>>, usize)>,
+}
+
+impl<T> Watched<T> {
+    pub fn new(io: T, watch: Watch) -> Watched<T> {
+        Watched { io, watch, lingers: None }
+    }
 }
 
 impl<T: Read + Unpin> Read for Watched<T> {
@@ -84,11 +132,13 @@
     }
 }
 
-impl<T: Write + Unpin> Write for Watched<T> {
+impl<T: Read + Write + Unpin> Write for Watched<T> {
     fn poll_write(
         mut self: Pin<&mut Self>, context: &mut Context<'_>, bytes: &[u8],
     ) -> Poll<std::io::Result<usize>> {
-        Pin::new(&mut self.io).poll_write(context, bytes)
+        let wrote = Pin::new(&mut self.io).poll_write(context, bytes);
+        self.watch.wrote(wrote.is_ready());
+        wrote
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<std::io::Result<()>> {
@@ -96,7 +146,28 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut self.io).poll_shutdown(context)
+        if self.lingers.is_none() {
+            ready!(Pin::new(&mut self.io).poll_shutdown(context))?;
+            let head = matches!(self.watch.doing(), Doing::Head(_));
+            if !head && !self.watch.unread.load(Ordering::Relaxed) {
+                return Poll::Ready(Ok(()));
+            }
+        }
+        let this = &mut *self;
+        let (until, left) =
+            this.lingers.get_or_insert_with(|| (Box::pin(tokio::time::sleep(LINGER)), LINGER_BYTES));
+        let mut bytes = [std::mem::MaybeUninit::uninit(); 4096];
+        while *left > 0 && until.as_mut().poll(context).is_pending() {
+            let mut buffer = ReadBuf::uninit(&mut bytes);
+            match Pin::new(&mut this.io).poll_read(context, buffer.unfilled()) {
+                Poll::Pending => return Poll::Pending,
+                Poll::Ready(Ok(())) if !buffer.filled().is_empty() => {
+                    *left = left.saturating_sub(buffer.filled().len());
+                }
+                Poll::Ready(_) => break,
+            }
+        }
+        Poll::Ready(Ok(()))
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -106,7 +177,9 @@
     fn poll_write_vectored(
         mut self: Pin<&mut Self>, context: &mut Context<'_>, parts: &[std::io::IoSlice<'_>],
     ) -> Poll<std::io::Result<usize>> {
-        Pin::new(&mut self.io).poll_write_vectored(context, parts)
+        let wrote = Pin::new(&mut self.io).poll_write_vectored(context, parts);
+        self.watch.wrote(wrote.is_ready());
+        wrote
     }
 }
 
@@ -126,5 +199,11 @@
         assert!(matches!(watch.due(0, 0), Due::At(_)), "what is served is not ended");
         watch.served(true);
         assert_eq!(watch.due(head, 0), Due::End, "its answer is done: it is idle again");
+        watch.bytes_came();
+        watch.wrote(false);
+        assert!(matches!(watch.due(0, idle), Due::At(_)), "half a head behind an answer that still goes out");
+        assert_eq!(watch.due(head, 0), Due::Cut, "the client takes nothing of its answer");
+        watch.wrote(true);
+        assert!(matches!(watch.due(head, 0), Due::At(_)), "it takes some, and its next head begins anew");
     }
 }
