--- a/crates/playhouse/src/demo/stage.rs
+++ b/crates/playhouse/src/demo/stage.rs
@@ -292,6 +292,11 @@
         }
     }
 
+    /// The process of a node, while it runs or has not been looked at since.
+    pub fn pid(&self, number: NodeNo) -> Option<u32> {
+        self.nodes[number.0].child.as_ref().map(Child::id)
+    }
+
     /// SIGKILL, at once and without a farewell; the disk stays. The settings say from now on that this is no first
     /// start of the whole system.
     pub fn kill(&mut self, number: NodeNo) -> Result<(), StageError> {
--- a/crates/playhouse/src/foyer/crowd.rs
+++ b/crates/playhouse/src/foyer/crowd.rs
@@ -1,4 +1,4 @@
-//! Crowd (the clients' connections that are open): how many, and which of them give way when there are too many.
+//! Crowd (the clients' connections that are open): how many, and which give way when there are too many.
 
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -33,14 +33,14 @@
         self.all.borrow().len()
     }
 
-    /// A place for one more; none where `most` are open and nothing gives way.
-    pub fn enter(self: &Rc<Crowd>, most: usize, watch: &Watch) -> Option<Place> {
-        let few = (most / AT_ONCE).max(1);
+    /// A place for one more; none where `most` are open and all of them are served.
+    pub async fn enter(self: &Rc<Crowd>, most: usize, watch: &Watch) -> Option<Place> {
         if self.len() >= most {
-            self.give_way(few);
+            self.give_way((most / AT_ONCE).max(1));
+            // Those that give way end in turns of their own.
+            tokio::task::yield_now().await;
         }
-        // Those that give way end in turns of their own.
-        if self.len() >= most + few {
+        if self.len() >= most {
             return None;
         }
         let (number, yields) = (self.next.get(), Rc::new(Notify::new()));
--- a/crates/playhouse/src/foyer/front.rs
+++ b/crates/playhouse/src/foyer/front.rs
@@ -38,17 +38,17 @@
 /// Takes clients until told to stop; then ends idle connections and lets the others finish.
 pub async fn serve(listener: TcpListener, shared: Shared, crowd: Rc<Crowd>, stopping: watch::Receiver<bool>) {
     let most = (shared.borrow().settings.limit_set.fd_limit * CLIENTS_SHARE).max(64.0) as usize;
-    let take = |stream| {
+    let take = async |stream| {
         let watch = Watch::start(shared.borrow().clock);
         // Without a place it is closed unread, so that the client may go elsewhere.
-        if let Some(place) = crowd.enter(most, &watch) {
+        if let Some(place) = crowd.enter(most, &watch).await {
             tokio::task::spawn_local(attend(stream, shared.clone(), watch, place, stopping.clone()));
         }
     };
     let mut told = stopping.clone();
     loop {
         tokio::select! {
-            stream = crate::listen::accept(&listener) => take(stream),
+            stream = crate::listen::accept(&listener) => take(stream).await,
             _ = told.changed() => break,
         }
     }
@@ -61,7 +61,7 @@
     })
     .await
     {
-        take(stream);
+        take(stream).await;
     }
 }
 
@@ -93,6 +93,7 @@
     let connection = hyper::server::conn::http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(None)
+        .max_header_size(header_bytes as usize)
         .max_buf_size((header_bytes as usize).clamp(8192, 1 << 20))
         .serve_connection(Watched::new(TokioIo::new(stream), watch.clone()), service);
     let mut connection = std::pin::pin!(connection);
@@ -223,8 +224,8 @@
     answer
 }
 
-/// Brings a request's target to the form that instances are asked in, a path and a query; where it named a host,
-/// that one holds (RFC 9112, 3.2.2). `None` where it can't be told what is asked.
+/// Brings a request's target to the form that instances are asked in, a path and a query; where it named a
+/// host, that one holds (RFC 9112, 3.2.2). `None` where it can't be told what is asked.
 fn origin_form(head: &mut hyper::http::request::Parts) -> Option<()> {
     if head.headers.get_all(header::HOST).iter().count() > 1 || head.method == hyper::Method::CONNECT {
         return None;
--- a/crates/playhouse/src/foyer/pool.rs
+++ b/crates/playhouse/src/foyer/pool.rs
@@ -15,8 +15,8 @@
 pub type Failed = Box<dyn std::error::Error + Send + Sync>;
 pub type Body = UnsyncBoxBody<Bytes, Failed>;
 
-/// A connection to an instance. Dropped, it is closed at once, whatever is still under way on it: what it would
-/// still bring belongs to no request, and what it still takes counts at the instance.
+/// A connection to an instance. Dropped, it is closed at once, whatever is still under way on it: what it
+/// would still bring belongs to no request, and what it still takes counts at the instance.
 pub struct Wire {
     pub sender: SendRequest<Body>,
     carries: tokio::task::AbortHandle,
@@ -110,8 +110,11 @@
 }
 
 async fn shake(stream: TcpStream) -> hyper::Result<Wire> {
-    let (sender, connection) =
-        Builder::new().max_buf_size(READ_AHEAD).handshake(TokioIo::new(stream)).await?;
+    let (sender, connection) = Builder::new()
+        .max_header_size(READ_AHEAD)
+        .max_buf_size(READ_AHEAD)
+        .handshake(TokioIo::new(stream))
+        .await?;
     let task = tokio::task::spawn_local(async move {
         if let Err(error) = connection.await {
             log::debug!("a connection to an instance ended: {error}");
--- a/crates/playhouse/src/foyer/trip.rs
+++ b/crates/playhouse/src/foyer/trip.rs
@@ -317,7 +317,7 @@
     End,
 }
 
-/// Hands on the rest of a large answer as fast as the client takes it, until `until` or until the client has gone.
+/// Hands on the rest of a large answer as fast as the client takes it, until `until` or the client has gone.
 async fn pass_on(
     first: Bytes, mut body: Incoming, pieces: tokio::sync::mpsc::Sender<Piece>, mut held: Held, closes: bool,
     rest: Option<Micros>, until: tokio::time::Instant,
--- a/crates/playhouse/src/foyer/watch.rs
+++ b/crates/playhouse/src/foyer/watch.rs
@@ -14,8 +14,8 @@
 
 use crate::house::Clock;
 
-/// How long, and for how many bytes, a client that still sends what nobody wants is read after its answer. Closed
-/// with bytes unread, the connection would be reset, and the answer be lost with it.
+/// How long, and for how many bytes, a client that still sends what nobody wants is read after its answer.
+/// Closed with bytes unread, the connection would be reset, and the answer be lost with it.
 const LINGER: Duration = Duration::from_secs(1);
 const LINGER_BYTES: usize = 4 << 20;
 
@@ -46,7 +46,7 @@
     At(Micros),
     /// It has been idle for too long: it may end.
     End,
-    /// A head has taken too long, or a client takes nothing of its answer: it is cut, so that slow ones hold nothing.
+    /// A head has taken too long, or a client takes nothing of its answer: it is cut, to hold nothing.
     Cut,
 }
 
