--- a/crates/playhouse/src/foyer/front.rs
+++ b/crates/playhouse/src/foyer/front.rs
@@ -30,6 +30,9 @@
 const KEPT: usize = 512 << 10;
 /// Client connections at once, of the descriptors that the machine has.
 const CLIENTS_SHARE: f64 = 0.6;
+/// The kernel may have taken connections, with requests on them, that are not known here when the listener is
+/// to close: so long they are still accepted, and then read.
+const LAST_LOOK: Duration = Duration::from_millis(50);
 /// Before any configuration: bounds of a head and of idleness, and bytes of a head.
 const UNTOLD: (Micros, Micros) = (3 * SECOND, 15 * SECOND);
 const HEADER_BYTES: u64 = 16 << 10;
@@ -53,16 +56,12 @@
         }
     }
     // Those that the kernel has taken already would be reset.
-    while let Some(Ok((stream, _))) = std::future::poll_fn(|context| {
-        Poll::Ready(match listener.poll_accept(context) {
-            Poll::Ready(came) => Some(came),
-            Poll::Pending => None,
-        })
-    })
-    .await
-    {
-        take(stream).await;
-    }
+    let rest = async {
+        loop {
+            take(crate::listen::accept(&listener).await).await;
+        }
+    };
+    let _: Result<(), _> = tokio::time::timeout(LAST_LOOK, rest).await;
 }
 
 /// One client's connection, to its end.
@@ -97,13 +96,18 @@
         .max_buf_size((header_bytes as usize).clamp(8192, 1 << 20))
         .serve_connection(Watched::new(TokioIo::new(stream), watch.clone()), service);
     let mut connection = std::pin::pin!(connection);
-    let (mut at, mut stops) = (clock.now() + head.min(idle), false);
+    let (mut at, mut stops, late) = (clock.now() + head.min(idle), false, *stopping.borrow());
     let ended = loop {
         tokio::select! {
             // First, so that a request that is there already is read before the end.
             biased;
             ended = connection.as_mut() => break ended,
-            _ = stopping.wait_for(|stop| *stop), if !stops => {
+            () = async {
+                let _ = stopping.wait_for(|stop| *stop).await;
+                if late {
+                    tokio::time::sleep(LAST_LOOK).await;
+                }
+            }, if !stops => {
                 stops = true;
                 connection.as_mut().graceful_shutdown();
             }
--- a/crates/playhouse/tests/rough.rs
+++ b/crates/playhouse/tests/rough.rs
@@ -1017,6 +1017,20 @@
             assert_eq!((answer.status(), answer.header("Connection")), (200, "close"), "{attempt}");
             assert!(line.ends().await, "{attempt}");
         }
+        // One is in the kernel's queue when the listener closes: the process stands still over that moment.
+        let pid = house.stage.pid(foyer).expect("it runs").to_string();
+        let stand = |signal: &str| {
+            let told = std::process::Command::new("kill").args([signal, &pid]).status();
+            assert!(told.expect("a program that sends signals").success());
+        };
+        tokio::time::sleep_until((told + Duration::from_millis(2_300)).into()).await;
+        stand("-STOP");
+        let mut queued = house.line().await;
+        queued.say(&asks("GET /view/1", "queued", 2_000, "", b"")).await;
+        tokio::time::sleep_until((told + Duration::from_millis(2_700)).into()).await;
+        stand("-CONT");
+        let taken = queued.answer().await.expect("an answer");
+        assert_eq!((taken.status(), taken.header("Connection")), (200, "close"));
         // Only when nobody else is taken any more do idle ones end, in order.
         assert!(idle.ends().await);
         while TcpStream::connect(house.front()).await.is_ok() {
