--- a/crates/rehearsal/src/main.rs
+++ b/crates/rehearsal/src/main.rs
@@ -76,7 +76,7 @@
     /// Most seconds for each start.
     #[arg(long, default_value_t = 600)]
     seconds: u64,
-    /// Most states kept for each start; about 2 KB each.
+    /// Most states kept for each start; about 1 KB each.
     #[arg(long, default_value_t = 4_000_000)]
     states: usize,
 }
