--- a/crates/promptbook/src/book.rs
+++ b/crates/promptbook/src/book.rs
@@ -205,12 +205,12 @@
         self.log.get(index)
     }
 
-    /// A hash of all that decides what it does from `now` on, so that a checker finds out which states are the
-    /// same. Instants are told by how far they are, and no farther than anything depends on.
+    /// A hash of all that decides what it does from `now` on, so that a checker finds out which states
+    /// are the same. Instants are told by how far they are, and no farther than anything depends on.
     ///
-    /// Of a drawn wait (`deadline`) only the election spans are told that it lasts at most, and the generator is not
-    /// told at all: whoever lets timers ring at will misses only the exact lengths. Write numbers, and what the
-    /// last `Effect::Leader` said, follow from the rest.
+    /// Of a drawn wait (`deadline`) only the election spans are told that it lasts at most, and the
+    /// generator is not told at all: whoever lets timers ring at will misses only the exact lengths.
+    /// Write numbers, and what the last `Effect::Leader` said, follow from the rest.
     pub fn fingerprint(&self, now: Micros) -> u64 {
         let mut marks = Marks::new(self.now.max(now));
         let Promptbook {
--- a/crates/promptbook/src/mark.rs
+++ b/crates/promptbook/src/mark.rs
@@ -4,7 +4,8 @@
 
 use props::Micros;
 
-/// A hash of 64 bits that gathers marks of a state. Not for input that somebody could choose to make two alike.
+/// A hash of 64 bits that gathers marks of a state. Not for input that somebody could choose to make two
+/// alike.
 pub struct Marks {
     now: Micros,
     sum: u64,
--- a/crates/rehearsal/src/exhaust/stage.rs
+++ b/crates/rehearsal/src/exhaust/stage.rs
@@ -1,4 +1,5 @@
-//! One state of a few machines with the real `Promptbook` each: what can happen next, and what must never have.
+//! One state of a few machines with the real `Promptbook` each: what can happen next, and what must never
+//! have.
 //!
 //! Machines are shared between states and copied when something happens to them. Each has a clock of its own,
 //! which moves when its timer rings or when it is frozen for a while, and not otherwise.
--- a/crates/rehearsal/src/exhaust/starts.rs
+++ b/crates/rehearsal/src/exhaust/starts.rs
@@ -124,7 +124,8 @@
     stage.run(Step::Synced { at: at as u8 });
 }
 
-/// One machine comes to lead by the votes of those that are not cut off, and its first entry is committed there.
+/// One machine comes to lead by the votes of those that are not cut off, and its first entry is committed
+/// there.
 fn elect(stage: &mut Stage, at: usize, cut: &[usize]) {
     for _ in 0..3 {
         if !stage.machines[at].book.leads() {
--- a/crates/rehearsal/tests/exhaust.rs
+++ b/crates/rehearsal/tests/exhaust.rs
@@ -1,5 +1,5 @@
-//! Every order of a few steps of the ordered log breaks nothing, and each planted fault is found by a shortest
-//! path. The counts of states are held, so that an exploration that has become narrower is seen.
+//! Every order of a few steps of the ordered log breaks nothing, and each planted fault is found by a
+//! shortest path. The counts of states are held, so that an exploration that has become narrower is seen.
 
 use rehearsal::exhaust::{Bounds, Explored, Plan, Planted, Rule, Start, explore};
 
