--- a/crates/promptbook/src/book.rs
+++ b/crates/promptbook/src/book.rs
@@ -239,11 +239,12 @@
             places,
             next_knock,
             hasty,
+            leaving,
             told: _,
             out: _,
         } = self;
         marks.put((own, term, voted, log, commit, applied, leader, verified));
-        marks.put((owes_vote, owes_round, coming, places, hasty));
+        marks.put((owes_vote, owes_round, coming, places, hasty, leaving));
         disk.mark(&mut marks, HUNG_ELECTIONS * timing.election);
         if leader.is_none() {
             // Where there is a leader, the next knock is set anew when it is gone.
--- a/crates/rehearsal/src/exhaust/stage.rs
+++ b/crates/rehearsal/src/exhaust/stage.rs
@@ -97,6 +97,8 @@
     pub doubles: u8,
     /// Times that a state is kept, so that the log is cut.
     pub keeps: u8,
+    /// Machines that are told to end in order; they go on until they are ended.
+    pub leaves: u8,
     /// Words in flight; one that is sent beyond is lost.
     pub in_flight: u8,
 }
@@ -141,6 +143,9 @@
     Keep {
         at: u8,
     },
+    Leave {
+        at: u8,
+    },
 }
 
 /// A word on its way.
@@ -288,6 +293,7 @@
             may(left.wipes > 0, Step::Wipe { at });
             may(left.freezes > 0, Step::Freeze { at });
             may(left.keeps > 0 && machine.seen > Index(0), Step::Keep { at });
+            may(left.leaves > 0, Step::Leave { at });
         }
     }
 
@@ -382,6 +388,11 @@
                 self.step(at.into(), Event::Kept { index, data });
                 at.into()
             }
+            Step::Leave { at } => {
+                less(&mut self.left.leaves);
+                self.step(at.into(), Event::Leave);
+                at.into()
+            }
         }
     }
 
@@ -635,6 +646,7 @@
             Step::Propose { at } => format!("machine {at}: a change is proposed"),
             Step::Read { at } => format!("machine {at}: a read is asked"),
             Step::Keep { at } => format!("machine {at}: its state is kept, the log can be cut"),
+            Step::Leave { at } => format!("machine {at}: is told to end"),
         }
     }
 
@@ -764,6 +776,7 @@
         Word::Piece { index, at, .. } => format!("a piece of the state at {} from {at} on", index.0),
         Word::Taken { index, upto, .. } => format!("I have {upto} bytes of the state at {}", index.0),
         Word::Late => "there is a newer term".into(),
+        Word::Go { next } => format!("I go, {next} is to stand"),
     };
     format!("{said} (term {})", term.0)
 }
