--- /dev/null
+++ b/crates/understudy/src/targets/orders.rs
@@ -0,0 +1,171 @@
+//! The ordered state: commands of the log, and states that stand in for them.
+
+use props::{Index, Version};
+use script::{Command, Outcome, Script};
+
+use super::{BILL, CHANGE, mark_faults};
+use crate::shapes::{frames, joined};
+use crate::{Cost, Shape, Signature, Target};
+
+/// Commands on an empty state, one a frame.
+pub struct Commands;
+
+fn some() -> Vec<Command> {
+    let named = |service: &str| (service.to_owned(), "v1".to_owned());
+    let (service, version) = named("s");
+    vec![
+        Command::Replace { base: Version(0), text: BILL.into() },
+        Command::Seen { service: service.clone(), version },
+        Command::Rollout { service: service.clone(), target: "v2".into(), period: 9_000_000 },
+        Command::Verdict { service: service.clone(), number: 2, completed: true },
+        Command::Modify { base: Version(2), text: CHANGE.into() },
+        Command::Rollout { service: "t".into(), target: "v3".into(), period: 1 },
+        Command::Verdict { service: "t".into(), number: 3, completed: false },
+        Command::Rollout { service: "t".into(), target: "v3".into(), period: 1 },
+    ]
+}
+
+fn mark(signature: &mut Signature, outcome: &Outcome) {
+    signature.mark("status", u64::from(outcome.status()));
+    match outcome {
+        Outcome::Invalid(faults) => mark_faults(signature, faults),
+        Outcome::Conflict(why) | Outcome::Unknown(why) => {
+            signature.text("why", why.split(' ').next().unwrap_or(""));
+        }
+        Outcome::Taken => signature.mark("outcome", 0),
+        Outcome::Again => signature.mark("outcome", 1),
+        Outcome::Raced { .. } => signature.mark("outcome", 2),
+        Outcome::Unreadable => signature.mark("outcome", 3),
+        Outcome::Old => signature.mark("outcome", 4),
+    }
+}
+
+/// What is kept of a state makes the same state.
+fn kept(script: &Script) {
+    let state = script.snapshot();
+    let mut again = Script::new();
+    again.restore(0, script.index(), &state).expect("a state that was kept is taken");
+    assert_eq!(again.snapshot(), state, "it reads back the same");
+}
+
+impl Target for Commands {
+    fn name(&self) -> &'static str {
+        "commands"
+    }
+
+    fn shape(&self) -> Shape {
+        Shape::Frames(&Shape::Packed)
+    }
+
+    fn seeds(&self) -> Vec<Vec<u8>> {
+        let bytes: Vec<Vec<u8>> = some().iter().map(Command::to_bytes).collect();
+        vec![joined(&bytes), joined(&bytes[..3]), joined(&bytes[1..2])]
+    }
+
+    fn cost(&self) -> Cost {
+        Cost { fixed: 3 << 20, each: 2_000 }
+    }
+
+    fn run(&mut self, input: &[u8]) -> Signature {
+        let mut signature = Signature::default();
+        let mut script = Script::new();
+        let mut variants = 0u64;
+        for (at, bytes) in frames(input).into_iter().take(12).enumerate() {
+            let command = Command::from_bytes(bytes);
+            let before = script.snapshot();
+            let index = Index(at as u64 + 1);
+            let checked = command.as_ref().map(|command| script.check(command));
+            let outcome = script.apply(at as i64, index, bytes);
+            mark(&mut signature, &outcome);
+            assert_eq!(script.index(), index, "an entry is applied once");
+            assert_eq!(script.apply(at as i64, index, bytes), Outcome::Old, "and never again");
+            if outcome != Outcome::Taken {
+                assert_eq!(script.snapshot(), before, "a refusal changes nothing");
+            }
+            let Some(command) = command else {
+                assert_eq!(outcome, Outcome::Unreadable);
+                continue;
+            };
+            assert_eq!(checked, Some(if outcome == Outcome::Taken { Ok(()) } else { Err(outcome) }));
+            let again = Command::from_bytes(&command.to_bytes());
+            assert_eq!(again.as_ref(), Some(&command), "what is read can be written");
+            let tag = u64::from(bytes.first().copied().unwrap_or(0));
+            variants = variants << 3 | tag;
+            signature.mark("tag", tag);
+            signature.mark("order", variants & 0o777);
+        }
+        signature.bucket("services", script.rollouts.len() as u64);
+        kept(&script);
+        signature
+    }
+}
+
+/// A state that comes to a node which has one.
+pub struct State {
+    script: Script,
+    state: Vec<u8>,
+}
+
+impl State {
+    pub fn new() -> State {
+        let mut script = Script::new();
+        for (at, command) in some().iter().take(3).enumerate() {
+            let outcome = script.apply(0, Index(at as u64 + 1), &command.to_bytes());
+            assert_eq!(outcome, Outcome::Taken);
+        }
+        State { state: script.snapshot(), script }
+    }
+}
+
+impl Default for State {
+    fn default() -> State {
+        State::new()
+    }
+}
+
+impl Target for State {
+    fn name(&self) -> &'static str {
+        "state"
+    }
+
+    fn shape(&self) -> Shape {
+        Shape::Packed
+    }
+
+    fn seeds(&self) -> Vec<Vec<u8>> {
+        vec![self.state.clone(), Script::new().snapshot()]
+    }
+
+    fn cost(&self) -> Cost {
+        Cost { fixed: 3 << 20, each: 2_000 }
+    }
+
+    fn run(&mut self, input: &[u8]) -> Signature {
+        let mut signature = Signature::default();
+        let mut script = self.script.clone();
+        match script.restore(1, Index(9), input) {
+            Ok(()) => {
+                signature.bucket("services", script.rollouts.len() as u64);
+                signature.mark("bill", u64::from(script.bill().is_some()));
+                signature.bucket("rollouts", script.rollouts.len() as u64);
+                for rollout in script.rollouts.values() {
+                    signature.mark("state", rollout.state.map_or(9, |state| state as u64));
+                    signature.mark("current", u64::from(rollout.current.is_some()));
+                    signature.bucket("number", u64::from(rollout.number));
+                }
+                kept(&script);
+                for (at, command) in some().into_iter().enumerate() {
+                    let _ = script.check_at(i64::MAX / 2, &command);
+                    mark(&mut signature, &script.apply(2, Index(10 + at as u64), &command.to_bytes()));
+                }
+                kept(&script);
+            }
+            Err(error) => {
+                assert_eq!(script.snapshot(), self.state, "the state before stands");
+                assert_eq!(script.index(), self.script.index());
+                signature.text("error", &error.to_string());
+            }
+        }
+        signature
+    }
+}
--- /dev/null
+++ b/crates/understudy/src/targets/words.rs
@@ -0,0 +1,283 @@
+//! What nodes say to each other: frames of words, at a prompter and at a foyer that know some things already.
+
+use std::net::Ipv4Addr;
+
+use cast::{Beat, InstanceId};
+use company::{Member, Part};
+use playhouse::control::{Control, In, Out};
+use playhouse::house::{House, Word};
+use promptbook::{Members, Saved};
+use props::{Ask, Life, MS, Micros, Place, SECOND, Seat, Version};
+use script::{Command, Tally, Voice, Vote};
+
+use super::BILL;
+use crate::shapes::{frames, joined};
+use crate::{Cost, Shape, Signature, Target};
+
+/// Words of one input at most.
+const WORDS: usize = 8;
+
+/// A frame is the sender's number, then the word.
+pub struct Words {
+    /// What was said in a sound hour, by the one that said it.
+    said: Vec<Vec<u8>>,
+}
+
+fn place(number: u8) -> Place {
+    Place(Ipv4Addr::new(10, 0, 0, number))
+}
+
+fn member(number: u8) -> Member {
+    // Prompters first.
+    let part = if number <= 3 { Part::Prompter } else { Part::Foyer };
+    Member {
+        place: place(number),
+        life: Life(number.into()),
+        part,
+        zone: "z".into(),
+        name: format!("n{number}"),
+    }
+}
+
+fn seat(number: u8) -> Seat {
+    Seat { place: place(number), life: Life(0) }
+}
+
+fn house(number: u8, now: Micros) -> House {
+    let seeds = (1..=3).map(place).collect();
+    House::start(member(number), seeds, 1_500_000, number.into(), now)
+}
+
+fn prompter(number: u8, now: Micros) -> (Control, Vec<Out>) {
+    let voters = Members((1..=3).map(seat).collect());
+    let house = house(number, now);
+    let (mut control, out) =
+        Control::start(house, seat(number), Some(voters), Saved::default(), number.into(), now);
+    control.check_intent(now, 2_500_000);
+    (control, out)
+}
+
+fn beat(number: u8, sequence: u64, draining: bool) -> Beat {
+    Beat {
+        id: InstanceId(format!("i{number}")),
+        service: "s".into(),
+        address: format!("10.0.1.{number}:80").parse().expect("an address"),
+        zone: "z".into(),
+        version: "v1".into(),
+        slots: 4,
+        draining,
+        warmup_left: 0,
+        sequence,
+    }
+}
+
+fn vote(number: u32) -> Word {
+    let routes = vec![Tally { route: 3, trial: 9, failed: 1, base: 100, base_failed: 1 }];
+    let (service, voice, age) = ("s".to_owned(), Voice::On, 2 * SECOND);
+    Word::Vote(Vote { service, number, voice, trial: 40, failed: 1, base: 300, base_failed: 2, age, routes })
+}
+
+impl Default for Words {
+    fn default() -> Words {
+        Words::new()
+    }
+}
+
+/// Three prompters and a foyer in touch; what each says comes at once.
+struct Hall {
+    now: Micros,
+    prompters: Vec<Control>,
+    foyer: House,
+    mail: Vec<(u8, Place, Vec<u8>)>,
+}
+
+impl Hall {
+    fn start() -> Hall {
+        let mut hall = Hall { now: 0, prompters: Vec::new(), foyer: house(4, 0), mail: Vec::new() };
+        for number in 1..=3 {
+            let (control, out) = prompter(number, 0);
+            hall.prompters.push(control);
+            hall.took(number, out);
+        }
+        hall
+    }
+
+    fn took(&mut self, number: u8, out: Vec<Out>) {
+        let mut out = std::collections::VecDeque::from(out);
+        while let Some(one) = out.pop_front() {
+            match one {
+                Out::Send { to, word } => self.post(number, to, &word),
+                Out::Write(write) => out.extend(self.step(number, In::Written { no: write.no, ok: true })),
+                Out::Remember(_) | Out::Tell { .. } => {}
+            }
+        }
+    }
+
+    fn post(&mut self, from: u8, to: Place, word: &Word) {
+        self.mail.push((from, to, postcard::to_stdvec(word).expect("a word can be written")));
+    }
+
+    fn step(&mut self, number: u8, event: In) -> Vec<Out> {
+        self.prompters[usize::from(number) - 1].step(self.now, event)
+    }
+
+    /// Hands over what was said, and what is said to that; returns all of it.
+    fn deliver(&mut self) -> Vec<(u8, Vec<u8>)> {
+        let mut said = Vec::new();
+        for (at, word) in self.foyer.out() {
+            self.post(4, at, &word);
+        }
+        for _ in 0..4 {
+            for (from, to, bytes) in std::mem::take(&mut self.mail) {
+                said.push((from, bytes.clone()));
+                let number = to.0.octets()[3];
+                if number == 4 {
+                    self.foyer.received(self.now, place(from), &bytes);
+                    while self.foyer.happened().is_some() {}
+                    for (at, word) in self.foyer.out() {
+                        self.post(4, at, &word);
+                    }
+                } else if (1..=3).contains(&number) {
+                    let out = self.step(number, In::Mail { from: place(from), bytes });
+                    self.took(number, out);
+                }
+            }
+        }
+        said
+    }
+}
+
+impl Words {
+    pub fn new() -> Words {
+        let mut hall = Hall::start();
+        let mut said: Vec<Vec<u8>> = Vec::new();
+        let mut kinds = std::collections::BTreeMap::new();
+        for round in 0..200u32 {
+            hall.now += 50 * MS;
+            for number in 1..=3 {
+                let event = match (round, number) {
+                    (80, 1..=3) => {
+                        let command = Command::Replace { base: Version(0), text: BILL.into() };
+                        In::Order { ask: Ask(80), command }
+                    }
+                    (90, 1) => In::Beat { ask: Ask(90), beat: beat(1, 1, false) },
+                    (94, 2) => In::Beat { ask: Ask(94), beat: beat(2, 1, false) },
+                    (100, 2) => In::Beat { ask: Ask(100), beat: beat(2, 2, true) },
+                    (120, 1..=3) => {
+                        let (service, target) = ("s".into(), "v2".into());
+                        In::Order {
+                            ask: Ask(120),
+                            command: Command::Rollout { service, target, period: SECOND },
+                        }
+                    }
+                    _ => In::Tick,
+                };
+                let out = hall.step(number, event);
+                hall.took(number, out);
+            }
+            hall.foyer.tick(hall.now);
+            while hall.foyer.happened().is_some() {}
+            if round % 40 == 39 {
+                for to in 1..=3 {
+                    hall.post(4, place(to), &vote(2));
+                }
+            }
+            for (from, bytes) in hall.deliver() {
+                // A few of each kind, by its two outer tags and its length.
+                let kind = (bytes[0], bytes.get(1).copied(), bytes.len().ilog2(), from == 4);
+                let count = kinds.entry(kind).or_insert(0);
+                *count += 1;
+                if *count <= 2 {
+                    said.push([&[from], &bytes[..]].concat());
+                }
+            }
+        }
+        Words { said }
+    }
+}
+
+impl Target for Words {
+    fn name(&self) -> &'static str {
+        "words"
+    }
+
+    fn shape(&self) -> Shape {
+        Shape::Frames(&Shape::Packed)
+    }
+
+    fn seeds(&self) -> Vec<Vec<u8>> {
+        let singles = self.said.iter().map(|word| joined([word]));
+        singles.chain(self.said.chunks(WORDS).map(joined)).collect()
+    }
+
+    fn cost(&self) -> Cost {
+        Cost { fixed: 24 << 20, each: 4_000 }
+    }
+
+    fn run(&mut self, input: &[u8]) -> Signature {
+        let mut signature = Signature::default();
+        let mut now = 0;
+        let (mut control, out) = prompter(1, now);
+        drop(out);
+        let mut foyer = house(5, now);
+        for frame in frames(input).into_iter().take(WORDS) {
+            let Some((from, bytes)) = frame.split_first() else { continue };
+            let from = place(from % 6);
+            now += 20 * MS;
+            let read: Result<Word, _> = postcard::from_bytes(bytes);
+            let tag = u64::from(bytes.first().copied().unwrap_or(0));
+            signature.mark("read", u64::from(read.is_ok()) << 8 | tag);
+            let before = (foyer.script.index(), foyer.board.index(), foyer.cast.changes());
+            // What time alone made it say.
+            while foyer.happened().is_some() {}
+            drop(foyer.out());
+            foyer.received(now, from, bytes);
+            let mut happened = 0;
+            while foyer.happened().is_some() {
+                happened += 1;
+            }
+            let said = foyer.out().len();
+            match read {
+                Ok(word) => {
+                    let written = postcard::to_stdvec(&word).expect("what is read can be written");
+                    let again: Word = postcard::from_bytes(&written).expect("and read again");
+                    assert_eq!(postcard::to_stdvec(&again).as_ref(), Ok(&written), "it reads back the same");
+                    let inner = u64::from(bytes.get(1).copied().unwrap_or(0));
+                    signature.mark("inner", (tag << 8 | inner) << 8 | u64::from(said.min(3) as u8));
+                }
+                Err(_) => {
+                    let after = (foyer.script.index(), foyer.board.index(), foyer.cast.changes());
+                    assert_eq!((after, happened, said), (before, 0, 0), "what can't be read does nothing");
+                }
+            }
+            assert!(foyer.script.index() >= before.0 && foyer.board.index() >= before.1, "nothing goes back");
+            signature.bucket("happened", tag << 8 | happened);
+            let known = control.house.script.index();
+            let mut out = control.step(now, In::Mail { from, bytes: bytes.to_vec() });
+            let mut turns = 0;
+            while let Some(at) = out.iter().position(|out| matches!(out, Out::Write(_))) {
+                let Out::Write(write) = out.remove(at) else { break };
+                signature.mark("write", tag << 2 | u64::from(write.snapshot.is_some()) << 1);
+                out.extend(control.step(now, In::Written { no: write.no, ok: true }));
+                turns += 1;
+                assert!(turns < 100, "a word has an end");
+            }
+            signature.bucket("out", tag << 8 | out.len() as u64);
+            assert!(control.house.script.index() >= known, "nothing goes back");
+            out = control.step(now, In::Tick);
+            foyer.tick(now);
+            drop(out);
+        }
+        // What was taken in must not do harm later.
+        for later in [SECOND, 3 * SECOND, 60 * SECOND] {
+            drop(control.step(now + later, In::Tick));
+            foyer.tick(now + later);
+        }
+        signature.bucket("members", foyer.company.up(Part::Foyer).count() as u64);
+        signature.bucket("instances", foyer.cast.records().count() as u64);
+        signature.mark("unreadable", u64::from(foyer.unreadable().is_some()));
+        signature.bucket("term", control.book().term().0);
+        signature.bucket("changes", foyer.cast.changes());
+        signature
+    }
+}
--- a/crates/wings/src/incoming.rs
+++ b/crates/wings/src/incoming.rs
@@ -5,15 +5,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::io::{AsyncReadExt, BufReader};
-use tokio::net::{TcpListener, TcpStream, UdpSocket};
+use tokio::io::{AsyncRead, AsyncReadExt, BufReader};
+use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::{Semaphore, mpsc};
 use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
 
 use crate::post::PostLimits;
 
-type Arrived = mpsc::Sender<(Ipv4Addr, Vec<u8>)>;
+pub type Arrived = mpsc::Sender<(Ipv4Addr, Vec<u8>)>;
 
 /// After an error of a listening socket, such as a lack of descriptors.
 const REST: Duration = Duration::from_millis(100);
@@ -76,9 +76,11 @@
     }
 }
 
-/// Hands on a stream's messages until it ends, errs or dawdles; a message cut off is dropped.
-async fn frames(
-    stream: TcpStream, from: Ipv4Addr, arrived: Arrived, reading: Arc<Semaphore>, limits: PostLimits,
+/// Hands on a stream's messages until it ends, errs or dawdles; a message cut off is dropped. Over any stream, so
+/// that what it reads can be played without a socket.
+pub async fn frames(
+    stream: impl AsyncRead + Unpin, from: Ipv4Addr, arrived: Arrived, reading: Arc<Semaphore>,
+    limits: PostLimits,
 ) {
     let mut stream = BufReader::with_capacity(READ_BYTES, stream);
     loop {
--- a/crates/wings/src/lib.rs
+++ b/crates/wings/src/lib.rs
@@ -16,6 +16,7 @@
 
 pub use disk::{DirFolder, DiskStore, Folder};
 pub use hand::{DiskHand, Done};
+pub use incoming::frames;
 pub use memory_post::{MemoryHall, MemoryPost};
 pub use memory_store::{Fault, MemoryStore};
 pub use note::NoteHand;
