--- a/crates/bill/src/json.rs
+++ b/crates/bill/src/json.rs
@@ -12,13 +12,18 @@
     if text.len() > MAX_BYTES {
         return Err(Faults::one("", format!("at most {MAX_BYTES} bytes; there are {}", text.len())));
     }
-    if depth(text) > MAX_DEPTH {
+    if too_deep(text) {
         return Err(Faults::one("", format!("nested at most {MAX_DEPTH} deep")));
     }
     let mut copy = text.to_vec();
     simd_json::to_owned_value(&mut copy).map_err(|error| Faults::one("", format!("whole JSON; {error}")))
 }
 
+/// Whether a text is nested deeper than is read; for other readers of JSON, whose stacks end as soon.
+pub fn too_deep(text: &[u8]) -> bool {
+    depth(text) > MAX_DEPTH
+}
+
 fn depth(text: &[u8]) -> usize {
     let (mut now, mut most, mut quoted, mut escaped) = (0usize, 0, false, false);
     for &byte in text {
--- a/crates/bill/src/lib.rs
+++ b/crates/bill/src/lib.rs
@@ -11,6 +11,7 @@
 
 pub use faults::{Fault, Faults, MAX_FAULTS};
 use indexmap::IndexMap;
+pub use json::too_deep;
 pub use props::{Micros, Version};
 
 /// The largest configuration or change that is read, in bytes. 310 routes take about 120 KB.
