--- a/crates/playhouse/src/calls.rs
+++ b/crates/playhouse/src/calls.rs
@@ -44,6 +44,9 @@
     Bad(String),
 }
 
+/// Bytes of what was sent that a refusal quotes.
+const QUOTED_MOST: usize = 80;
+
 fn bad<T>(text: impl Into<String>) -> Result<T, Wrong> {
     Err(Wrong::Bad(text.into()))
 }
@@ -73,7 +76,11 @@
     let text = value.to_str().unwrap_or("").trim();
     match u32::from_str_radix(text, 16) {
         Ok(number) if text.len() <= 8 && !text.starts_with('+') => Ok(Version(number)),
-        _ => bad(format!("Base-Version: {text:?} found, up to eight hexadecimal digits expected")),
+        _ => {
+            // A header may be as long as a head; an answer and its line in the log need not be.
+            let found = &text[..text.floor_char_boundary(QUOTED_MOST)];
+            bad(format!("Base-Version: {found:?} found, up to eight hexadecimal digits expected"))
+        }
     }
 }
 
