--- a/crates/ledger/src/form.rs
+++ b/crates/ledger/src/form.rs
@@ -14,6 +14,8 @@
 /// Above every entry's key, below every other one.
 pub(crate) const AFTER_ENTRIES: &[u8] = b"f";
 const FORM: u8 = 1;
+/// No log comes so far; above it sums on indices could pass the end of their type.
+pub(crate) const INDEX_MOST: u64 = u64::MAX >> 1;
 /// Version, then the checksum of key, version and bytes, little-endian.
 const HEAD: usize = 5;
 
@@ -140,6 +142,9 @@
     if base != hard.base {
         return Err(LedgerError::Damaged { at: name(SNAPSHOT), why: "it is not the one of the hard state" });
     }
+    if hard.base.max(hard.last) > INDEX_MOST {
+        return Err(LedgerError::Damaged { at: name(HARD), why: "no log is so long" });
+    }
     let mut next = base + 1;
     for entry in &entries {
         if entry.index.0 > next && next <= hard.last {
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -124,7 +124,8 @@
     }
     if let Some(snapshot) = &write.snapshot {
         let Index(index) = snapshot.index;
-        if index < span.base {
+        // The second bound as in recovery: what could not be read back is not written.
+        if index < span.base || index > form::INDEX_MOST {
             return Err(LedgerError::Misfit { last: span.base, found: index });
         }
         batch.put(form::SNAPSHOT.to_vec(), form::seal_snapshot(snapshot));
@@ -136,7 +137,7 @@
         if index <= span.base {
             continue;
         }
-        if index != span.last + 1 {
+        if index != span.last + 1 || index > form::INDEX_MOST {
             return Err(LedgerError::Misfit { last: span.last, found: index });
         }
         batch.put(entry_key(index).to_vec(), form::seal_entry(entry));
