--- a/crates/playhouse/src/settings.rs
+++ b/crates/playhouse/src/settings.rs
@@ -221,8 +221,9 @@
         let data_directory = top.or("DataDirectory", "a folder's path", None, |value| {
             value.as_str().filter(|path| !path.is_empty()).map(|path| Some(PathBuf::from(path)))
         });
+        // Under half a microsecond it would be 0 where it is used.
         let heartbeat_s = top.or("HeartbeatS", "seconds above 0, under 3600", USUAL_HEARTBEAT, |value| {
-            number(value).filter(|found| *found > 0.0 && *found < 3600.0)
+            number(value).filter(|found| micros(*found) > 0 && *found < 3600.0)
         });
         let zones =
             top.or("Zones", "a table of zones, each with its region's name", Default::default(), |value| {
