--- a/crates/bill/src/lib.rs
+++ b/crates/bill/src/lib.rs
@@ -113,13 +113,24 @@
     /// included.
     pub fn changed(&self, text: &[u8]) -> Result<Bill, Faults> {
         let whole = change::merged(&self.text, text)?;
-        Bill::built(&whole, Some(self.version), || json::written(&whole))
+        Bill::of_whole(&whole, self.version)
     }
 
     /// What a change makes where there is no configuration yet: the items that it brings must make a whole.
     pub fn begun(text: &[u8]) -> Result<Bill, Faults> {
         let whole = change::merged(br#"{"ResourceSet":[]}"#, text)?;
-        Bill::built(&whole, Some(Version(0)), || json::written(&whole))
+        Bill::of_whole(&whole, Version(0))
+    }
+
+    /// What a change makes may be longer than both texts that it is made of: a line's end is one escape there,
+    /// and another here. What could not be read again, from a disk or by another node, is no configuration.
+    fn of_whole(whole: &simd_json::OwnedValue, above: Version) -> Result<Bill, Faults> {
+        let bill = Bill::built(whole, Some(above), || json::written(whole))?;
+        if bill.text.len() > MAX_BYTES {
+            let expected = format!("a whole of at most {MAX_BYTES} bytes; there are {}", bill.text.len());
+            return Err(Faults::one("", expected));
+        }
+        Ok(bill)
     }
 
     /// The whole as JSON: as it was sent, or as changes made it. Reading it gives the same bill again.
--- a/crates/bill/tests/bill.rs
+++ b/crates/bill/tests/bill.rs
@@ -199,3 +199,14 @@
         assert_eq!(bill::version(odd), None, "{odd}");
     }
 }
+
+#[test]
+fn what_a_change_makes_is_no_longer_than_what_is_read() {
+    let long = format!(r#"{{"ResourceType":"Posters","Text":"{}"}}"#, "\\n".repeat(3 << 20));
+    let text = good().replace(r#"{"ResourceType":"Posters","Paper":"matt"}"#, &long);
+    let base = Bill::read(text.as_bytes()).unwrap();
+    // Each line's end takes six bytes when it is written, and took two.
+    let change = base.changed(br#"{"ConfigVersion":"0000000D"}"#);
+    let told = change.map(|bill| Bill::read(&bill.text()).is_ok()).unwrap_err().to_string();
+    assert!(told.contains("a whole of at most 8388608 bytes; there are 1887"), "{told}");
+}
