--- a/crates/ledger/src/form.rs
+++ b/crates/ledger/src/form.rs
@@ -145,6 +145,9 @@
     if hard.base.max(hard.last) > INDEX_MOST {
         return Err(LedgerError::Damaged { at: name(HARD), why: "no log is so long" });
     }
+    if hard.last < hard.base {
+        return Err(LedgerError::Damaged { at: name(HARD), why: "it ends before its snapshot" });
+    }
     let mut next = base + 1;
     for entry in &entries {
         if entry.index.0 > next && next <= hard.last {
