--- a/crates/rehearsal/src/main.rs
+++ b/crates/rehearsal/src/main.rs
@@ -39,6 +39,9 @@
     /// Look for every planted fault from the first seed on, and tell after how many seeds each is found.
     #[arg(long)]
     hunt: bool,
+    /// Search instead of drawing: days that come nearer to a bound, or show something new, are changed for the next.
+    #[arg(long)]
+    search: bool,
     /// Print the scenario of the first seed, and play nothing.
     #[arg(long)]
     show: bool,
@@ -84,6 +87,9 @@
     if line.hunt {
         return Ok(hunt(line.seed));
     }
+    if line.search {
+        return Ok(searched(line, planted));
+    }
     if let Some(folder) = &line.plot {
         std::fs::create_dir_all(folder)?;
     }
@@ -131,6 +137,26 @@
     Ok(false)
 }
 
+/// Plays days by guided search until one breaks a rule; true if none does.
+fn searched(line: &Line, planted: Option<Planted>) -> bool {
+    let mut search = rehearsal::search::Search::new(line.seed, planted);
+    for number in 1..=line.days {
+        let day = search.day();
+        if !line.quiet || !day.ok() {
+            println!("{}", day.line());
+        }
+        let found = planted.map_or(!day.ok(), |planted| planted.found_on(&day));
+        if found {
+            println!("found on day {number} of the search");
+            tell(&day, planted);
+            return false;
+        }
+    }
+    let (kept, nearest) = search.kept();
+    println!("{} days, {kept} scenarios kept; nearest to the bounds: {nearest:.2?}", line.days);
+    true
+}
+
 /// All planted faults; true if each is found within the seeds that are promised.
 fn hunt(seed: u64) -> bool {
     let mut all = true;
--- a/crates/rehearsal/src/play.rs
+++ b/crates/rehearsal/src/play.rs
@@ -3,10 +3,10 @@
 use props::Micros;
 
 use crate::plant::Planted;
-use crate::rules::{self, Broken};
+use crate::rules::{self, Broken, Margins};
 use crate::scenario::Scenario;
 use crate::seen::{Answer, Seen, What};
-use crate::world::World;
+use crate::world::{Counts, World};
 
 /// What came of a day.
 #[derive(Clone, Debug)]
@@ -23,6 +23,9 @@
     pub good: usize,
     pub acked: usize,
     pub leaders: usize,
+    /// How near the day came to each bound, and what else tells it from others.
+    pub margins: Margins,
+    pub counts: Counts,
     /// The last lines of each process, where a rule is broken.
     pub rings: String,
     pub log: Vec<Seen>,
@@ -33,6 +36,15 @@
         self.broken.is_empty()
     }
 
+    /// Kinds of refusals that operators got, as bits.
+    pub fn refusals(&self) -> u64 {
+        let kinds = self.log.iter().filter_map(|seen| match seen.what {
+            What::Denied { status, .. } => Some(1 << (status % 32)),
+            _ => None,
+        });
+        kinds.fold(0, |all, kind: u64| all | kind)
+    }
+
     /// One line.
     pub fn line(&self) -> String {
         let verdict = match self.broken.first() {
@@ -80,6 +92,8 @@
         good: count(|what| matches!(what, What::Answered { answer: Answer::Good, .. })),
         acked: count(|what| matches!(what, What::Acked { .. })),
         leaders: count(|what| matches!(what, What::Leads { .. })),
+        margins: rules::margins(&world.log, &world.terms),
+        counts: world.counts().clone(),
         scenario,
         broken,
         rings,
--- a/crates/rehearsal/src/scenario.rs
+++ b/crates/rehearsal/src/scenario.rs
@@ -4,6 +4,9 @@
 use props::{MS, Micros, SECOND};
 use serde::{Deserialize, Serialize};
 
+use crate::site::Site;
+use crate::widen;
+
 /// Times are milliseconds from the day's start, spans are milliseconds, machines are numbers: the core first,
 /// from 0, then the foyers.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -21,6 +24,9 @@
     /// Routes in each configuration beyond the few that clients use; many make logs and states large.
     #[serde(default)]
     pub routes: usize,
+    /// The deployment, where it is not the usual one.
+    #[serde(default, skip_serializing_if = "Site::usual")]
+    pub site: Site,
     #[serde(default)]
     pub troubles: Vec<Trouble>,
 }
@@ -136,6 +142,26 @@
         span: u64,
         by: u64,
     },
+    /// One direction of one link.
+    OneWay {
+        from: usize,
+        to: usize,
+        span: u64,
+    },
+    /// A whole zone, or region, is cut from all other machines.
+    Zone {
+        zone: usize,
+        span: u64,
+    },
+    Region {
+        region: usize,
+        span: u64,
+    },
+    /// Whoever leads then.
+    Leader {
+        how: Harm,
+        span: u64,
+    },
     /// The settings of all name other core machines.
     Seeds {
         shift: usize,
@@ -155,6 +181,30 @@
         lost: u32,
         error: u32,
     },
+    /// One instance is not as it should be.
+    Odd {
+        instance: usize,
+        span: u64,
+        how: Odd,
+    },
+    /// Many new instances at once, cold and unknown.
+    Crowd {
+        service: usize,
+        count: usize,
+    },
+    /// An instance ends without a word, and another service has its address at once.
+    Reuse {
+        instance: usize,
+    },
+    /// Clients come so many times as often.
+    Burst {
+        span: u64,
+        times: u32,
+    },
+    /// Clients try again at once and often.
+    Eager {
+        span: u64,
+    },
     /// An instance of a version nobody ordered registers.
     WrongBuild {
         service: usize,
@@ -176,17 +226,48 @@
     },
 }
 
+/// What befalls the leader.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Harm {
+    Killed,
+    /// Without power; its disk is as it was synced.
+    Dark,
+    Frozen,
+    Cut,
+    Mute,
+    Deaf,
+    DiskFull,
+    DiskHung,
+}
+
+/// How an instance is odd.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Odd {
+    /// Ten times as long for each request.
+    Slow,
+    /// Takes requests and answers none.
+    Mute,
+    /// Half of its answers are failures.
+    Grey,
+    /// Says that it is warm, and has many more slots than it has.
+    Lying,
+    /// Ends and starts again, as another life at its address.
+    Flapping,
+}
+
 /// What a drawn day may look like; deployments of the kinds described.
 const SHAPES: [(usize, usize, usize); 5] = [(5, 10, 3), (5, 9, 3), (3, 6, 3), (5, 10, 4), (7, 10, 2)];
 const FIRST: u64 = 6_000;
 
-struct Draw(Rand64);
+pub(crate) struct Draw(pub Rand64);
 
 impl Draw {
-    fn of(&mut self, from: u64, to: u64) -> u64 {
+    pub fn of(&mut self, from: u64, to: u64) -> u64 {
         self.0.rand_range(from..to.max(from + 1))
     }
-    fn one(&mut self, of: u64) -> bool {
+    pub fn one(&mut self, of: u64) -> bool {
         self.0.rand_range(0..of.max(1)) == 0
     }
 }
@@ -202,12 +283,27 @@
             lost: 3,
             requests: 80,
             routes: 0,
+            site: Site::default(),
             troubles: Vec::new(),
         }
     }
 
-    /// The day of a seed. Three of four have five prompters and ten foyers.
+    /// The day of a seed: every second one is a plain one, the others are widened by deployments and troubles of
+    /// `widen`.
     pub fn drawn(seed: u64) -> Scenario {
+        let plain = Scenario::plain(seed);
+        let mut draw = Draw(Rand64::new(u128::from(seed) ^ 0x71de_4b0d));
+        if draw.one(2) { widen::widened(plain, &mut draw) } else { plain }
+    }
+
+    /// A day whose deployment is unlike the usual one, for each seed.
+    pub fn wide(seed: u64) -> Scenario {
+        let mut draw = Draw(Rand64::new(u128::from(seed) ^ 0x71de_4b0d));
+        widen::widened(Scenario::plain(seed), &mut draw)
+    }
+
+    /// A day on the usual deployments. Three of four have five prompters and ten foyers.
+    pub fn plain(seed: u64) -> Scenario {
         let mut draw = Draw(Rand64::new(u128::from(seed) ^ 0x5ce0_0a21));
         let shape = if draw.one(4) { SHAPES[draw.of(0, SHAPES.len() as u64) as usize] } else { SHAPES[0] };
         let (prompters, foyers, zones) = shape;
@@ -273,15 +369,30 @@
     pub fn moment(seed: u64, number: u64) -> Scenario {
         let mut draw = Draw(Rand64::new(u128::from(seed) ^ 0x3ac1_77e5));
         let mut day = Scenario { foyers: 5, length: 24_000, ..Scenario::calm() };
-        worst_moment(number, &mut draw, &mut day, FIRST, &mut false);
+        if number < MOMENTS {
+            worst_moment(number, &mut draw, &mut day, FIRST, &mut false);
+        } else {
+            day.length = 30_000;
+            widen::moment(number - MOMENTS, &mut draw, &mut day, FIRST, &mut 0);
+        }
         day.troubles.sort_by_key(|trouble| trouble.at);
         day
     }
 
-    fn add(&mut self, at: u64, what: What) {
+    pub(crate) fn add(&mut self, at: u64, what: What) {
         self.troubles.push(Trouble { at, what });
     }
 
+    /// The zone in which a machine of the day's start stands.
+    pub fn zone(&self, machine: usize) -> usize {
+        match self.site.core_far {
+            Some(far) if machine < self.prompters && self.site.regions > 1 && self.zones > 1 => {
+                usize::from(machine + far >= self.prompters)
+            }
+            _ => machine % self.zones.max(1),
+        }
+    }
+
     pub fn machines(&self) -> usize {
         self.prompters + self.foyers
     }
@@ -294,7 +405,8 @@
     pub fn calm_from(&self) -> Micros {
         let faults = self.troubles.iter().filter(|trouble| trouble.faulty());
         let last = faults.map(Trouble::over).max().unwrap_or(0) as Micros * MS;
-        last.max(10 * SECOND) + 100 * MS
+        let empty = self.site.empty.map_or(0, |empty| empty.until + 2_000) as Micros * MS;
+        last.max(10 * SECOND).max(empty) + 100 * MS
     }
 
     pub fn read(text: &str) -> Result<Scenario, toml::de::Error> {
@@ -345,6 +457,13 @@
                 | What::Disk { span, .. }
                 | What::SlowDisk { span, .. }
                 | What::AfterVote { span, .. }
+                | What::OneWay { span, .. }
+                | What::Zone { span, .. }
+                | What::Region { span, .. }
+                | What::Leader { span, .. }
+                | What::Odd { span, .. }
+                | What::Burst { span, .. }
+                | What::Eager { span }
                 | What::Sick { span, .. } => *span,
                 _ => 0,
             }
@@ -390,7 +509,7 @@
     }
 }
 
-/// How many `worst_moment` knows.
+/// How many `worst_moment` knows; those of `widen` follow.
 pub const MOMENTS: u64 = 12;
 
 /// Several troubles that meet where they hurt most.
--- a/crates/rehearsal/src/seen.rs
+++ b/crates/rehearsal/src/seen.rs
@@ -35,6 +35,8 @@
         version: u32,
         valid: bool,
         allows: Vec<(usize, usize)>,
+        /// The added routes that it has.
+        added: Vec<usize>,
     },
     /// A 200, by a machine.
     Acked {
@@ -65,6 +67,10 @@
         service: usize,
         version: u32,
     },
+    OrderDenied {
+        service: usize,
+        version: u32,
+    },
     /// What became of it: `true` completed, `false` reverted; the newest one read.
     Ended {
         service: usize,
@@ -118,6 +124,21 @@
         service: usize,
         version: u32,
     },
+    /// A foyer's request arrives where another instance has its address now, and is turned away.
+    TurnedAway {
+        request: u64,
+        asked_for: usize,
+    },
+    /// A foyer's process ends with a request in hand; `passed`: it was sent on to an instance.
+    BrokenOff {
+        request: u64,
+        foyer: Machine,
+        passed: bool,
+    },
+    /// An instance says that it drains, for the first time.
+    Leaving {
+        instance: u32,
+    },
     /// That an instance drains, or has gone, is acknowledged.
     DrainAcked {
         instance: u32,
@@ -129,6 +150,25 @@
         machine: Machine,
         until: Micros,
     },
+    /// How many machines the core has, and how many routes are no added ones.
+    Shape {
+        core: usize,
+        routes: usize,
+    },
+    /// A machine is told to end in order, and is there again at `until`.
+    Planned {
+        machine: Machine,
+        until: Micros,
+    },
+    /// A core machine doesn't run, or is not connected. The core is settled as long as most are well.
+    Impaired {
+        machine: Machine,
+        until: Micros,
+    },
+    /// A link is in trouble.
+    Links {
+        until: Micros,
+    },
     /// Something that unsettles the core.
     Unsettled {
         until: Micros,
--- a/crates/rehearsal/src/world/foyer.rs
+++ b/crates/rehearsal/src/world/foyer.rs
@@ -93,6 +93,9 @@
         }
         let now = self.clock(at);
         let life = machine.run;
+        if machine.closing {
+            return self.later(MS, Event::Answered { request, answer: Answer::Nothing, wait: Some(-1) });
+        }
         let Some(process) = self.foyer(at) else {
             // Nobody listens: the client's connection is refused, its request unread.
             return self.later(MS, Event::Answered { request, answer: Answer::Nothing, wait: Some(-1) });
@@ -166,6 +169,17 @@
         if let Some(process) = self.foyer(at) {
             process.open.remove(&ticket);
         }
+        self.done(at);
+    }
+
+    /// One that is told to end does so once nothing is in hand.
+    pub(crate) fn done(&mut self, at: usize) {
+        let back = self.machines[at].ends_back;
+        let closing = self.machines[at].closing;
+        if closing && self.foyer(at).is_some_and(|process| process.open.is_empty()) {
+            let run = self.machines[at].run;
+            self.later(600 * MS, Event::End { at, run, back });
+        }
     }
 
     fn trip(
@@ -208,7 +222,7 @@
         // A new connection has a second to come up.
         self.later(SECOND, Event::Until { trip: number });
         if self.passes(Some(at), None) {
-            let way = self.way(at);
+            let way = self.way(at) + self.trip_far(number);
             self.later(way, Event::Arrive { trip: number });
             if self.planted == Some(Planted::SentTwice) && self.odds(5) {
                 self.later(way + 5 * MS, Event::Arrive { trip: number });
@@ -216,6 +230,13 @@
         }
     }
 
+    /// What a trip's way takes more, one way, where its instance is in another region.
+    pub(crate) fn trip_far(&self, trip: usize) -> Micros {
+        let one = &self.trips[trip];
+        let there = self.by_address.get(&one.address).map(|at| self.instance_zone(*at));
+        there.map_or(0, |zone| self.far(zone, self.machines[one.foyer].zone))
+    }
+
     fn stop_trip(&mut self, at: usize, ticket: TicketId, trip: TripNo) {
         let open = self.foyer(at).and_then(|process| process.open.get(&ticket));
         if let Some(number) = open.and_then(|open| open.trips.get(trip.0 as usize).copied()) {
@@ -275,8 +296,12 @@
     }
 
     /// The process has ended; its clients see a closed connection, or nothing at all.
-    pub(crate) fn foyer_gone(&mut self, _at: usize, process: FoyerProc, power: bool) {
+    pub(crate) fn foyer_gone(&mut self, at: usize, process: FoyerProc, power: bool) {
         for open in process.open.values() {
+            if !open.replied {
+                let passed = !open.trips.is_empty();
+                self.saw(What::BrokenOff { request: open.request, foyer: at, passed });
+            }
             for trip in &open.trips {
                 self.trips[*trip].hung_up = !power;
                 self.trips[*trip].ended = true;
--- a/crates/rehearsal/src/world/net.rs
+++ b/crates/rehearsal/src/world/net.rs
@@ -28,6 +28,12 @@
         1_000 + spread + slow + late
     }
 
+    /// What the way between two zones takes more.
+    pub(crate) fn far(&self, one: usize, other: usize) -> Micros {
+        let site = &self.scenario.site;
+        if site.region(one) == site.region(other) { 0 } else { site.far as Micros * MS }
+    }
+
     pub(crate) fn machine_at(&self, place: Place) -> Option<usize> {
         self.machines.iter().rposition(|machine| machine.place == place && !machine.gone)
     }
@@ -46,7 +52,9 @@
             return;
         }
         let same = self.machines[from].zone == self.machines[to].zone;
-        let base = if same { 250 } else { 1_400 };
+        let far = self.far(self.machines[from].zone, self.machines[to].zone);
+        let base = if same { 250 } else { 1_400 + far };
+        self.count(from, word);
         let mut delay = base + self.span(0, 400) + self.slowness(from) + self.slowness(to);
         if self.odds(5) {
             delay += self.span(0, 30 * MS);
@@ -63,3 +71,26 @@
         self.later(delay, Event::Mail { to, from, bytes });
     }
 }
+
+impl World {
+    /// What goes over the wire tells how near a day comes to the cores' bounds.
+    fn count(&mut self, from: usize, word: &Word) {
+        use promptbook::{Message, Word as Said};
+        let Word::Book { message: Message::Said { term, word, .. }, .. } = word else { return };
+        match word {
+            Said::Piece { at: 0, .. } => self.counts.states += 1,
+            Said::Stood { granted } => {
+                let run = self.machines[from].run;
+                let voted = self.counts.voted.get(&(from, term.0)).copied();
+                if voted.is_some_and(|voted| voted != run) {
+                    self.counts.asked_again += 1;
+                }
+                if *granted {
+                    self.counts.votes += 1;
+                    self.counts.voted.entry((from, term.0)).or_insert(run);
+                }
+            }
+            _ => {}
+        }
+    }
+}
