--- a/crates/company/src/lib.rs
+++ b/crates/company/src/lib.rs
@@ -9,7 +9,7 @@
 mod timing;
 
 pub use node::Company;
-use props::{Life, Place};
+use props::{Edition, Life, Place};
 use serde::{Deserialize, Serialize};
 pub use timing::Timing;
 
@@ -37,6 +37,7 @@
     pub part: Part,
     pub zone: String,
     pub name: String,
+    pub edition: Edition,
 }
 
 /// What is held of a member. `Dead` is withdrawn when the member refutes it; `Left` is final for a life.
--- a/crates/company/src/node.rs
+++ b/crates/company/src/node.rs
@@ -164,6 +164,11 @@
         self.roster.iter().map(|peer| (&peer.member, peer.standing))
     }
 
+    /// What is known of the node at a place, whatever its standing; none of this node itself.
+    pub fn member(&self, place: Place) -> Option<&Member> {
+        self.roster.get(place).map(|peer| &peer.member)
+    }
+
     /// Those of a part that are alive or suspect, without this node.
     pub fn up(&self, part: Part) -> impl Iterator<Item = &Member> {
         self.roster.up().map(|peer| &peer.member).filter(move |member| member.part == part)
--- a/crates/playhouse/src/commands/ledger.rs
+++ b/crates/playhouse/src/commands/ledger.rs
@@ -109,6 +109,12 @@
         }
         match held.script.apply(0, entry.index, data) {
             Outcome::Taken => held.taken += 1,
+            beyond @ Outcome::Beyond { .. } => {
+                return Err(damaged(
+                    dir,
+                    format!("entry {}: {}", entry.index.0, crate::prompter::refusal(&beyond)),
+                ));
+            }
             _ => held.refused += 1,
         }
     }
--- a/crates/playhouse/src/commands/show.rs
+++ b/crates/playhouse/src/commands/show.rs
@@ -47,11 +47,18 @@
     if at.json {
         return print_json(&simd_json::json!({ "Members": members.to_vec() }));
     }
-    let keys = ["Name", "Part", "Place", "Zone", "Standing", "Life"];
+    let keys = ["Name", "Part", "Place", "Zone", "Standing", "Life", "Program", "OldestForm", "NewestForm"];
     let rows = members.iter().map(|member| cells(member, &keys)).collect();
     print(
-        format!("{}{}\n", table(&["name", "part", "place", "zone", "standing", "life"], rows), by(&status))
-            .as_bytes(),
+        format!(
+            "{}{}\n",
+            table(
+                &["name", "part", "place", "zone", "standing", "life", "program", "forms from", "to"],
+                rows
+            ),
+            by(&status)
+        )
+        .as_bytes(),
     )
 }
 
@@ -87,6 +94,10 @@
     out.push_str(&format!("term {}, log at {committed}, applied {applied}\n", count(status, "Term")));
     out.push_str(&format!("configuration {}\n", text(status, "ConfigVersion")));
     let members = list(status, "Members");
+    let mut programs: Vec<&str> = members.iter().map(|member| text(member, "Program")).collect();
+    programs.sort_unstable();
+    programs.dedup();
+    out.push_str(&format!("programs {}; form {} agreed\n", programs.join(", "), count(status, "AgreedForm")));
     let standing = |place: &str| {
         let found = members.iter().find(|member| text(member, "Place") == place);
         found.map_or(("-", "unknown"), |member| (text(member, "Name"), text(member, "Standing")))
--- a/crates/playhouse/src/commands/view.rs
+++ b/crates/playhouse/src/commands/view.rs
@@ -71,8 +71,10 @@
     simd_json::json!({
         "Node": {
             "Name": house.own.name.clone(), "Place": seat.place.to_string(), "Life": life(seat.life),
-            "Program": env!("CARGO_PKG_VERSION"),
+            "Program": house.own.edition.program.to_string(),
         },
+        "AgreedForm": house.script.agreed().0,
+        "WordsRefused": house.refused(),
         "Leads": book.leads(),
         "Leader": book.leader().map(|seat| seat.place.to_string()),
         "Term": book.term().0,
@@ -95,7 +97,8 @@
     };
     simd_json::json!({
         "Name": member.name.clone(), "Place": member.place.to_string(), "Life": life(member.life), "Part": part,
-        "Zone": member.zone.clone(), "Standing": standing,
+        "Zone": member.zone.clone(), "Standing": standing, "Program": member.edition.program.to_string(),
+        "OldestForm": member.edition.forms.oldest.0, "NewestForm": member.edition.forms.newest.0,
     })
 }
 
--- a/crates/playhouse/src/control.rs
+++ b/crates/playhouse/src/control.rs
@@ -5,13 +5,13 @@
 use std::sync::Arc;
 
 use cast::{Beat, InstanceId};
-use company::Part;
+use company::{Part, Standing};
 use intent::{Inspector, inspector};
-use promptbook::{Effect, Event, Members, Promptbook, Saved, Timing, Write, WriteNo};
-use props::{Ask, MS, Micros, Place, SECOND, Seat};
+use promptbook::{Effect, Event, Members, Message, Promptbook, Saved, Timing, Write, WriteNo};
+use props::{Ask, Form, MS, Micros, Place, SECOND, Seat};
 use script::{Command, Count, CountSettings, Outcome};
 
-use crate::house::{Happened, House, Word};
+use crate::house::{Happened, House, Letter, Word};
 
 /// Bytes of commands applied after which the log is cut by a snapshot.
 const KEEP_AFTER: usize = 512 << 10;
@@ -22,6 +22,10 @@
 /// A service's first version is proposed again after this, if it has not come to be ordered.
 const SEEN_AGAIN: Micros = SECOND;
 
+/// All nodes known have read a newer form for so long when a leader has it agreed: none of them is only between two
+/// programs, a new leader has learnt who is there, and an operator may still go back.
+const AGREE_AFTER: Micros = 30 * SECOND;
+
 /// The spans of the log: an election within two seconds, so that calls are answered well within `AckS` after
 /// a loss; eight seconds of silence, well over a cut or a restart, before a member is let go.
 pub const TIMING: Timing =
@@ -56,7 +60,7 @@
 pub enum Out {
     Send {
         to: Place,
-        word: Word,
+        word: Letter,
     },
     Write(Write),
     /// The instances as they are known now, for the next start; it may be lost.
@@ -79,6 +83,8 @@
     /// Bytes applied since the last snapshot.
     applied: usize,
     seen: HashMap<String, Micros>,
+    /// A form that may be agreed, and since when all known nodes read it.
+    may_agree: Option<(Form, Micros)>,
     /// Commands of this node's own, which nobody waits for, have asks from here on.
     own_ask: u64,
     /// Judges what foyers do while this node leads; none unless `check_intent` was called.
@@ -102,6 +108,7 @@
             memory_due: Micros::MAX,
             applied: 0,
             seen: HashMap::new(),
+            may_agree: None,
             own_ask: u64::MAX / 2,
             inspector: None,
             out: Vec::new(),
@@ -178,12 +185,16 @@
     }
 
     pub fn step(&mut self, now: Micros, event: In) -> Vec<Out> {
+        if self.house.unreadable().is_some() {
+            // What is here lacks what was ordered since: nothing is answered from it or promised on it.
+            return Vec::new();
+        }
         match event {
             In::Tick => self.tick(now),
             In::Mail { from, bytes } => self.house.received(now, from, &bytes),
             In::Written { no, ok: true } => self.log(now, Event::Synced { write: no }),
             In::Written { no, ok: false } => self.log(now, Event::WriteFailed { write: no }),
-            In::Order { ask, command } => self.log(now, Event::Propose { ask, data: command.to_bytes() }),
+            In::Order { ask, command } => self.log(now, Event::Propose { ask, data: self.written(&command) }),
             In::Read { ask } => self.log(now, Event::Read { ask }),
             In::Beat { ask, beat } => self.house.beat(now, ask, beat),
             In::Detach { ask, id } => self.house.detach(now, ask, id),
@@ -202,6 +213,9 @@
             self.count_due = now + COUNT_EVERY;
             if self.book.leads() {
                 self.lead(now);
+                self.agree(now);
+            } else {
+                self.may_agree = None;
             }
             if self.inspector.is_some() {
                 // A leader that heard of no majority for an election's span has given up.
@@ -253,7 +267,57 @@
 
     fn propose(&mut self, now: Micros, command: &Command) {
         self.own_ask += 1;
-        self.log(now, Event::Propose { ask: Ask(self.own_ask), data: command.to_bytes() });
+        self.log(now, Event::Propose { ask: Ask(self.own_ask), data: self.written(command) });
+    }
+
+    fn written(&self, command: &Command) -> Vec<u8> {
+        command.to_bytes_in(self.house.script.agreed())
+    }
+
+    /// Has a newer form agreed once every voter and every node known reads it.
+    fn agree(&mut self, now: Micros) {
+        let agreed = self.house.script.agreed();
+        let Some(form) = self.read_by_all().filter(|form| *form > agreed) else {
+            self.may_agree = None;
+            return;
+        };
+        match self.may_agree {
+            Some((may, since)) if may == form => {
+                if now - since >= AGREE_AFTER {
+                    log::info!("all nodes known read form {form}: it is proposed");
+                    self.may_agree = None;
+                    self.propose(now, &Command::Agree { form });
+                }
+            }
+            _ => self.may_agree = Some((form, now)),
+        }
+    }
+
+    /// The newest form that all read; none where a voter's forms are not known. One that ended in order counts
+    /// while it is a voter, as it may come back; else no more.
+    fn read_by_all(&self) -> Option<Form> {
+        let (own, company) = (&self.house.own, &self.house.company);
+        let mut newest = own.edition.forms.newest;
+        for seat in self.book.members().0.iter().filter(|seat| seat.place != own.place) {
+            newest = newest.min(company.member(seat.place)?.edition.forms.newest);
+        }
+        let known = company.members().filter(|(_, standing)| *standing != Standing::Left);
+        known
+            .map(|(member, _)| member.edition.forms.newest)
+            .min()
+            .map(|least| newest.min(least))
+            .or(Some(newest))
+    }
+
+    /// A node asks to be let into the core that can't read what is agreed: it is told so, and not heard.
+    fn turned_away(&mut self, from: Place) -> bool {
+        let Some(edition) = self.house.unfit(from).filter(|_| self.book.leads()) else { return false };
+        let agreed = self.house.script.agreed();
+        if self.house.tells(from, Some(edition.forms.newest)) {
+            log::warn!("{from} is not let in: it runs {edition}, and form {agreed} is agreed");
+        }
+        self.house.send(from, Word::NotLetIn { agreed });
+        true
     }
 
     fn log(&mut self, now: Micros, event: Event) {
@@ -263,9 +327,13 @@
 
     fn did(&mut self, now: Micros, effects: Vec<Effect>) {
         for effect in effects {
+            if self.house.unreadable().is_some() {
+                return;
+            }
             match effect {
                 Effect::Send { to, message } => {
-                    self.out.push(Out::Send { to, word: Word::Book { from: self.seat, message } });
+                    let word = self.house.letter(to, Word::Book { from: self.seat, message });
+                    self.out.push(Out::Send { to, word });
                 }
                 Effect::Write(write) => self.out.push(Out::Write(write)),
                 Effect::Apply { index, data, ask } => {
@@ -311,6 +379,7 @@
                     self.log(now, Event::Peers { places });
                     self.inspect_members(now);
                 }
+                Happened::Book { from, message: Message::Knock } if self.turned_away(from.place) => {}
                 Happened::Book { from, message } => self.log(now, Event::Received { from, message }),
                 Happened::Vote { from, vote } => self.count.cast(now, from, vote),
                 Happened::Restored => self.inspect_intent(now),
@@ -319,8 +388,10 @@
             }
         }
         self.tend_memory(now);
-        let words = self.house.out().into_iter().map(|(to, word)| Out::Send { to, word });
-        let mut out: Vec<Out> = words.collect();
+        let words = self.house.out().into_iter();
+        let house = &self.house;
+        let mut out: Vec<Out> =
+            words.map(|(to, word)| Out::Send { to, word: house.letter(to, word) }).collect();
         out.append(&mut self.out);
         out
     }
--- a/crates/playhouse/src/floor/mod.rs
+++ b/crates/playhouse/src/floor/mod.rs
@@ -16,7 +16,7 @@
 use intent::{Intent, Usher, usher, ward};
 use props::{MS, Micros, Place, SECOND};
 
-use crate::house::{Happened, House, Word};
+use crate::house::{Happened, House, Letter, Word};
 use crate::settings::{Settings, micros};
 use cue::{Bounds, Fleet, Share};
 use desk::{Desk, Do, Seen};
@@ -69,7 +69,7 @@
 pub enum Out {
     Send {
         to: Place,
-        word: Word,
+        word: Letter,
     },
     /// Send the ticket to an instance, over `connections` to it at most.
     Trip {
@@ -190,15 +190,20 @@
         let of = |state: cast::State| {
             self.house.cast.records().filter(|known| known.state == state).count() as u64
         };
-        let why = match (self.leaving, &self.bill, self.house.unreadable()) {
+        let why = match (self.leaving, &self.bill, self.house.why_unreadable()) {
             (true, ..) => "it is leaving",
-            (_, _, Some(_)) => "the state is of a newer program",
+            (_, _, Some(why)) => why,
             (_, None, _) => "no configuration is known",
             _ if !self.opened => "instances of some services are not known",
             _ => "",
         };
         simd_json::json!({
             "Node": self.house.own.name.as_str(),
+            "Program": self.house.own.edition.program.to_string(),
+            "OldestForm": self.house.own.edition.forms.oldest.0,
+            "NewestForm": self.house.own.edition.forms.newest.0,
+            "AgreedForm": self.house.script.agreed().0,
+            "WordsRefused": self.house.refused(),
             "Ready": self.ready(),
             "NotReadyFor": why,
             "ConfigVersion": self.bill.as_ref().map(|bill| bill.version.to_string()),
@@ -270,8 +275,10 @@
             }
         }
         self.settle(now);
-        let words = self.house.out().into_iter().map(|(to, word)| Out::Send { to, word });
-        let mut out: Vec<Out> = words.collect();
+        let words = self.house.out().into_iter();
+        let house = &self.house;
+        let mut out: Vec<Out> =
+            words.map(|(to, word)| Out::Send { to, word: house.letter(to, word) }).collect();
         out.append(&mut self.out);
         out
     }
--- a/crates/playhouse/src/post.rs
+++ b/crates/playhouse/src/post.rs
@@ -3,11 +3,11 @@
 use props::Place;
 use wings::Post;
 
-use crate::house::Word;
+use crate::house::Letter;
 
 /// Sends a word; like a datagram it may be lost.
-pub fn send(post: &Post, to: Place, word: &Word) {
-    match postcard::to_stdvec(word) {
+pub fn send(post: &Post, to: Place, word: &Letter) {
+    match word.to_bytes() {
         Ok(bytes) => post.send(to.0, bytes),
         Err(error) => log::error!("a word to {to} can't be written: {error}"),
     }
--- a/crates/playhouse/src/prompter.rs
+++ b/crates/playhouse/src/prompter.rs
@@ -107,7 +107,9 @@
     loop {
         if let Some(index) = shared.borrow().control.house.unreadable() {
             // To go on would be to take a part of the state for the whole.
-            return Err(format!("the state at entry {} can't be read by this program", index.0).into());
+            let prompter = shared.borrow();
+            let why = prompter.control.house.why_unreadable().unwrap_or_default();
+            return Err(format!("the state at entry {} can't be read by this program: {why}", index.0).into());
         }
         let due = clock.at(shared.borrow().control.due());
         tokio::select! {
@@ -433,10 +435,11 @@
 }
 
 /// What a refusal says to a person.
-fn refusal(outcome: &Outcome) -> String {
+pub(crate) fn refusal(outcome: &Outcome) -> String {
     match outcome {
         Outcome::Conflict(text) | Outcome::Unknown(text) => text.clone(),
         Outcome::Unreadable => "no command of ours".to_owned(),
+        Outcome::Beyond { form } => format!("form {form} is agreed, which this program does not read"),
         Outcome::Old => "the state has passed this by; ask again".to_owned(),
         Outcome::Taken | Outcome::Again | Outcome::Invalid(_) | Outcome::Raced { .. } => String::new(),
     }
--- a/crates/playhouse/src/settings.rs
+++ b/crates/playhouse/src/settings.rs
@@ -4,7 +4,7 @@
 use std::path::{Path, PathBuf};
 
 use company::{Member, Part};
-use props::{Life, Micros, Place};
+use props::{Edition, Life, Micros, Place};
 
 /// Where the settings file's path stands.
 pub const VARIABLE: &str = "GARNETDOOR_SETTINGS";
@@ -291,7 +291,7 @@
     /// This node as it tells of itself.
     pub fn member(&self, part: Part, life: Life) -> Member {
         let (zone, name) = (self.zone.clone(), self.node_name.clone());
-        Member { place: self.place(), life, part, zone, name }
+        Member { place: self.place(), life, part, zone, name, edition: Edition::OWN }
     }
 
     pub fn place(&self) -> Place {
--- /dev/null
+++ b/crates/playhouse/tests/forms.rs
@@ -0,0 +1,449 @@
+//! Two versions in service at once: nodes of a world without sockets are exchanged one after the other for a
+//! stand-in of the next version, which reads one form more, while changes are acknowledged all the while.
+
+use std::collections::BTreeMap;
+use std::net::Ipv4Addr;
+use std::rc::Rc;
+
+use company::{Member, Part};
+use ledger::Ledger;
+use playhouse::control::{self, Control, Told};
+use playhouse::floor::{self, Floor};
+use playhouse::house::{House, Word};
+use playhouse::settings::Settings;
+use promptbook::{Members, Write};
+use props::{Ask, Edition, Form, Forms, Index, Life, MS, Micros, Place, Program, SECOND, Seat, Version};
+use script::{Command, Outcome, Script};
+use simd_json::prelude::*;
+use wings::MemoryStore;
+
+const NOW: Forms = Forms { oldest: Form(1), newest: Form(1) };
+const NEXT: Forms = Forms { oldest: Form(1), newest: Form(2) };
+const CORE: usize = 3;
+const NODES: usize = 5;
+const SETTINGS: &str = "NodeName = \"n\"\nIpAddress = \"10.0.0.1\"\nZone = \"z\"\nInternalPortRange = [7620, 7635]\n\
+ SeedNodes = [\"10.0.0.1:8649\"]\n";
+
+fn place(node: usize) -> Place {
+    Place(Ipv4Addr::new(10, 0, 0, node as u8 + 1))
+}
+
+fn member(node: usize, life: u64, forms: Forms) -> Member {
+    Member {
+        place: place(node),
+        life: Life(life),
+        part: if node < CORE { Part::Prompter } else { Part::Foyer },
+        zone: "z".into(),
+        name: format!("n{node}"),
+        edition: Edition { program: Program { major: 9, minor: forms.newest.0.into(), patch: 0 }, forms },
+    }
+}
+
+fn text(version: u32) -> Vec<u8> {
+    format!(
+        r#"{{"ConfigVersion":"{version:08x}","ResourceSet":[{{"ResourceType":"LimitSet","HeaderBlock":{{}},
+        "SpecBody":{{"MaxHeaderBytes":16384,"MaxBodyBytes":67108864,"HeaderTimeoutS":3,"IdleTimeoutS":15}}}}]}}"#
+    )
+    .into_bytes()
+}
+
+enum Process {
+    Prompter(Box<Control>, Ledger<MemoryStore>),
+    Foyer(Box<Floor>),
+}
+
+enum Event {
+    Mail { to: usize, from: usize, bytes: Vec<u8> },
+    Synced { at: usize, run: u64, write: Write },
+}
+
+#[derive(Default)]
+struct Node {
+    store: MemoryStore,
+    memory: Option<Vec<u8>>,
+    process: Option<Process>,
+    run: u64,
+    stepped: Micros,
+}
+
+#[derive(Default)]
+struct World {
+    now: Micros,
+    made: u64,
+    heap: BTreeMap<(Micros, u64), Event>,
+    nodes: Vec<Node>,
+    /// The newest version acknowledged, the order under way with its moment, and when the next is made.
+    acked: u32,
+    asked: Option<(Ask, Micros)>,
+    next_order: Micros,
+    asks: u64,
+    /// The state after each entry: the same at every node.
+    states: BTreeMap<Index, Vec<u8>>,
+    /// Words by the form they were in.
+    words: BTreeMap<u8, u64>,
+}
+
+impl World {
+    fn open(forms: Forms) -> World {
+        let mut world = World { nodes: (0..NODES).map(|_| Node::default()).collect(), ..World::default() };
+        (0..NODES).for_each(|node| world.start(node, forms));
+        world
+    }
+
+    fn start(&mut self, node: usize, forms: Forms) {
+        self.made += 1;
+        let (seed, now) = (self.made, self.now);
+        let fresh = Life(if now == 0 { 0 } else { seed });
+        let own = member(node, seed, forms);
+        let mut house = House::start(own, (0..CORE).map(place).collect(), 1_500 * MS, seed, now);
+        let one = &mut self.nodes[node];
+        one.run += 1;
+        one.stepped = now;
+        if node >= CORE {
+            let table = SETTINGS.parse().expect("TOML");
+            let settings = Settings::of(&table).expect("settings that hold");
+            one.process = Some(Process::Foyer(Box::new(Floor::start(house, Rc::new(settings), seed, now))));
+            return;
+        }
+        if let Some(memory) = &one.memory {
+            house.remember(now, memory);
+        }
+        let (ledger, opened) = Ledger::open(one.store.clone(), fresh).expect("a sound disk");
+        let seat = Seat { place: place(node), life: opened.life };
+        let voters = (0..CORE).map(|node| Seat { place: place(node), life: Life(0) }).collect();
+        let first = (opened.fresh && now == 0).then_some(Members(voters));
+        let (control, out) = Control::start(house, seat, first, opened.saved, seed, now);
+        one.process = Some(Process::Prompter(Box::new(control), ledger));
+        self.carry(node, out);
+    }
+
+    /// Ends in order, and starts with another program on the same disk.
+    fn exchange(&mut self, node: usize, forms: Forms) {
+        self.prompter_step(node, control::In::Leave);
+        self.foyer_step(node, floor::In::Leave);
+        self.play(200 * MS);
+        self.nodes[node].process = None;
+        self.play(100 * MS);
+        self.start(node, forms);
+    }
+
+    fn later(&mut self, after: Micros, event: Event) {
+        self.made += 1;
+        self.heap.insert((self.now + after, self.made), event);
+    }
+
+    fn send(&mut self, from: usize, to: Place, bytes: Vec<u8>) {
+        *self.words.entry(bytes[0] & 0x7f).or_default() += 1;
+        if let Some(to) = (0..NODES).find(|node| place(*node) == to) {
+            self.later(MS + (self.made % 300) as Micros, Event::Mail { to, from, bytes });
+        }
+    }
+
+    fn prompter_step(&mut self, node: usize, event: control::In) {
+        let now = self.now;
+        let Some(Process::Prompter(control, _)) = &mut self.nodes[node].process else { return };
+        let out = control.step(now, event);
+        self.carry(node, out);
+    }
+
+    fn carry(&mut self, node: usize, out: Vec<control::Out>) {
+        let run = self.nodes[node].run;
+        for what in out {
+            match what {
+                control::Out::Send { to, word } => self.send(node, to, word.to_bytes().expect("a word")),
+                control::Out::Write(write) => self.later(500, Event::Synced { at: node, run, write }),
+                control::Out::Remember(memory) => self.nodes[node].memory = Some(memory),
+                control::Out::Tell { ask, told } => {
+                    if self.asked.is_some_and(|(asked, _)| asked == ask) {
+                        self.asked = None;
+                        if let Told::Applied(Outcome::Taken | Outcome::Again) = told {
+                            self.acked += 1;
+                        }
+                    }
+                }
+            }
+        }
+        self.compare(node);
+    }
+
+    fn foyer_step(&mut self, node: usize, event: floor::In<'_>) {
+        let now = self.now;
+        let Some(Process::Foyer(floor)) = &mut self.nodes[node].process else { return };
+        for what in floor.step(now, event) {
+            if let floor::Out::Send { to, word } = what {
+                self.send(node, to, word.to_bytes().expect("a word"));
+            }
+        }
+        self.compare(node);
+    }
+
+    /// No node has applied something else than the others.
+    fn compare(&mut self, node: usize) {
+        let Some(house) = self.house(node) else { return };
+        let (index, state) = (house.script.index(), house.script.snapshot());
+        let known = self.states.entry(index).or_insert_with(|| state.clone());
+        assert!(*known == state, "node {node} has another state at {}", index.0);
+    }
+
+    fn house(&self, node: usize) -> Option<&House> {
+        match &self.nodes[node].process {
+            Some(Process::Prompter(control, _)) => Some(&control.house),
+            Some(Process::Foyer(floor)) => Some(&floor.house),
+            None => None,
+        }
+    }
+
+    /// Has an operator's next change ordered, where none waits.
+    fn order(&mut self) {
+        self.next_order = self.now + 100 * MS;
+        if self.asked.is_some_and(|(_, at)| self.now - at < SECOND) {
+            return;
+        }
+        let leads = |node: &usize| match &self.nodes[*node].process {
+            Some(Process::Prompter(control, _)) if control.book().leads() => Some(control.book().term()),
+            _ => None,
+        };
+        let Some(leader) = (0..CORE).filter(|node| leads(node).is_some()).max_by_key(leads) else { return };
+        self.asks += 1;
+        let ask = Ask(self.asks);
+        self.asked = Some((ask, self.now));
+        let (base, text) = (Version(self.acked), text(self.acked + 1));
+        self.prompter_step(leader, control::In::Order { ask, command: Command::Replace { base, text } });
+    }
+
+    fn due(&self, node: usize) -> Micros {
+        let due = match &self.nodes[node].process {
+            Some(Process::Prompter(control, _)) => control.due(),
+            Some(Process::Foyer(floor)) => floor.due(),
+            None => return Micros::MAX,
+        };
+        // One that applies nothing any more is stopped by its driver.
+        if self.house(node).is_some_and(|house| house.unreadable().is_some()) && node < CORE {
+            return Micros::MAX;
+        }
+        due.max(self.nodes[node].stepped + MS / 2)
+    }
+
+    fn play(&mut self, span: Micros) {
+        let end = self.now + span;
+        loop {
+            let (due, node) = (0..NODES).map(|node| (self.due(node), node)).min().expect("nodes");
+            let mail = self.heap.first_key_value().map_or(Micros::MAX, |((at, _), _)| *at);
+            let next = due.min(mail).min(self.next_order);
+            if next > end {
+                self.now = end;
+                return;
+            }
+            self.now = self.now.max(next);
+            if next == self.next_order {
+                self.order();
+            } else if next == mail {
+                let (_, event) = self.heap.pop_first().expect("it is there");
+                self.happens(event);
+            } else {
+                self.nodes[node].stepped = self.now;
+                self.prompter_step(node, control::In::Tick);
+                self.foyer_step(node, floor::In::Tick);
+            }
+        }
+    }
+
+    fn happens(&mut self, event: Event) {
+        match event {
+            Event::Mail { to, from, bytes } => {
+                self.foyer_step(to, floor::In::Mail { from: place(from), bytes: &bytes });
+                self.prompter_step(to, control::In::Mail { from: place(from), bytes });
+            }
+            Event::Synced { at, run, write } if self.nodes[at].run == run => {
+                let Some(Process::Prompter(_, ledger)) = &mut self.nodes[at].process else { return };
+                ledger.keep(&write).expect("a write that fits");
+                self.prompter_step(at, control::In::Written { no: write.no, ok: true });
+            }
+            Event::Synced { .. } => {}
+        }
+    }
+
+    /// All of these have all that was acknowledged, and have this form agreed; more comes while they do.
+    fn all_have(&mut self, nodes: &[usize], agreed: u8) {
+        let before = self.acked;
+        self.play(2 * SECOND);
+        assert!(self.acked > before, "changes are taken: {} after {before}", self.acked);
+        for node in nodes {
+            let house = self.house(*node).expect("it runs");
+            assert_eq!(house.why_unreadable(), None, "node {node}");
+            assert_eq!(house.script.agreed(), Form(agreed), "node {node}");
+            let version = house.script.version().0;
+            assert!(version + 1 >= self.acked, "node {node} has {version} of {}", self.acked);
+        }
+    }
+
+    /// It can't go on, and says what it reads and what is agreed.
+    fn refused(&self, node: usize) {
+        let why = self.house(node).and_then(|house| house.why_unreadable()).unwrap_or_default();
+        assert!(why.contains('2') && why.contains("9.1.0, which reads forms 1 to 1"), "node {node}: {why:?}");
+    }
+}
+
+#[test]
+fn nodes_are_exchanged_for_a_next_version_one_by_one_and_back_until_its_form_is_agreed() {
+    let all: Vec<usize> = (0..NODES).collect();
+    let mut world = World::open(NOW);
+    world.play(4 * SECOND);
+    world.all_have(&all, 1);
+    for node in 0..NODES {
+        assert_eq!(world.words.contains_key(&2), node > 1, "two that read it speak it to each other");
+        world.exchange(node, NEXT);
+        world.all_have(&all, 1);
+    }
+    let refused: u64 = all.iter().filter_map(|node| world.house(*node)).map(House::refused).sum();
+    assert_eq!(refused, 0, "nobody was spoken to in a form that it does not read");
+    // Back again: as one node reads less, nothing newer is agreed, however long that lasts.
+    world.exchange(0, NOW);
+    world.play(40 * SECOND);
+    world.all_have(&all, 1);
+    world.exchange(0, NEXT);
+    world.play(25 * SECOND);
+    world.all_have(&all, 1);
+    world.play(10 * SECOND);
+    world.all_have(&all, 2);
+    // From here on the older program is refused: with the disk of a voter, as a foyer, as a newcomer.
+    let life = |world: &World| match &world.nodes[0].process {
+        Some(Process::Prompter(control, _)) => control.seat().life,
+        _ => Life(0),
+    };
+    world.exchange(1, NOW);
+    world.exchange(4, NOW);
+    world.play(3 * SECOND);
+    world.refused(1);
+    world.refused(4);
+    let Some(Process::Foyer(foyer)) = &world.nodes[4].process else { panic!("it is a foyer") };
+    assert!(!foyer.ready());
+    let status = foyer.status();
+    let why = status.get("NotReadyFor").and_then(|why| why.as_str()).unwrap_or_default();
+    assert!(why.contains("which reads forms 1 to 1"), "{why:?}");
+    world.all_have(&[0, 2, 3], 2);
+    world.exchange(1, NEXT);
+    world.exchange(4, NEXT);
+    world.all_have(&all, 2);
+    assert_eq!(life(&world), Life(0));
+    world.nodes[0].store = MemoryStore::default();
+    world.exchange(0, NOW);
+    world.play(3 * SECOND);
+    world.refused(0);
+    let newcomer = life(&world);
+    world.all_have(&[1, 2, 3, 4], 2);
+    let Some(Process::Prompter(control, _)) = &world.nodes[1].process else { panic!("it is a prompter") };
+    assert!(control.book().members().0.iter().all(|seat| seat.life != newcomer), "it is not let in");
+    // The next version on that disk is, and a kill of all at once loses nothing that was acknowledged.
+    world.exchange(0, NEXT);
+    world.play(12 * SECOND);
+    world.all_have(&all, 2);
+    world.nodes.iter_mut().for_each(|node| node.process = None);
+    let acked = world.acked;
+    (0..NODES).for_each(|node| world.start(node, NEXT));
+    world.play(3 * SECOND);
+    assert!(world.acked > acked);
+    world.all_have(&all, 2);
+}
+
+/// Bytes of all that a node has to send now.
+fn letters(house: &mut House) -> Vec<Vec<u8>> {
+    let words = house.out().into_iter();
+    words.map(|(to, word)| house.letter(to, word).to_bytes().expect("a word")).collect()
+}
+
+#[test]
+fn a_newer_word_is_refused_once_told_and_an_older_one_is_read() {
+    let start = |node, forms| House::start(member(node, 7, forms), vec![place(0), place(1)], SECOND, 3, 0);
+    let (mut old, mut new) = (start(0, NOW), start(1, NEXT));
+    let joins = letters(&mut old);
+    let join = joins.first().expect("a start says something");
+    assert_eq!(join[..2], [0x81, 0x81]);
+    // What is older is read, and answered in what both read.
+    new.received(10, place(0), join);
+    assert_eq!(new.company.member(place(0)).map(|member| member.edition.forms), Some(NOW));
+    assert!(letters(&mut new).iter().all(|bytes| bytes[..2] == [0x81, 0x82]), "in the older form");
+    // What is newer, or has no sound head, is refused: counted, told once, and nothing else happens.
+    old.received(10, place(1), &letters(&mut start(1, NEXT))[0]);
+    drop(old.out());
+    while old.happened().is_some() {}
+    let mut newer = join.clone();
+    newer[..2].copy_from_slice(&[0x82, 0x82]);
+    let headless = &join[2..];
+    let crossed = [&[0x82, 0x81], headless].concat();
+    for (times, bytes) in
+        [&newer[..], &newer, headless, &crossed, &[], &[0x80, 0x80], &join[..1]].iter().enumerate()
+    {
+        old.received(20, place(1), bytes);
+        assert_eq!(old.refused(), times as u64 + 1);
+        assert!(old.happened().is_none() && old.out().is_empty());
+    }
+    assert!(!old.tells(place(1), Some(Form(2))) && !old.tells(place(1), None), "they were told of");
+    assert!(old.tells(place(1), Some(Form(3))), "another form is told of");
+    old.received(30, place(1), &letters(&mut start(1, NOW))[0]);
+    assert!(old.tells(place(1), Some(Form(2))), "one that came to be understood is told of anew");
+    // Bounded, whoever sends.
+    for node in 0..250 {
+        for form in 2..9 {
+            old.received(40, place(node), &[0x80 | form, 0x80 | form]);
+        }
+    }
+    assert!(!old.tells(place(251), Some(Form(2))), "what is told of has a bound");
+    assert_eq!(old.refused(), 7 + 250 * 7);
+    let word = Word::NotLetIn { agreed: Form(2) };
+    let plain = postcard::to_stdvec(&word).expect("a word").len();
+    assert_eq!(old.letter(place(1), word).to_bytes().map(|bytes| bytes.len()), Ok(plain + 2));
+}
+
+#[test]
+fn commands_states_and_notes_of_other_forms_are_read_or_refused() {
+    let replace = |version| Command::Replace { base: Version(version - 1), text: text(version) };
+    let agree = Command::Agree { form: Form(2) };
+    let (mut old, mut new) = (Script::reading(NOW), Script::reading(NEXT));
+    // As programs before forms wrote it: no head.
+    let headless = &replace(1).to_bytes()[1..];
+    let early = replace(2).to_bytes_in(Form(2));
+    for script in [&mut old, &mut new] {
+        assert_eq!(script.apply(0, Index(1), headless), Outcome::Taken);
+        assert_eq!(script.apply(0, Index(2), &early), Outcome::Unreadable, "before it is agreed, to all");
+    }
+    assert_eq!(old.snapshot(), new.snapshot());
+    let before = old.snapshot();
+    assert_eq!(new.apply(0, Index(3), &agree.to_bytes()), Outcome::Taken);
+    assert_eq!(new.apply(0, Index(4), &agree.to_bytes()), Outcome::Again);
+    assert_eq!(new.apply(0, Index(5), &early), Outcome::Taken);
+    for (index, command) in [(3, agree.to_bytes()), (5, early), (6, replace(2).to_bytes())] {
+        assert_eq!(old.apply(0, Index(index), &command), Outcome::Beyond { form: Form(2) });
+    }
+    assert_eq!((old.index(), old.snapshot()), (Index(2), before), "nothing after it is applied");
+    let state = new.snapshot();
+    assert_eq!(state[0], 2);
+    assert!(old.restore(0, Index(5), &state).is_err() && old.index() == Index(2));
+    let mut late = Script::reading(NEXT);
+    late.restore(0, Index(5), &state).expect("it is read");
+    assert_eq!((late.agreed(), late.snapshot()), (Form(2), state));
+
+    let mut house = House::start(member(0, 1, NOW), vec![place(1)], SECOND, 1, 0);
+    let beat = cast::Beat {
+        id: cast::InstanceId("i".into()),
+        service: "s".into(),
+        address: "10.0.0.9:80".parse().expect("an address"),
+        zone: "z".into(),
+        version: "v1".into(),
+        slots: 1,
+        draining: false,
+        warmup_left: 0,
+        sequence: 1,
+    };
+    house.beat(0, Ask(1), beat);
+    let note = house.memory(1);
+    assert_eq!(note[..2], [0, 1]);
+    let known = |note: &[u8]| {
+        let mut house = House::start(member(0, 2, NOW), vec![place(1)], SECOND, 1, 0);
+        house.remember(2, note);
+        house.cast.records().count()
+    };
+    let newer = [&[0, 2], &note[2..]].concat();
+    let longer = [&note[..], &[1]].concat();
+    assert_eq!([&note[..], &note[2..], &newer, &longer, &[]].map(known), [1, 1, 0, 0, 0]);
+}
--- a/crates/props/src/lib.rs
+++ b/crates/props/src/lib.rs
@@ -1,8 +1,11 @@
 //! Props (shared plain types): what the rooms of the system name things by. Nothing here decides anything.
 
+mod form;
+
 use std::fmt;
 use std::net::Ipv4Addr;
 
+pub use form::{Edition, Form, Forms, Program};
 pub use garnetdoor::host::Micros;
 use serde::{Deserialize, Serialize};
 
--- a/crates/rehearsal/src/world/foyer.rs
+++ b/crates/rehearsal/src/world/foyer.rs
@@ -64,7 +64,7 @@
         for what in out {
             match what {
                 Out::Send { to, word } => {
-                    let mute = self.planted == Some(Planted::NoCap) && matches!(word, Word::Vote(_));
+                    let mute = self.planted == Some(Planted::NoCap) && matches!(*word, Word::Vote(_));
                     if !mute {
                         self.send(at, to, &word);
                     }
--- a/crates/rehearsal/src/world/machine.rs
+++ b/crates/rehearsal/src/world/machine.rs
@@ -213,6 +213,7 @@
             part: machine.part,
             zone: format!("z{}", machine.zone),
             name: format!("m{at}"),
+            edition: props::Edition::OWN,
         };
         House::start(member, seeds, micros(HEARTBEAT_S), seed, 0)
     }
--- a/crates/rehearsal/src/world/net.rs
+++ b/crates/rehearsal/src/world/net.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use playhouse::house::Word;
+use playhouse::house::Letter;
 use props::{MS, Micros, Place};
 
 use super::{Event, World};
@@ -33,12 +33,12 @@
     }
 
     /// A datagram.
-    pub(crate) fn send(&mut self, from: usize, to: Place, word: &Word) {
+    pub(crate) fn send(&mut self, from: usize, to: Place, word: &Letter) {
         let Some(to) = self.machine_at(to) else { return };
         if to == from || !self.passes(Some(from), Some(to)) {
             return;
         }
-        let Ok(bytes) = postcard::to_stdvec(word) else { return };
+        let Ok(bytes) = word.to_bytes() else { return };
         let storm = self.now < self.storm.0;
         // Larger ones go by streams, which don't lose them.
         let lost = if storm { self.storm.1 } else { self.scenario.lost };
--- a/crates/script/src/outcome.rs
+++ b/crates/script/src/outcome.rs
@@ -1,7 +1,7 @@
 //! Outcome (of a command): a value, the same at every node, with the status that its caller is answered.
 
 use bill::Faults;
-use props::Version;
+use props::{Form, Version};
 
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Outcome {
@@ -19,6 +19,10 @@
     Unknown(String),
     /// No command of ours.
     Unreadable,
+    /// This form is agreed and not read here: the entry was not applied, and none after it will be.
+    Beyond {
+        form: Form,
+    },
     /// The entry was applied earlier, or the state is past it; nothing was done, and nothing is said about
     /// what its command came to.
     Old,
@@ -33,7 +37,7 @@
             Outcome::Invalid(_) | Outcome::Unreadable => 400,
             Outcome::Conflict(_) => 409,
             Outcome::Unknown(_) => 404,
-            Outcome::Old => 503,
+            Outcome::Old | Outcome::Beyond { .. } => 503,
         }
     }
 }
--- a/crates/wings/src/disk.rs
+++ b/crates/wings/src/disk.rs
@@ -19,6 +19,11 @@
 const ASIDE: &str = "ledger.bad";
 const TABLE: TableDefinition<&[u8], &[u8]> = TableDefinition::new("ledger");
 const CACHE_BYTES: usize = 1 << 20;
+/// The library's file format: the newest version that it reads, and where a file names its own, once for each of
+/// its two commits; from redb 4's notes on its header. What it says itself of a newer one is that it is damaged.
+const NEWEST: u8 = 3;
+const VERSIONS: [usize; 2] = [64, 192];
+const MAGIC: &[u8] = b"redb\x1a\x0a\xa9\x0d\x0a";
 
 /// The few things a store asks of a directory; tests put one below it that loses power.
 pub trait Folder: Send {
@@ -138,6 +143,11 @@
 fn open_anew<F: Folder>(folder: &F) -> Result<Database, StoreError> {
     let mut batch = Batch::default();
     if let Some(file) = folder.open(NAME).map_err(|e| failed("opening", &e))? {
+        if let Some(version) = newer(&file).map_err(|e| failed("opening", &e))? {
+            let why =
+                format!("the file has version {version} of the library's format, {NEWEST} is read here");
+            return Err(StoreError::Failed { doing: "opening", why });
+        }
         let database = open_file("opening", file)?;
         let pairs = guarded("reading", || read(&database, &[], &[]))?;
         batch.steps.extend(pairs.into_iter().map(|(key, value)| Step::Put { key, value }));
@@ -150,6 +160,18 @@
     Ok(database)
 }
 
+/// The version of a file that a newer library made. A store is made anew at each start, so that such a file names
+/// it in both places; one of them alone is damage.
+fn newer(file: &impl StorageBackend) -> io::Result<Option<u8>> {
+    let mut head = [0; 256];
+    if file.len()? < head.len() as u64 {
+        return Ok(None);
+    }
+    file.read(0, &mut head)?;
+    let [first, second] = VERSIONS.map(|at| head[at]);
+    Ok((head.starts_with(MAGIC) && first == second && first > NEWEST).then_some(first))
+}
+
 fn open_file(doing: &'static str, file: impl StorageBackend) -> Result<Database, StoreError> {
     guarded(doing, || {
         let mut builder = Builder::new();
--- a/crates/wings/tests/trouble.rs
+++ b/crates/wings/tests/trouble.rs
@@ -223,6 +223,17 @@
         }
     }
     assert!(found > 0, "nothing of {} bytes mattered", sound.len());
+    // A newer version of the library's format is named twice, and is no damage; once is.
+    let mut newer = sound.clone();
+    newer[64] = 4;
+    std::fs::write(&file, &newer).unwrap();
+    assert!(matches!(DiskStore::open(dir.path()), Err(StoreError::Damaged { .. })));
+    newer[192] = 4;
+    std::fs::write(&file, &newer).unwrap();
+    let error = DiskStore::open(dir.path()).unwrap_err();
+    assert!(error.to_string().contains("version 4"), "{error}");
+    assert!(matches!(error, StoreError::Failed { .. }));
+    assert_eq!(std::fs::read(&file).unwrap(), newer, "it is left as it is");
     std::fs::write(&file, &sound[..sound.len() / 2]).unwrap();
     assert!(matches!(DiskStore::open(dir.path()), Err(StoreError::Damaged { .. })));
     DiskStore::set_aside(dir.path()).unwrap();
