--- a/crates/playhouse/src/commands/ledger.rs
+++ b/crates/playhouse/src/commands/ledger.rs
@@ -175,6 +175,7 @@
             "Unreadable": self.unreadable.clone(),
             "Voters": voters,
             "ConfigVersion": self.script.version().to_string(),
+            "AgreedForm": self.script.agreed().0,
             "Rollouts": rollouts,
         })
     }
--- a/crates/playhouse/src/house.rs
+++ b/crates/playhouse/src/house.rs
@@ -398,7 +398,11 @@
         if self.unreadable.is_some() {
             return;
         }
+        let agreed = self.script.agreed();
         let outcome = self.script.apply(now, index, data);
+        if self.script.agreed() != agreed {
+            log::info!("form {} is agreed", self.script.agreed());
+        }
         if let Outcome::Beyond { form } = outcome {
             return self.give_up(index, format!("form {form} is agreed, this is {}", self.own.edition));
         }
--- a/crates/playhouse/tests/forms.rs
+++ b/crates/playhouse/tests/forms.rs
@@ -11,11 +11,13 @@
 use playhouse::floor::{self, Floor};
 use playhouse::house::{House, Word};
 use playhouse::settings::Settings;
-use promptbook::{Members, Write};
-use props::{Ask, Edition, Form, Forms, Index, Life, MS, Micros, Place, Program, SECOND, Seat, Version};
+use promptbook::{Entry, Members, What, Write, WriteNo};
+use props::{
+    Ask, Edition, Form, Forms, Index, Life, MS, Micros, Place, Program, SECOND, Seat, Term, Version,
+};
 use script::{Command, Outcome, Script};
 use simd_json::prelude::*;
-use wings::MemoryStore;
+use wings::{DiskStore, MemoryStore};
 
 const NOW: Forms = Forms { oldest: Form(1), newest: Form(1) };
 const NEXT: Forms = Forms { oldest: Form(1), newest: Form(2) };
@@ -447,3 +449,39 @@
     let longer = [&note[..], &[1]].concat();
     assert_eq!([&note[..], &note[2..], &newer, &longer, &[]].map(known), [1, 1, 0, 0, 0]);
 }
+
+#[test]
+fn the_program_refuses_a_disk_on_which_a_newer_form_is_agreed() {
+    let dir = tempfile::tempdir().expect("a folder");
+    let data = dir.path().join("data");
+    let store = DiskStore::open(&data).expect("a store");
+    let (mut ledger, _) = Ledger::open(store, Life(0)).expect("an empty ledger");
+    let newer = Form(Forms::OWN.newest.0 + 1);
+    let what = What::Command(Command::Agree { form: newer }.to_bytes());
+    let entries = vec![Entry { index: Index(1), term: Term(1), what }];
+    let (term, committed) = (Term(1), Index(1));
+    let write =
+        Write { no: WriteNo(1), term, voted: None, committed, cut_from: None, entries, snapshot: None };
+    ledger.keep(&write).expect("it is kept");
+    drop(ledger);
+    let settings = dir.path().join("settings.toml");
+    let text = "NodeName = \"n\"\nIpAddress = \"127.77.3.1\"\nZone = \"z\"\nInternalPortRange = [7620, 7635]\n\
+                SeedNodes = [\"127.77.3.1:8649\"]\n";
+    let text = format!("{text}DataDirectory = {data:?}\n[ListenAddresses]\nControl = \"127.77.3.1:8649\"\n");
+    std::fs::write(&settings, text).expect("settings");
+    let wanted = format!("form {newer} is agreed");
+    let folder = data.to_str().expect("a path in UTF-8");
+    for line in [&["prompter"][..], &["ledger", "verify", folder], &["prompter"]] {
+        let ran = std::process::Command::new(env!("CARGO_BIN_EXE_playhouse"))
+            .args(line)
+            .env("GARNETDOOR_SETTINGS", &settings)
+            .output()
+            .expect("the program runs");
+        let said = String::from_utf8_lossy(&[ran.stdout, ran.stderr].concat()).into_owned();
+        assert_eq!(ran.status.code(), Some(1), "{line:?}: {said}");
+        assert!(said.contains(&wanted), "{line:?}: {said}");
+    }
+    let (_, opened) =
+        Ledger::open(DiskStore::open(&data).expect("a store"), Life(9)).expect("it is as it was");
+    assert_eq!((opened.life, opened.saved.entries.len()), (Life(0), 1));
+}
