--- a/crates/company/src/node.rs
+++ b/crates/company/src/node.rs
@@ -166,7 +166,12 @@
 
     /// Since when a node stands as it does, by the clock of the events; `None` for one that is not known.
     pub fn since(&self, place: Place) -> Option<Micros> {
-        self.roster.iter().find(|peer| peer.member.place == place).map(|peer| peer.since)
+        self.roster.get(place).map(|peer| peer.since)
+    }
+
+    /// What is known of the node at a place, whatever its standing; none of this node itself.
+    pub fn member(&self, place: Place) -> Option<&Member> {
+        self.roster.get(place).map(|peer| &peer.member)
     }
 
     /// Those of a part that are alive or suspect, without this node.
--- a/crates/playhouse/src/commands/ledger.rs
+++ b/crates/playhouse/src/commands/ledger.rs
@@ -155,6 +155,12 @@
         }
         match held.script.apply(0, entry.index, data) {
             Outcome::Taken => held.taken += 1,
+            beyond @ Outcome::Beyond { .. } => {
+                return Err(damaged(
+                    dir,
+                    format!("entry {}: {}", entry.index.0, crate::prompter::refusal(&beyond)),
+                ));
+            }
             _ => held.refused += 1,
         }
     }
@@ -215,6 +221,7 @@
             "Unreadable": self.unreadable.clone(),
             "Voters": voters,
             "ConfigVersion": self.script.version().to_string(),
+            "AgreedForm": self.script.agreed().0,
             "Rollouts": rollouts,
         })
     }
--- a/crates/rehearsal/src/world/machine.rs
+++ b/crates/rehearsal/src/world/machine.rs
@@ -224,6 +224,7 @@
             part: machine.part,
             zone: format!("z{}", machine.zone),
             name: format!("m{at}"),
+            edition: props::Edition::OWN,
         };
         House::start(member, seeds, beat, seed, 0)
     }
--- a/crates/understudy/src/targets/disk.rs
+++ b/crates/understudy/src/targets/disk.rs
@@ -407,6 +407,7 @@
         part: Part::Prompter,
         zone: "z".into(),
         name: "n".into(),
+        edition: props::Edition::OWN,
     };
     House::start(own, vec![Place([10, 0, 0, 2].into())], 1_500_000, seed, 0)
 }
--- a/crates/understudy/src/targets/orders.rs
+++ b/crates/understudy/src/targets/orders.rs
@@ -37,6 +37,7 @@
         Outcome::Raced { .. } => signature.mark("outcome", 2),
         Outcome::Unreadable => signature.mark("outcome", 3),
         Outcome::Old => signature.mark("outcome", 4),
+        Outcome::Beyond { .. } => signature.mark("outcome", 5),
     }
 }
 
