--- a/crates/cast/src/cast.rs
+++ b/crates/cast/src/cast.rs
@@ -504,7 +504,9 @@
                 false
             } else {
                 let since = *self.absent.entry(*keeper).or_insert(now);
-                now - since.max(self.watch_from) > patience
+                // Newer word of it shows that its keeper is there for others. Guards against a hub that holds a
+                // keeper gone which is not, and would call its instances silent again after each correction.
+                now - since.max(self.watch_from).max(entry.told) > patience
             };
             if over {
                 quiet.push(id.clone());
--- a/crates/cast/src/list.rs
+++ b/crates/cast/src/list.rs
@@ -26,6 +26,8 @@
     latest: u64,
     /// The last beat here, or when this node came to be its keeper.
     pub heard: Micros,
+    /// When another node's newer word on it was last taken over.
+    pub told: Micros,
     /// Whether it was seen here that enough others know that it leaves.
     pub confirmed: bool,
     /// When it was last sent to another hub for balance.
@@ -229,6 +231,7 @@
             }
         }
         next.first_seen = first_seen;
+        entry.told = now;
         let address_changed = next.address != entry.known.address;
         self.set(now, own, next, learnt);
         if address_changed {
@@ -272,6 +275,7 @@
                     known: next,
                     latest,
                     heard: now,
+                    told: now,
                     confirmed: false,
                     moved: None,
                     remembered: false,
--- a/crates/cast/tests/cast.rs
+++ b/crates/cast/tests/cast.rs
@@ -2,8 +2,10 @@
 
 mod world;
 
-use cast::{Effect, InstanceId, State};
-use props::{MS, Micros, SECOND};
+use std::net::Ipv4Addr;
+
+use cast::{Cast, Effect, Event, InstanceId, Message, Record, State, Timing};
+use props::{MS, Micros, Place, SECOND};
 use world::{BEAT, World};
 
 const LEAVING: [State; 2] = [State::Draining, State::Gone];
@@ -266,3 +268,46 @@
         world.assert_all_know();
     }
 }
+
+/// Seen in the rehearsal (day 8146): a hub that held a living keeper gone had all of its instances out of use for
+/// eight seconds, as each correction was overruled within a quarter of one.
+#[test]
+fn a_hub_that_holds_a_living_keeper_gone_does_not_overrule_it_at_once() {
+    let place = |number| Place(Ipv4Addr::new(10, 0, 0, number));
+    let (own, other, keeper) = (place(1), place(2), place(3));
+    let id = InstanceId("i-1".into());
+    let mut hub = Cast::start(own, Timing::of_heartbeat(BEAT), 1, 0);
+    hub.step(0, Event::Peers { hubs: vec![own, other], others: vec![] });
+    let tell = |hub: &mut Cast, now: Micros, sequence: u64| {
+        let record = Record {
+            id: id.clone(),
+            service: "s".into(),
+            address: "10.9.0.1:80".parse().expect("an address"),
+            zone: "z".into(),
+            version: "v1".into(),
+            slots: 2,
+            state: State::InService,
+            sequence,
+            age: now,
+            warmup_left: 0,
+            state_age: now,
+            keeper,
+        };
+        let message = Message::News { relay: false, records: vec![record] };
+        hub.step(now, Event::Received { from: keeper, message });
+    };
+    let silent_after = |hub: &mut Cast, from: Micros| -> Option<Micros> {
+        (0..100).map(|step| from + step * 100 * MS).find(|now| {
+            hub.step(*now, Event::Tick);
+            hub.get(&id).is_some_and(|known| known.state == State::Silent)
+        })
+    };
+    tell(&mut hub, 10 * MS, 1);
+    // Nobody speaks for it and its keeper is not there: it is silent in time.
+    let first = silent_after(&mut hub, 100 * MS).expect("it falls silent");
+    assert!((4 * SECOND..6 * SECOND).contains(&first), "{first}");
+    // The keeper, which is there for others, says otherwise: that holds as long again.
+    tell(&mut hub, first + 50 * MS, 9);
+    let again = silent_after(&mut hub, first + 100 * MS).expect("it falls silent");
+    assert!(again - first >= 4 * SECOND, "{again} after {first}");
+}
--- a/crates/rehearsal/src/world/prompter.rs
+++ b/crates/rehearsal/src/world/prompter.rs
@@ -75,7 +75,9 @@
         if self.planted == Some(Planted::ForgottenVote) {
             saved.voted = None;
         }
-        let house = self.house(at, seat.life);
+        // Among the nodes it is the process that lives, as in the driver; one that has left is never heard again.
+        let life = Life(self.chance.rand_u64());
+        let house = self.house(at, life);
         let seed = self.chance.rand_u64();
         let (control, out) = Control::start(house, seat, members, saved, seed, 0);
         let process =
