--- a/crates/playhouse/src/commands/show.rs
+++ b/crates/playhouse/src/commands/show.rs
@@ -216,7 +216,11 @@
     let mut programs: Vec<&str> = members.iter().map(|member| text(member, "Program")).collect();
     programs.sort_unstable();
     programs.dedup();
-    out.push_str(&format!("programs {}; form {} agreed\n", programs.join(", "), count(status, "AgreedForm")));
+    let agreed = count(status, "AgreedForm");
+    // A machine of a program before forms tells of neither.
+    if agreed > 0 {
+        out.push_str(&format!("programs {}; form {agreed} agreed\n", programs.join(", ")));
+    }
     let standing = |place: &str| {
         let found = members.iter().find(|member| text(member, "Place") == place);
         found.map_or(("-", "unknown"), |member| (text(member, "Name"), text(member, "Standing")))
