--- a/crates/playhouse/src/foyer/front.rs
+++ b/crates/playhouse/src/foyer/front.rs
@@ -304,6 +304,7 @@
         body: if streams { Bytes::new() } else { taken },
         stream: RefCell::new(stream),
         streams,
+        been: RefCell::default(),
         repeats: route.kind.may_repeat(),
     };
     let Some(service) = pick(route) else { return turned_back(Some(cue::come_back(left))) };
--- a/crates/playhouse/src/foyer/mod.rs
+++ b/crates/playhouse/src/foyer/mod.rs
@@ -1,12 +1,18 @@
 //! Foyer (data plane): takes requests from clients and has them answered by instances; which, whether and
 //! how often is decided in `garnetdoor`. A driver: sockets, timers, signals.
 
-mod cloakroom;
+#[doc(hidden)]
+pub mod cloakroom;
 mod crowd;
+#[doc(hidden)]
+pub mod exchange;
 mod front;
-mod pool;
-mod trip;
-mod watch;
+#[doc(hidden)]
+pub mod pool;
+#[doc(hidden)]
+pub mod trip;
+#[doc(hidden)]
+pub mod watch;
 
 use std::cell::RefCell;
 use std::collections::HashMap;
--- a/crates/playhouse/src/foyer/pool.rs
+++ b/crates/playhouse/src/foyer/pool.rs
@@ -1,17 +1,26 @@
 //! Connections to instances: made, kept while idle, and handed out again.
 
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::io::IoSlice;
+use std::mem::MaybeUninit;
 use std::net::SocketAddrV4;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
 use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::combinators::UnsyncBoxBody;
 use hyper::client::conn::http1::{Builder, SendRequest};
+use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
 use props::{Micros, SECOND};
 use socket2::{Domain, Protocol, SockRef, Socket, Type};
 use tokio::net::TcpStream;
 
+use super::exchange::{End, Look, State};
+
 pub type Failed = Box<dyn std::error::Error + Send + Sync>;
 pub type Body = UnsyncBoxBody<Bytes, Failed>;
 
@@ -20,6 +29,50 @@
 pub struct Wire {
     pub sender: SendRequest<Body>,
     carries: tokio::task::AbortHandle,
+    socket: Rc<Socketed>,
+}
+
+/// What the connection's task and its owner share.
+struct Socketed {
+    io: RefCell<TokioIo<TcpStream>>,
+    state: Cell<State>,
+}
+
+impl Socketed {
+    /// Looks at the socket itself: the runtime learns of bytes only when it asks the kernel next, and hyper
+    /// writes before that.
+    fn look(&self) -> Look {
+        let io = self.io.borrow();
+        match SockRef::from(io.inner()).peek(&mut [MaybeUninit::uninit()]) {
+            Ok(0) => Look::Ended,
+            Ok(_) => Look::Bytes,
+            Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => Look::Nothing,
+            Err(_) => Look::Ended,
+        }
+    }
+}
+
+impl Wire {
+    /// Takes it for one exchange; `false` where it is not proved empty, and it is never used then.
+    fn lend(&self) -> bool {
+        self.socket.state.set(self.socket.state.get().lend(self.look()));
+        self.unheard()
+    }
+
+    fn end(&self, end: End) -> State {
+        self.socket.state.set(self.socket.state.get().end(end));
+        self.socket.state.get()
+    }
+
+    /// Whether it is known that the instance has heard nothing of this exchange.
+    pub fn unheard(&self) -> bool {
+        self.socket.state.get().unheard()
+    }
+
+    /// What lies unread in it now. One that hyper has closed, or that still works on what it was asked, is ended.
+    fn look(&self) -> Look {
+        if self.sender.is_ready() { self.socket.look() } else { Look::Ended }
+    }
 }
 
 impl Drop for Wire {
@@ -56,11 +109,11 @@
 }
 
 impl Pool {
-    /// An idle connection, the one used last first, so that the others can end.
+    /// An idle connection that is proved empty, the one used last first, so that the others can end.
     pub fn take(&mut self, now: Micros, to: SocketAddrV4) -> Option<Wire> {
         let line = self.lines.get_mut(&to)?;
         while let Some(idle) = line.idle.pop() {
-            if idle.until > now && !idle.wire.sender.is_closed() {
+            if idle.until > now && idle.wire.lend() {
                 line.out += 1;
                 return Some(idle.wire);
             }
@@ -84,12 +137,20 @@
         let Some(line) = self.lines.get_mut(&to) else { return };
         line.out = line.out.saturating_sub(1);
         let rest = told.map_or(IDLE, |told| told - SPARE).min(60 * SECOND);
-        // One that is not ready still writes a request whose answer has come already.
-        if let Some(wire) = wire.filter(|wire| rest > 0 && wire.sender.is_ready()) {
+        let Some(wire) = wire else { return };
+        // One that is not ready still writes a request whose answer has come already, or has read more than that.
+        let clean = rest > 0 && wire.sender.is_ready();
+        if wire.end(if clean { End::Clean } else { End::Broken }) == State::Idle {
             line.idle.push(Idle { wire, until: now + rest });
         }
     }
 
+    /// What lies unread in the idle connections to an address.
+    pub fn looks(&self, to: SocketAddrV4) -> Vec<Look> {
+        let line = self.lines.get(&to);
+        line.map_or_else(Vec::new, |line| line.idle.iter().map(|idle| idle.wire.look()).collect())
+    }
+
     /// Ends what has lain idle for too long, and forgets addresses without connections.
     pub fn tidy(&mut self, now: Micros) {
         self.lines.retain(|_, line| {
@@ -110,15 +171,68 @@
 }
 
 async fn shake(stream: TcpStream) -> hyper::Result<Wire> {
+    // One that has just come up is lent to whom it was made for.
+    let state = Cell::new(State::FRESH.lend(Look::Nothing));
+    let socket = Rc::new(Socketed { io: RefCell::new(TokioIo::new(stream)), state });
     let (sender, connection) = Builder::new()
         .max_header_size(READ_AHEAD)
         .max_buf_size(READ_AHEAD)
-        .handshake(TokioIo::new(stream))
+        .handshake(Counted(socket.clone()))
         .await?;
     let task = crate::tasks::spawn_local(async move {
         if let Err(error) = connection.await {
             log::debug!("a connection to an instance ended: {error}");
         }
     });
-    Ok(Wire { sender, carries: task.abort_handle() })
+    Ok(Wire { sender, carries: task.abort_handle(), socket })
+}
+
+/// A connection whose written bytes are counted.
+struct Counted(Rc<Socketed>);
+
+impl Counted {
+    fn with<T>(&self, act: impl FnOnce(Pin<&mut TokioIo<TcpStream>>) -> T) -> T {
+        act(Pin::new(&mut *self.0.io.borrow_mut()))
+    }
+
+    fn counts(&self, wrote: Poll<std::io::Result<usize>>) -> Poll<std::io::Result<usize>> {
+        if let Poll::Ready(Ok(bytes)) = &wrote {
+            self.0.state.set(self.0.state.get().wrote(*bytes));
+        }
+        wrote
+    }
+}
+
+impl Read for Counted {
+    fn poll_read(
+        self: Pin<&mut Self>, context: &mut Context<'_>, buffer: ReadBufCursor<'_>,
+    ) -> Poll<std::io::Result<()>> {
+        self.with(|io| io.poll_read(context, buffer))
+    }
+}
+
+impl Write for Counted {
+    fn poll_write(
+        self: Pin<&mut Self>, context: &mut Context<'_>, bytes: &[u8],
+    ) -> Poll<std::io::Result<usize>> {
+        self.counts(self.with(|io| io.poll_write(context, bytes)))
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+        self.with(|io| io.poll_flush(context))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+        self.with(|io| io.poll_shutdown(context))
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.0.io.borrow().is_write_vectored()
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>, context: &mut Context<'_>, parts: &[IoSlice<'_>],
+    ) -> Poll<std::io::Result<usize>> {
+        self.counts(self.with(|io| io.poll_write_vectored(context, parts)))
+    }
 }
--- a/crates/playhouse/src/foyer/trip.rs
+++ b/crates/playhouse/src/foyer/trip.rs
@@ -2,6 +2,7 @@
 //! tells what of it is certain: run, not run, or perhaps.
 
 use std::cell::RefCell;
+use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -62,6 +63,8 @@
     pub stream: RefCell<Option<Body>>,
     /// There is, or was, such a body.
     pub streams: bool,
+    /// Instances that were asked already. What one of them says twice would have this request's id.
+    pub been: RefCell<Vec<SocketAddrV4>>,
     /// Its route says that it may run more than once.
     pub repeats: bool,
 }
@@ -92,7 +95,7 @@
 struct Held {
     pool: Rc<RefCell<Pool>>,
     clock: Clock,
-    to: std::net::SocketAddrV4,
+    to: SocketAddrV4,
     wire: Option<Wire>,
     keep: Option<Option<Micros>>,
 }
@@ -126,7 +129,8 @@
             return Outcome::Failed(Ending::NeverSent);
         }
         let to = self.to.address;
-        let mut fresh = false;
+        // Only a connection on which this request never was can't bring an earlier answer to it.
+        let mut fresh = self.asked.been.borrow().contains(&to);
         let mut unsent: Option<Request<Body>> = None;
         loop {
             let pooled = if fresh { None } else { self.pool.borrow_mut().take(self.clock.now(), to) };
@@ -159,22 +163,26 @@
             let Some(request) = unsent.take().or_else(|| self.request()) else {
                 return Outcome::Failed(Ending::NeverSent);
             };
+            self.asked.been.borrow_mut().push(to);
             let sent = tokio::time::timeout(left(self.clock.now()), wire.sender.try_send_request(request));
             return match sent.await {
                 Err(_) => Outcome::Failed(Ending::TimedOut),
                 Ok(Ok(response)) => self.answered(response, held).await,
                 Ok(Err(mut error)) => {
-                    // Nothing of it has left this machine: another connection may take it.
                     unsent = error.take_message();
-                    if unsent.is_some() && !new {
+                    // The client broke its body off, or sent too much: no fault of the instance.
+                    let stopped = unsent.is_none() && error.error().is_user();
+                    // hyper did not begin it, or the kernel took none of its bytes. Nothing else is known not to
+                    // have run.
+                    let unheard = unsent.is_some() || held.wire.as_ref().is_some_and(Wire::unheard);
+                    if unheard && !stopped && !new && (unsent.is_some() || !self.asked.streams) {
                         fresh = true;
                         continue;
                     }
-                    let ending = match &unsent {
-                        Some(_) => Ending::ConnectFailed,
-                        // The client broke its body off, or sent too much: no fault of the instance.
-                        None if error.error().is_user() => Ending::Stopped,
-                        None => Ending::Reset,
+                    let ending = match unheard {
+                        _ if stopped => Ending::Stopped,
+                        true => Ending::ConnectFailed,
+                        false => Ending::Reset,
                     };
                     self.put_back(unsent);
                     Outcome::Failed(ending)
@@ -223,9 +231,12 @@
                 });
         let rest = head.headers.get(KEEP_ALIVE).and_then(|value| value.to_str().ok()).and_then(timeout);
         // An answer that belongs to another request, or to none, or that is no last word (101).
-        if head.headers.get(ATTEMPT_ID) != self.asked.headers.get(ATTEMPT_ID) || status.is_informational() {
+        let (answers, asked) = (head.headers.get_all(ATTEMPT_ID), self.asked.headers.get_all(ATTEMPT_ID));
+        if !answers.iter().eq(asked.iter()) || status.is_informational() {
             return Outcome::Failed(Ending::Reset);
         }
+        // Without an id, what comes next can't be told from what was meant for this one.
+        let closes = closes || asked.iter().next().is_none();
         let not_run = head.headers.contains_key(NOT_EXECUTED);
         let chunked = chunked(&head.headers);
         // Its end is seen. One that lasts until the connection ends may have been cut off.
