--- a/crates/cast/src/cast.rs
+++ b/crates/cast/src/cast.rs
@@ -394,6 +394,11 @@
     }
 
     fn keys(&mut self, now: Micros, from: Place, whole: u16, keys: &[Key], out: &mut Vec<Effect>) {
+        // One that knows nothing has asked for everything, which keys never answer: they are for an earlier life
+        // here, and what they lead to is no whole list.
+        if self.first_asks > 0 && self.list.entries().next().is_none() {
+            return;
+        }
         let (records, want) = self.list.compare(now, whole, keys);
         give(from, records, out);
         for part in want.chunks(HASHES) {
--- a/crates/company/src/lib.rs
+++ b/crates/company/src/lib.rs
@@ -66,7 +66,8 @@
     }
 }
 
-/// Ties an answer to its probe within one process; 0 asks for nothing but a sign of life.
+/// Ties an answer to its probe within one life, which begins at a number drawn from it; 0 asks for nothing but a
+/// sign of life.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Number(pub u32);
 
--- a/crates/company/src/node.rs
+++ b/crates/company/src/node.rs
@@ -4,7 +4,7 @@
 use props::{Life, MS, Micros, Place};
 
 use crate::news::News;
-use crate::roster::{Peer, Roster, Worth, digest_of, range_of, weigh};
+use crate::roster::{Peer, Roster, Worth, digest_of, mix, range_of, weigh};
 use crate::{
     Effect, Event, Incarnation, Member, Message, NAME_BYTES_MAX, Number, Part, Rumor, SEEDS_MAX, Standing,
     Talk, Timing,
@@ -109,7 +109,8 @@
             round: Vec::new(),
             probe: None,
             helping: Vec::new(),
-            last_number: 0,
+            // Answers to the probes of an earlier life here must not count for this one's.
+            last_number: mix(own.life.0) as u32,
             strain: 0,
             next_probe: stagger(&mut rand, timing.probe_every),
             next_gossip: now + timing.gossip_every,
--- a/crates/company/src/roster.rs
+++ b/crates/company/src/roster.rs
@@ -170,7 +170,8 @@
     mix(mix(u64::from(u32::from(place.0)) ^ life.0) ^ u64::from(incarnation.0)) as u32
 }
 
-fn mix(value: u64) -> u64 {
+/// Spreads a number over all bits.
+pub(crate) fn mix(value: u64) -> u64 {
     let value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
     let value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
     value ^ (value >> 31)
