--- a/crates/callboard/src/lib.rs
+++ b/crates/callboard/src/lib.rs
@@ -11,7 +11,7 @@
 mod ring;
 
 pub use node::Callboard;
-use props::{Index, Place};
+use props::{Form, Index, Place};
 use serde::{Deserialize, Serialize};
 
 /// Pieces up to this many bytes are sent unasked; of bigger ones the index is told, and they are asked for.
@@ -56,6 +56,17 @@
     },
 }
 
+impl Message {
+    /// The form that brought this word: it is not sent to a node that reads less.
+    pub fn since(&self) -> Form {
+        match self {
+            Message::Pieces { .. } | Message::Have { .. } | Message::Want { .. } | Message::Whole { .. } => {
+                Form::FIRST
+            }
+        }
+    }
+}
+
 #[derive(Clone, Debug)]
 pub enum Event {
     Tick,
--- a/crates/cast/src/lib.rs
+++ b/crates/cast/src/lib.rs
@@ -11,7 +11,7 @@
 
 use std::net::SocketAddrV4;
 
-use props::{Ask, MS, Micros, Place, SECOND};
+use props::{Ask, Form, MS, Micros, Place, SECOND};
 use serde::{Deserialize, Serialize};
 
 pub use cast::Cast;
@@ -161,6 +161,22 @@
     },
 }
 
+impl Message {
+    /// The form that brought this word: it is not sent to a node that reads less.
+    pub fn since(&self) -> Form {
+        match self {
+            Message::News { .. }
+            | Message::Leaving { .. }
+            | Message::Heard { .. }
+            | Message::Digest { .. }
+            | Message::Nothing
+            | Message::Keys { .. }
+            | Message::Want { .. }
+            | Message::Give { .. } => Form::FIRST,
+        }
+    }
+}
+
 #[derive(Clone, Debug)]
 pub enum Event {
     Tick,
--- a/crates/playhouse/src/control.rs
+++ b/crates/playhouse/src/control.rs
@@ -28,6 +28,9 @@
 /// programs, a new leader has learnt who is there, and an operator may still go back.
 const AGREE_AFTER: Micros = 30 * SECOND;
 
+/// A proposal to agree on a form may be applied within so long.
+const AGREE_AGAIN: Micros = SECOND;
+
 /// The spans of the log: an election within two seconds, so that calls are answered well within `AckS` after
 /// a loss; eight seconds of silence, well over a cut or a restart, before a member is let go.
 pub const TIMING: Timing =
@@ -205,7 +208,9 @@
             In::Mail { from, bytes } => self.house.received(now, from, &bytes),
             In::Written { no, ok: true } => self.log(now, Event::Synced { write: no }),
             In::Written { no, ok: false } => self.log(now, Event::WriteFailed { write: no }),
-            In::Order { ask, command } => self.log(now, Event::Propose { ask, data: self.written(&command) }),
+            In::Order { ask, command } => {
+                self.log(now, Event::Propose { ask, data: self.written(now, &command) })
+            }
             In::Read { ask } => self.log(now, Event::Read { ask }),
             In::Beat { ask, beat } => self.house.beat(now, ask, beat),
             In::Detach { ask, id } => self.house.detach(now, ask, id),
@@ -290,30 +295,38 @@
 
     fn propose(&mut self, now: Micros, command: &Command) {
         self.own_ask += 1;
-        self.log(now, Event::Propose { ask: Ask(self.own_ask), data: self.written(command) });
+        self.log(now, Event::Propose { ask: Ask(self.own_ask), data: self.written(now, command) });
     }
 
-    fn written(&self, command: &Command) -> Vec<u8> {
-        command.to_bytes_in(self.house.script.agreed())
+    fn written(&self, now: Micros, command: &Command) -> Vec<u8> {
+        self.house.script.written(now, command)
     }
 
-    /// Has a newer form agreed once every voter and every node known reads it.
+    /// Has a newer form agreed once every voter and every node known reads it, and has for a while. Before the first
+    /// configuration there is nothing that an older program could go on with: then it is agreed at once.
     fn agree(&mut self, now: Micros) {
-        let agreed = self.house.script.agreed();
+        let script = &self.house.script;
+        let agreed = script.agreed();
+        // Once an entry of its own term is committed, a leader has applied all that was acknowledged before.
+        let last = self.book.entry(self.book.committed());
+        let new = script.bill().is_none() && last.is_some_and(|last| last.term == self.book.term());
         let Some(form) = self.read_by_all().filter(|form| *form > agreed) else {
             self.may_agree = None;
             return;
         };
-        match self.may_agree {
-            Some((may, since)) if may == form => {
-                if now - since >= AGREE_AFTER {
-                    log::info!("all nodes known read form {form}: it is proposed");
-                    self.may_agree = None;
-                    self.propose(now, &Command::Agree { form });
-                }
-            }
-            _ => self.may_agree = Some((form, now)),
+        let since = match self.may_agree {
+            Some((may, since)) if may == form => since,
+            _ => now,
+        };
+        let span = if new { 0 } else { AGREE_AFTER };
+        if now - since < span {
+            self.may_agree = Some((form, since));
+            return;
         }
+        log::info!("all nodes known read form {form}: it is proposed");
+        // Not again before this one can have been applied.
+        self.may_agree = Some((form, now + AGREE_AGAIN));
+        self.propose(now, &Command::Agree { form });
     }
 
     /// The newest form that all read; none where a voter's forms are not known. One that ended in order counts
@@ -356,7 +369,7 @@
             match effect {
                 Effect::Send { to, message } => {
                     let word = self.house.letter(to, Word::Book { from: self.seat, message });
-                    self.out.push(Out::Send { to, word });
+                    self.out.extend(word.map(|word| Out::Send { to, word }));
                 }
                 Effect::Write(write) => self.out.push(Out::Write(write)),
                 Effect::Apply { index, data, ask } => {
@@ -418,7 +431,7 @@
         let words = self.house.out().into_iter();
         let house = &self.house;
         let mut out: Vec<Out> =
-            words.map(|(to, word)| Out::Send { to, word: house.letter(to, word) }).collect();
+            words.filter_map(|(to, word)| Some(Out::Send { to, word: house.letter(to, word)? })).collect();
         out.append(&mut self.out);
         out
     }
--- a/crates/playhouse/src/floor/mod.rs
+++ b/crates/playhouse/src/floor/mod.rs
@@ -286,7 +286,7 @@
         let words = self.house.out().into_iter();
         let house = &self.house;
         let mut out: Vec<Out> =
-            words.map(|(to, word)| Out::Send { to, word: house.letter(to, word) }).collect();
+            words.filter_map(|(to, word)| Some(Out::Send { to, word: house.letter(to, word)? })).collect();
         out.append(&mut self.out);
         out
     }
--- a/crates/playhouse/src/house.rs
+++ b/crates/playhouse/src/house.rs
@@ -30,6 +30,18 @@
     },
 }
 
+impl Word {
+    /// The form that brought this word: it is not sent to a node that reads less.
+    pub fn since(&self) -> Form {
+        match self {
+            Word::Board(message) => message.since(),
+            Word::Cast(message) => message.since(),
+            Word::Book { message, .. } => message.since(),
+            Word::Company(_) | Word::Vote(_) | Word::Intent(_) | Word::NotLetIn { .. } => Form::FIRST,
+        }
+    }
+}
+
 /// Senders and forms of refused words that are told of at most; more are only counted.
 const MOST_TOLD: usize = 128;
 
@@ -42,7 +54,7 @@
 }
 
 impl Letter {
-    /// Two bytes of head, then the word. There is one form yet, in which all is written.
+    /// Two bytes of head, then the word: what a form adds are words of their own, so that all are written alike.
     pub fn to_bytes(&self) -> Result<Vec<u8>, postcard::Error> {
         postcard::to_extend(&self.word, vec![self.form.head(), self.newest.head()])
     }
@@ -228,11 +240,17 @@
         self.refused
     }
 
-    /// A word as it goes to a node: in the newest form that both read, the oldest while it was not heard.
-    pub fn letter(&self, to: Place, word: Word) -> Letter {
+    /// The newest form that both this node and the one at a place read; the oldest while it was not heard.
+    pub fn shared(&self, with: Place) -> Form {
         let forms = self.own.edition.forms;
-        let form = self.heard.get(&to).map_or(forms.oldest, |newest| forms.shared(*newest));
-        Letter { form, newest: forms.newest, word }
+        self.heard.get(&with).map_or(forms.oldest, |newest| forms.shared(*newest))
+    }
+
+    /// A word as it goes to a node, in the form that both read. None: the word is of a newer form than that, and
+    /// is not sent; who says it must not count on it before all known nodes read it (`Script::agreed`).
+    pub fn letter(&self, to: Place, word: Word) -> Option<Letter> {
+        let form = self.shared(to);
+        (word.since() <= form).then_some(Letter { form, newest: self.own.edition.forms.newest, word })
     }
 
     /// The node at a place, where it is known not to read the form that is agreed.
--- a/crates/promptbook/src/lib.rs
+++ b/crates/promptbook/src/lib.rs
@@ -17,7 +17,7 @@
 pub use book::Promptbook;
 pub use mark::Marks;
 
-use props::{Ask, Index, Micros, Place, Seat, Term};
+use props::{Ask, Form, Index, Micros, Place, Seat, Term};
 use serde::{Deserialize, Serialize};
 
 /// Who votes, after some entry of the log.
@@ -112,6 +112,16 @@
     },
 }
 
+impl Message {
+    /// The form that brought this word: it is not sent to a node that reads less.
+    pub fn since(&self) -> Form {
+        match self {
+            Message::Knock | Message::Leader { .. } => Form::FIRST,
+            Message::Said { word, .. } => word.since(),
+        }
+    }
+}
+
 /// The words of the protocol; each goes with its sender's term.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Word {
@@ -142,6 +152,26 @@
     Go { next: Seat },
 }
 
+impl Word {
+    /// As `Message::since`.
+    pub fn since(&self) -> Form {
+        match self {
+            Word::MayStand { .. }
+            | Word::MayStood { .. }
+            | Word::Stand { .. }
+            | Word::Stood { .. }
+            | Word::Append { .. }
+            | Word::Beat { .. }
+            | Word::Appended { .. }
+            | Word::Gap { .. }
+            | Word::Piece { .. }
+            | Word::Taken { .. }
+            | Word::Late
+            | Word::Go { .. } => Form::FIRST,
+        }
+    }
+}
+
 #[derive(Clone, Debug)]
 pub enum Event {
     Tick,
--- a/crates/props/src/form.rs
+++ b/crates/props/src/form.rs
@@ -13,6 +13,8 @@
 
 impl Form {
     pub const FIRST: Form = Form(1);
+    /// Since 0.6.0: commands bear a moment of the ordered clock, and the state tells repeats by it (`docs/control.md`).
+    pub const SECOND: Form = Form(2);
 
     /// The byte that stands before what is written in this form.
     pub fn head(self) -> u8 {
@@ -34,7 +36,7 @@
 
 impl Forms {
     /// Those of this program.
-    pub const OWN: Forms = Forms { oldest: Form::FIRST, newest: Form::FIRST };
+    pub const OWN: Forms = Forms { oldest: Form::FIRST, newest: Form::SECOND };
 
     pub fn read(self, form: Form) -> bool {
         self.oldest <= form && form <= self.newest
--- a/crates/script/src/rollout.rs
+++ b/crates/script/src/rollout.rs
@@ -6,7 +6,7 @@
 
 use crate::Outcome;
 
-/// For so long after a trial was reverted, an order of the same version is taken for a late repeat of the
+/// Under form 1: for so long after a trial was reverted, an order of the same version is taken for a late repeat of the
 /// first. Callers repeat orders for 5 s at most; twice that covers calls held up on the way.
 const REPEAT_GUARD: Micros = 10 * SECOND;
 
@@ -65,7 +65,7 @@
     }
 
     /// Whether `target` was reverted so lately that an order of it must be a repeat of the first one. A node
-    /// that learnt of the end late takes it for later than it was, so the guard only grows.
+    /// that learnt of the end late takes it for later than it was, so the guard only grows. Under form 1 only.
     pub(crate) fn just_reverted(&self, now: Micros, target: &str) -> bool {
         self.state == Some(State::Reverted) && self.target == target && now - self.since < REPEAT_GUARD
     }
--- a/crates/understudy/src/targets/words.rs
+++ b/crates/understudy/src/targets/words.rs
@@ -129,8 +129,9 @@
 
     fn foyer_says(&mut self) {
         for (at, word) in self.foyer.out() {
-            let letter = self.foyer.letter(at, word);
-            self.post(4, at, &letter);
+            if let Some(letter) = self.foyer.letter(at, word) {
+                self.post(4, at, &letter);
+            }
         }
     }
 
@@ -188,7 +189,7 @@
             while hall.foyer.happened().is_some() {}
             if round % 40 == 39 {
                 for to in 1..=3 {
-                    let letter = hall.foyer.letter(place(to), vote(2));
+                    let letter = hall.foyer.letter(place(to), vote(2)).expect("a word of the first form");
                     hall.post(4, place(to), &letter);
                 }
             }
