--- a/crates/playhouse/src/foyer/pool.rs
+++ b/crates/playhouse/src/foyer/pool.rs
@@ -121,12 +121,16 @@
         None
     }
 
-    /// Whether one more may be made, of `most`; it then counts as made.
+    /// Whether one more may be made, of `most`; it then counts as made. Where only idle ones stand in its way, they
+    /// are none that may be used for this, and the one that has lain longest goes.
     pub fn room(&mut self, now: Micros, to: SocketAddrV4, most: usize) -> bool {
         let line = self.lines.entry(to).or_default();
         line.idle.retain(|idle| idle.until > now && !idle.wire.sender.is_closed());
         if line.out + line.idle.len() >= most.max(1) {
-            return false;
+            if line.idle.is_empty() {
+                return false;
+            }
+            line.idle.remove(0);
         }
         line.out += 1;
         true
--- a/crates/playhouse/tests/exchange.rs
+++ b/crates/playhouse/tests/exchange.rs
@@ -75,6 +75,8 @@
     Cancelled,
     /// It answers while the body still comes.
     Early,
+    /// It answers a request that has no id.
+    NoId,
 }
 
 const PLAYS: [Play; 27] = [
@@ -300,6 +302,7 @@
     let stamp = stamp(attempt, run);
     let head = format!("Stamp: {stamp}\r\n");
     let own = good(attempt, "", &stamp);
+    let no_id = format!("HTTP/1.1 400 No id\r\nNot-Executed: 1\r\n{head}Content-Length: 0\r\n\r\n");
     let busy = says("503 Busy", attempt, "Not-Executed: 1\r\nContent-Length: 0\r\n", "");
     let early_hints = b"HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n".to_vec();
     match play {
@@ -326,6 +329,7 @@
         Play::TwoIds => good(attempt, "Attempt-Id: stale\r\n", &stamp),
         Play::Closes | Play::Resets => Vec::new(),
         Play::CutOff => own[..own.len() - 3].to_vec(),
+        Play::NoId => no_id.into_bytes(),
     }
 }
 
@@ -365,12 +369,16 @@
     room: Cloakroom,
     record: Record,
     to: SocketAddrV4,
+    /// Connections at most.
+    connections: usize,
 }
 
 /// A request that is kept, so that it could go out again.
 fn asked(attempt: &str, play: Play) -> Rc<Asked> {
     let mut headers = HeaderMap::new();
-    headers.insert(ATTEMPT_ID, HeaderValue::from_str(attempt).expect("an id"));
+    if play != Play::NoId {
+        headers.insert(ATTEMPT_ID, HeaderValue::from_str(attempt).expect("an id"));
+    }
     headers.insert(hyper::header::HOST, HeaderValue::from_static("exchange.example"));
     let streams = play == Play::Early;
     Rc::new(Asked {
@@ -394,6 +402,7 @@
             room: Cloakroom::of_memory(1e9),
             to: instance(record.clone()),
             record,
+            connections: 1_000,
         }
     }
 
@@ -404,7 +413,7 @@
             to: Seen { id: InstanceId("i-1".into()), address: self.to },
             asked: asked.clone(),
             until: self.clock.now() + wait,
-            connections: 1_000,
+            connections: self.connections,
             coat: self.room.coat(),
         }
     }
@@ -585,6 +594,34 @@
     });
 }
 
+#[test]
+fn a_second_try_gets_its_connection_also_where_no_more_may_be_made() {
+    run(async {
+        let house = House { connections: 1, ..House::open() };
+        let again = asked("again", Play::Busy);
+        house.exchange(&again, "again", Play::Busy, true).await;
+        // The one that is held goes; at the instance's end it is over as well.
+        house.record.with(|book| book.lines[0].state = State::Closing);
+        house.exchange(&again, "again", Play::Whole, false).await;
+        let lines: Vec<usize> = house.record.book().heard.iter().map(|heard| heard.line).collect();
+        assert_eq!(lines, [0, 1]);
+        house.sound();
+    });
+}
+
+#[test]
+fn a_connection_whose_answer_could_not_be_told_apart_is_not_kept() {
+    run(async {
+        let house = House::open();
+        for _ in 0..2 {
+            house.exchange(&asked("", Play::NoId), "", Play::NoId, false).await;
+        }
+        let lines: Vec<usize> = house.record.book().heard.iter().map(|heard| heard.line).collect();
+        assert_eq!(lines, [0, 1]);
+        house.sound();
+    });
+}
+
 #[test]
 fn an_attempt_that_is_told_as_not_run_has_not_been_heard() {
     run(async {
--- a/crates/script/src/count.rs
+++ b/crates/script/src/count.rs
@@ -266,7 +266,16 @@
     }
 }
 
+/// A vote is no longer on its way than this, but where the way or its end stood still.
+const ON_ITS_WAY: Micros = SECOND;
+
 impl Cast {
+    /// Whether a vote is an older one of the same life: it knows of the order for a shorter time than the last one,
+    /// and for longer than a life that began after the last one was sent.
+    fn is_after(&self, vote: &Vote, now: Micros) -> bool {
+        vote.age < self.vote.age && vote.age > now - self.at + ON_ITS_WAY
+    }
+
     fn stands(&self, settings: &CountSettings, now: Micros) -> bool {
         now - self.at <= settings.vote_life
     }
@@ -289,6 +298,11 @@
         if self.foyers.len() >= MAX_FOYERS && !self.foyers.contains_key(&foyer) {
             return;
         }
+        // What the last one told would be counted once more with the next.
+        let late = |last: &Cast| last.stands(settings, now) && last.is_after(&vote, now);
+        if self.foyers.get(&foyer).is_some_and(late) {
+            return;
+        }
         let last = self.foyers.remove(&foyer);
         let steady = last.as_ref().filter(|last| last.stands(settings, now));
         let back_since = match vote.voice {
@@ -312,8 +326,7 @@
             .collect();
         for (route, tally, before) in news {
             let told = (tally.trial, tally.failed);
-            // Fewer than before: the foyer began a new life, or an old vote came late. Nothing is counted
-            // twice.
+            // Fewer than before: the foyer began a new life.
             let (Some(trial), Some(failed)) = (told.0.checked_sub(before.0), told.1.checked_sub(before.1))
             else {
                 self.fed(foyer, route, told);
--- /dev/null
+++ b/crates/script/tests/earlier_life.rs
@@ -0,0 +1,57 @@
+//! Votes that come late, or after a foyer has begun a new life, are not counted once more.
+
+use std::net::Ipv4Addr;
+
+use props::{Index, MS, Micros, Place, SECOND};
+use script::{Command, Count, CountSettings, Script, Voice, Vote};
+
+fn script() -> Script {
+    let mut script = Script::new();
+    let seen = Command::Seen { service: "box".into(), version: "v1".into() };
+    let order = Command::Rollout { service: "box".into(), target: "v2".into(), period: 60 * SECOND };
+    script.apply(0, Index(1), &seen.to_bytes());
+    script.apply(0, Index(2), &order.to_bytes());
+    script
+}
+
+/// A foyer that knows of the order for `age`, and has judged five outcomes a second: one of ten fails.
+fn vote(age: Micros) -> Vote {
+    let trial = (age / SECOND * 5) as u32;
+    let (failed, base, base_failed) = (trial / 10, trial * 9, trial * 9 / 20);
+    let voice = Voice::Wait;
+    Vote { service: "box".into(), number: 2, voice, trial, failed, base, base_failed, age, routes: vec![] }
+}
+
+/// Votes of two foyers of eight, the others see nothing; after each, some that they sent before come again.
+fn verdicts(late: &[Micros], life: Option<Micros>) -> (Vec<Command>, u64) {
+    let (script, mut count) = (script(), Count::new(CountSettings::default()));
+    let mut verdicts = Vec::new();
+    for second in 1..=30 {
+        let now = second * SECOND;
+        for foyer in 0..2 {
+            let place = Place(Ipv4Addr::new(10, 0, 0, foyer));
+            let began = life.filter(|began| now > *began).unwrap_or(0);
+            count.cast(now, place, vote(now - began));
+            for before in late.iter().filter(|before| now - began > **before) {
+                count.cast(now + MS, place, vote(now - began - before));
+            }
+        }
+        verdicts.extend(count.verdicts(now + 2 * MS, &script, 8));
+    }
+    (verdicts, count.votes(30 * SECOND, "box").expect("votes").trial)
+}
+
+#[test]
+fn a_vote_that_comes_after_a_later_one_of_its_foyer_counts_for_nothing() {
+    let (quiet, trial) = verdicts(&[], None);
+    assert_eq!((quiet.len(), trial), (0, 2 * 150), "twice the usual failures are no alarm");
+    for late in [&[2 * SECOND][..], &[5 * SECOND], &[2 * SECOND, 8 * SECOND]] {
+        assert_eq!(verdicts(late, None), (Vec::new(), 2 * 150), "{late:?} late");
+    }
+}
+
+#[test]
+fn a_new_life_of_a_foyer_begins_anew_and_is_heard() {
+    let (none, trial) = verdicts(&[], Some(12 * SECOND));
+    assert_eq!((none.len(), trial), (0, 2 * 90), "the last life's outcomes are told by nobody");
+}
