--- a/crates/script/src/clock.rs
+++ b/crates/script/src/clock.rs
@@ -1,9 +1,12 @@
-//! Clock (ordered): the time that has passed by what leaders wrote into the log, in microseconds since form 2 was agreed,
-//! and the same going on by the own steady clock. A leader writes each command's moment by the latter; states are made
-//! of the former alone. It never goes back, at any node; it may fall behind, by what passes while nobody leads or until a
-//! state is restored, and never runs ahead: ages told by it are never too long, and guards only grow.
+//! Clock (ordered): the time that has passed by what leaders wrote into the log, in microseconds since form 2 was agreed.
+//! A leader writes before each command how long ago, by its own steady clock, it applied the last one that changed
+//! something, and which that was. Where that is still the last one when the command is applied, the clock goes on by so
+//! much; where others came between, by nothing. So of any two entries the later is told to be younger, or as old as it
+//! is, whoever wrote them: no steady clock is compared with another's, and each entry is applied after it was written.
+//! What passes while nobody leads, before a state was restored, or while orders overtake each other, is not counted: ages
+//! are never too long, and guards only grow.
 
-use props::Micros;
+use props::{Index, Micros};
 use serde::{Deserialize, Serialize};
 
 use crate::orders;
@@ -14,8 +17,10 @@
 /// What a leader writes before a command, from form 2 on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Stamp {
-    /// The moment, by the ordered clock.
-    pub at: Micros,
+    /// The last entry that the leader had applied and that changed something.
+    pub after: Index,
+    /// So long ago.
+    pub passed: Micros,
     /// For so long callers may repeat an order, as the leader's settings say: settings may differ between nodes,
     /// what is applied may not.
     pub guard: Micros,
@@ -24,41 +29,37 @@
 impl Stamp {
     /// Whether a leader may have written it.
     pub(crate) fn sound(self) -> bool {
-        (0..=LAST).contains(&self.at) && (0..=orders::LONGEST_GUARD).contains(&self.guard)
+        (0..=LAST).contains(&self.passed) && (0..=orders::LONGEST_GUARD).contains(&self.guard)
     }
 }
 
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Clock {
-    /// The latest moment of a command that was applied; ordered.
+    /// The moment of the last entry that changed something, and which that was; ordered.
     pub moment: Micros,
-    /// Local: a moment, and when it was here by the own steady clock.
-    here: (Micros, Micros),
+    pub last: Index,
+    /// Local: when that was applied, or came as a state.
+    here: Micros,
 }
 
 impl Clock {
-    /// One that stands at a moment now.
-    pub fn at(now: Micros, moment: Micros) -> Clock {
-        Clock { moment, here: (moment, now) }
+    pub fn at(now: Micros, moment: Micros, last: Index) -> Clock {
+        Clock { moment, last, here: now }
     }
 
-    /// The moment as far as it is known here.
-    pub fn now(&self, now: Micros) -> Micros {
-        let (moment, at) = self.here;
-        moment.saturating_add(now.saturating_sub(at).max(0)).min(LAST)
+    pub fn stamp(&self, now: Micros, guard: Micros) -> Stamp {
+        let passed = now.saturating_sub(self.here).clamp(0, LAST);
+        Stamp { after: self.last, passed, guard }
     }
 
-    /// The state is now one of this moment. What was known here of the time that has passed may be more than that.
-    pub fn restored(&mut self, now: Micros, moment: Micros) {
-        self.moment = moment;
-        self.seen(now, moment);
+    /// The moment of a command that is applied next.
+    pub fn moment(&self, stamp: &Stamp) -> Micros {
+        let passed = if stamp.after == self.last { stamp.passed } else { 0 };
+        (self.moment + passed).min(LAST)
     }
 
-    /// A command of this moment was applied.
-    pub fn seen(&mut self, now: Micros, moment: Micros) {
-        self.moment = self.moment.max(moment);
-        if moment > self.now(now) {
-            self.here = (moment, now);
-        }
+    /// Whether a state that came may hold this.
+    pub fn sound(moment: Micros) -> bool {
+        (0..=LAST).contains(&moment)
     }
 }
--- a/crates/script/src/lib.rs
+++ b/crates/script/src/lib.rs
@@ -145,6 +145,16 @@
     }
 }
 
+/// Stands for the stamp of a command that has none: no time has passed.
+const UNSTAMPED: Stamp = Stamp { after: Index(0), passed: 0, guard: orders::GUARD };
+
+/// A command's moment by the ordered clock, and for how long before it an order is repeated.
+#[derive(Clone, Copy)]
+struct When {
+    at: Micros,
+    guard: Micros,
+}
+
 /// What a good command will change; made by `judged`, carried out by `change`.
 enum Change {
     Bill {
@@ -222,7 +232,7 @@
 
     /// What a leader writes before a command now.
     pub fn stamp(&self, now: Micros) -> Stamp {
-        Stamp { at: self.clock.now(now), guard: self.guard }
+        self.clock.stamp(now, self.guard)
     }
 
     /// How many configurations are remembered, as under form 1 and since.
@@ -280,30 +290,29 @@
         let Some((stamp, command)) = command.filter(|_| form <= self.agreed) else {
             return Outcome::Unreadable;
         };
-        let stamp = self.ordered(stamp);
-        match self.judged(&command, stamp) {
+        // One written in form 1, and committed after the second was agreed, has none.
+        let stamp = stamp.unwrap_or(UNSTAMPED);
+        let when = self.when(&stamp);
+        match self.judged(&command, when) {
             Ok(change) => {
                 if self.agreed >= Form::SECOND {
-                    self.clock.seen(now, stamp.at);
+                    self.clock = Clock::at(now, when.at, index);
                 }
-                self.change(now, change, &command, stamp);
+                self.change(now, change, &command, when);
                 Outcome::Taken
             }
             Err(outcome) => outcome,
         }
     }
 
-    /// The stamp that counts: the moment never goes back, also where an earlier leader's command comes late. One
-    /// written in form 1, and committed after the second was agreed, has none.
-    fn ordered(&self, stamp: Option<Stamp>) -> Stamp {
-        let stamp = stamp.unwrap_or(Stamp { at: 0, guard: orders::GUARD });
-        Stamp { at: stamp.at.max(self.clock.moment), ..stamp }
+    fn when(&self, stamp: &Stamp) -> When {
+        When { at: self.clock.moment(stamp), guard: stamp.guard }
     }
 
     /// What `apply` would say now of a command without a stamp, so that one that would change nothing is never
     /// ordered.
     pub fn check(&self, command: &Command) -> Result<(), Outcome> {
-        self.judged(command, self.ordered(None)).map(|_| ())
+        self.judged(command, self.when(&UNSTAMPED)).map(|_| ())
     }
 
     /// As `check`, for a leader that would write the command now. Under form 1 the state does not tell a repeat: an
@@ -318,16 +327,14 @@
         {
             return Err(Outcome::Again);
         }
-        self.judged(command, self.ordered(Some(self.stamp(now)))).map(|_| ())
+        self.judged(command, self.when(&self.stamp(now))).map(|_| ())
     }
 
-    fn judged(&self, command: &Command, stamp: Stamp) -> Result<Change, Outcome> {
+    fn judged(&self, command: &Command, when: When) -> Result<Change, Outcome> {
         match command {
             Command::Replace { base, text } => self.judged_text(Kind::Replace, *base, text),
             Command::Modify { base, text } => self.judged_text(Kind::Modify, *base, text),
-            Command::Rollout { service, target, period } => {
-                self.judged_order(service, target, *period, stamp)
-            }
+            Command::Rollout { service, target, period } => self.judged_order(service, target, *period, when),
             Command::Verdict { service, number, completed } => {
                 let rollout = self.rollouts.get(service).ok_or_else(|| unknown(service))?;
                 rollout.judged_end(*number, *completed)?;
@@ -358,7 +365,7 @@
     }
 
     fn judged_order(
-        &self, service: &str, target: &str, period: Micros, stamp: Stamp,
+        &self, service: &str, target: &str, period: Micros, when: When,
     ) -> Result<Change, Outcome> {
         named("TargetService", service)?;
         named("TargetVersion", target)?;
@@ -366,7 +373,7 @@
             return Err(Outcome::Invalid(Faults::one("RolloutPeriodS", "seconds above 0")));
         }
         let digest = Digest::of_order(service, target, period);
-        if self.orders.repeats(digest, stamp.at, stamp.guard) {
+        if self.orders.repeats(digest, when.at, when.guard) {
             return Err(Outcome::Again);
         }
         let trial = || Wish::Trial { service: service.into(), target: target.into(), period };
@@ -417,15 +424,15 @@
     }
 
     /// The one place where a command changes the state.
-    fn change(&mut self, now: Micros, change: Change, command: &Command, stamp: Stamp) {
+    fn change(&mut self, now: Micros, change: Change, command: &Command, when: When) {
         let second = self.agreed >= Form::SECOND;
         match change {
             Change::Bill { bill, kind, base } => {
                 self.bill = Some(bill);
                 let (Command::Replace { text, .. } | Command::Modify { text, .. }) = command else { return };
                 if second {
-                    self.taken.note(base, Digest::of_text(kind, text), stamp.at);
-                    if self.taken.supersedes(stamp.at) {
+                    self.taken.note(base, Digest::of_text(kind, text), when.at);
+                    if self.taken.supersedes(when.at) {
                         self.earlier.clear();
                     }
                 } else {
@@ -434,7 +441,7 @@
             }
             Change::Order { digest, wish } => {
                 if second {
-                    self.orders.note(digest, stamp.at, stamp.guard);
+                    self.orders.note(digest, when.at, when.guard);
                 }
                 self.begin(now, wish);
             }
@@ -443,7 +450,7 @@
             Change::Agreed { form } => {
                 if !second {
                     // The ordered clock begins here.
-                    self.clock = Clock::at(now, 0);
+                    self.clock = Clock::at(now, 0, self.index);
                 }
                 self.agreed = form;
             }
--- a/crates/script/src/snapshot.rs
+++ b/crates/script/src/snapshot.rs
@@ -27,7 +27,9 @@
 struct More {
     taken: Taken,
     orders: Orders,
+    /// The ordered clock, and the entry that it goes on from.
     moment: Micros,
+    last: Index,
 }
 
 #[derive(Serialize, Deserialize)]
@@ -65,7 +67,10 @@
             Form::FIRST => postcard::to_extend(&kept, head),
             _ => {
                 let (taken, orders) = (self.taken.clone(), self.orders.clone());
-                postcard::to_extend(&(kept, More { taken, orders, moment: self.clock.moment }), head)
+                postcard::to_extend(
+                    &(kept, More { taken, orders, moment: self.clock.moment, last: self.clock.last }),
+                    head,
+                )
             }
         };
         // Plain data into memory: postcard has no way to fail here.
@@ -89,6 +94,7 @@
             _ => postcard::take_from_bytes(rest).map_err(|_| Broken::Unreadable)?,
         };
         let sound = kept.rollouts.len() <= MAX_SERVICES && kept.earlier.len() <= earlier::MOST;
+        let sound = sound && Clock::sound(more.moment) && more.last <= index;
         let sound = sound && more.taken.sound(more.moment) && more.orders.sound(more.moment);
         if !sound || !rest.is_empty() {
             return Err(Broken::Unreadable);
@@ -115,8 +121,6 @@
             };
             rollouts.insert(rollout.service.clone(), rollout);
         }
-        let mut clock = if self.agreed == Form::FIRST { Clock::at(now, 0) } else { self.clock };
-        clock.restored(now, more.moment);
         *self = Script {
             index,
             forms: self.forms,
@@ -126,7 +130,7 @@
             earlier: kept.earlier,
             taken: more.taken,
             orders: more.orders,
-            clock,
+            clock: Clock::at(now, more.moment, more.last),
             guard: self.guard,
             rollouts,
             last_number: kept.last_number,
--- /dev/null
+++ b/crates/script/tests/shared/mod.rs
@@ -0,0 +1,43 @@
+//! Commands as tests write them, and chance.
+#![allow(dead_code, reason = "each test file uses some of these")]
+
+use bill::Version;
+use props::SECOND;
+use script::Command;
+
+pub fn text(version: u32, weight: u32) -> Vec<u8> {
+    format!(
+        r#"{{"ConfigVersion":"{version:08x}","ResourceSet":[
+        {{"ResourceType":"RouteTable","HeaderBlock":{{"Name":"r"}},"SpecBody":{{"HostName":"h","PathPrefix":"/",
+        "RouteType":"safe","TimeoutS":1,"TargetLatencyS":1,"Priority":1,"MaxAttempts":1,
+        "WeightedSplit":[{{"TargetService":"box","Weight":{weight}}}]}}}},
+        {{"ResourceType":"ServiceTable","HeaderBlock":{{"Name":"box"}},"SpecBody":{{"HealthPath":"/","MaxConnections":9}}}},
+        {{"ResourceType":"LimitSet","SpecBody":{{"MaxHeaderBytes":1,"MaxBodyBytes":1,"HeaderTimeoutS":1,"IdleTimeoutS":1}}}}]}}"#
+    )
+    .into_bytes()
+}
+
+pub fn replace(base: u32, version: u32, weight: u32) -> Command {
+    Command::Replace { base: Version(base), text: text(version, weight) }
+}
+
+pub fn modify(base: u32, version: u32) -> Command {
+    let text = format!(r#"{{"ConfigVersion":"{version:08x}","Remove":{{"RouteTable":["x"]}}}}"#);
+    Command::Modify { base: Version(base), text: text.into_bytes() }
+}
+
+pub fn order(service: &str, target: &str) -> Command {
+    Command::Rollout { service: service.into(), target: target.into(), period: 12 * SECOND }
+}
+
+pub fn seen(version: &str) -> Command {
+    Command::Seen { service: "box".into(), version: version.into() }
+}
+
+/// A small seeded generator.
+pub fn oorandom(mut state: u64) -> impl FnMut() -> u32 {
+    move || {
+        state = state.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
+        (state >> 33) as u32
+    }
+}
