--- a/crates/promptbook/src/book.rs
+++ b/crates/promptbook/src/book.rs
@@ -55,6 +55,10 @@
     pub(crate) role: Role,
     pub(crate) leader: Option<Seat>,
     pub(crate) heard_leader: Option<Micros>,
+    /// When a majority was last known to follow a leader, and in which term.
+    pub(crate) proved: Option<(Term, Micros)>,
+    /// What is heard before this may have lain in the sockets of a process that stood still.
+    pub(crate) thaw: Micros,
     /// When a follower looks for another leader.
     pub(crate) deadline: Micros,
     /// Entries up to this one are as in the log of this term's leader.
@@ -102,6 +106,8 @@
             role: Role::Following,
             leader: None,
             heard_leader: None,
+            proved: None,
+            thaw: now,
             deadline: 0,
             verified: committed,
             owes_vote: false,
@@ -138,6 +144,7 @@
 
     /// Takes one event at `now` (steady clock, microseconds) and tells what is to be done, in order.
     pub fn step(&mut self, now: Micros, event: Event) -> Vec<Effect> {
+        self.notice_stall(now);
         self.now = self.now.max(now);
         // Before anything else: it may have been frozen since the last event.
         self.check_lead();
@@ -164,6 +171,7 @@
                 self.places = places;
             }
             Event::Kept { index, data } => self.kept(index, data),
+            Event::Prove => self.want_proof(),
             Event::Leave => self.leaving = true,
         }
         self.finish()
@@ -231,6 +239,8 @@
             role,
             leader,
             heard_leader,
+            proved: _,
+            thaw: _,
             deadline,
             verified,
             owes_vote,
@@ -461,6 +471,7 @@
         }
         self.apply();
         if self.leads() {
+            self.answer_proof();
             self.answer_reads();
             self.pump();
             if self.leaving {
--- a/crates/promptbook/src/follow.rs
+++ b/crates/promptbook/src/follow.rs
@@ -31,6 +31,7 @@
             }
         }
         self.heard_leader = Some(self.now);
+        self.prove_by_leader();
         self.arm();
         true
     }
--- a/crates/promptbook/src/lead.rs
+++ b/crates/promptbook/src/lead.rs
@@ -8,6 +8,7 @@
 use crate::book::{Promptbook, Role};
 use crate::log::{Log, weight};
 use crate::mark::Marks;
+use crate::proof::Proof;
 use crate::seats::LEARNER_ELECTIONS;
 use crate::{Effect, Entry, Message, Snapshot, Timing, What, Word};
 
@@ -220,6 +221,7 @@
     open: usize,
     /// The voter that is to go, and the round that those who stay answer first.
     pub(crate) wish: Option<(Seat, u64)>,
+    pub(crate) proof: Proof,
 }
 
 impl Leading {
@@ -230,7 +232,7 @@
     }
 
     pub(crate) fn mark(&self, marks: &mut Marks, timing: &Timing) {
-        let Leading { since, first, peers, next_beat, asks, reads, round, open, wish } = self;
+        let Leading { since, first, peers, next_beat, asks, reads, round, open, wish, proof } = self;
         marks.put((
             marks.ago(*since, timing.election),
             first,
@@ -241,6 +243,7 @@
             open,
             wish,
         ));
+        proof.mark(marks);
         let silence = timing.dismiss.max(LEARNER_ELECTIONS * timing.election);
         for peer in peers {
             peer.mark(marks, timing.beat, silence);
@@ -272,6 +275,7 @@
             round: 1,
             open: self.log.weight_after(self.commit),
             wish: None,
+            proof: Proof::default(),
         }));
         self.leader = Some(self.own);
         self.place(What::Nothing);
@@ -386,6 +390,18 @@
         }
     }
 
+    /// The round that proves the lead has come back from a majority.
+    pub(crate) fn answer_proof(&mut self) {
+        let Role::Leading(lead) = &self.role else { return };
+        let Some((round, sent)) = lead.proof.asked else { return };
+        if self.agreed(u64::MAX, |peer| peer.round).is_some_and(|proved| round <= proved) {
+            self.prove(sent);
+            if let Role::Leading(lead) = &mut self.role {
+                lead.proof.asked = None;
+            }
+        }
+    }
+
     pub(crate) fn answer_reads(&mut self) {
         let proved = self.agreed(u64::MAX, |peer| peer.round).unwrap_or(0);
         let Role::Leading(lead) = &mut self.role else { return };
@@ -423,9 +439,13 @@
             return;
         }
         lead.next_beat = self.now + beat;
-        if !lead.reads.is_empty() {
+        let proves = lead.proof.wanted && lead.proof.asked.is_none();
+        if !lead.reads.is_empty() || proves {
             lead.round += 1;
         }
+        if proves {
+            lead.proof = Proof { wanted: false, asked: Some((lead.round, self.now)) };
+        }
         self.with_desk(|desk, peer| desk.beat(peer, beat));
     }
 
--- a/crates/promptbook/src/lib.rs
+++ b/crates/promptbook/src/lib.rs
@@ -11,6 +11,7 @@
 mod lead;
 mod log;
 mod mark;
+mod proof;
 mod seats;
 mod stand;
 
@@ -204,6 +205,8 @@
         index: Index,
         data: Vec<u8>,
     },
+    /// A leader's next beat is to prove that it leads, for `Promptbook::proved`; nothing at others.
+    Prove,
     /// The process is about to end in order: it never stands again, and hands over if it leads. It goes on
     /// answering and voting until it ends.
     Leave,
