--- a/crates/callboard/src/lib.rs
+++ b/crates/callboard/src/lib.rs
@@ -8,10 +8,11 @@
 
 mod bytes;
 mod node;
+mod proof;
 mod ring;
 
 pub use node::Callboard;
-use props::{Form, Index, Place};
+use props::{Form, Index, Micros, Place, Term};
 use serde::{Deserialize, Serialize};
 
 /// Pieces up to this many bytes are sent unasked; of bigger ones the index is told, and they are asked for.
@@ -54,6 +55,10 @@
         #[serde(with = "bytes")]
         data: Vec<u8>,
     },
+    /// Asks a source how old at most what it holds is. From form 2 on.
+    Prove,
+    /// A source's answer: all up to `index` is there. From form 2 on.
+    Proof { index: Index, standing: Standing },
 }
 
 impl Message {
@@ -63,10 +68,23 @@
             Message::Pieces { .. } | Message::Have { .. } | Message::Want { .. } | Message::Whole { .. } => {
                 Form::FIRST
             }
+            Message::Prove | Message::Proof { .. } => Form(2),
         }
     }
 }
 
+/// How a source stands to a majority of those who order the log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Standing {
+    /// It is no voter, and never followed a leader in this life.
+    Unproved,
+    /// One of so many voters, and it never followed a leader in this life: where a majority says so, nothing newer
+    /// than what one of them holds can have been ordered since.
+    Started { voters: u8 },
+    /// So long ago a majority followed one leader, in this term, and what was ordered by then is held here.
+    Proved { term: Term, age: Micros },
+}
+
 #[derive(Clone, Debug)]
 pub enum Event {
     Tick,
@@ -94,6 +112,10 @@
         hubs: Vec<Place>,
         others: Vec<Place>,
     },
+    /// How this source stands, as of now.
+    Stands {
+        standing: Standing,
+    },
 }
 
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/callboard/src/node.rs
+++ b/crates/callboard/src/node.rs
@@ -3,8 +3,9 @@
 use oorandom::Rand64;
 use props::{Index, MS, Micros, Place, SECOND};
 
+use crate::proof::Proofs;
 use crate::ring::{Early, Ring};
-use crate::{Effect, Event, Message, Mode, PEERS_MAX, Piece, SMALL_BYTES};
+use crate::{Effect, Event, Message, Mode, PEERS_MAX, Piece, SMALL_BYTES, Standing};
 
 /// Where there are at most so many others, every command is pushed to each by two hubs; beyond, by one hub, and
 /// more is left to passing on.
@@ -80,6 +81,10 @@
     changed: Micros,
     next_digest: Micros,
     digest_hub: bool,
+    /// At a follower: whether what is held is known to be new.
+    proofs: Proofs,
+    /// At a source: how it stands, and as of when.
+    stands: (Standing, Micros),
     now: Micros,
 }
 
@@ -110,6 +115,8 @@
             changed: now,
             next_digest,
             digest_hub: true,
+            proofs: Proofs::default(),
+            stands: (Standing::Unproved, now),
             now,
         }
     }
@@ -125,15 +132,26 @@
             Event::Kept { index, data } => self.whole_told(index, data, &mut out),
             Event::Restored { index } => self.restored(index),
             Event::Peers { hubs, others } => self.peers(hubs, others, &mut out),
+            Event::Stands { standing } => self.stands = (standing, self.now),
         }
         self.timers(&mut out);
+        self.proofs.holds(self.index);
         out
     }
 
     /// When `step` wants a `Tick` at the latest.
     pub fn due(&self) -> Micros {
         let asked = self.asked.as_ref().map_or(Micros::MAX, |asked| asked.until);
-        self.next_digest.min(asked).min(self.tell_later.0)
+        let proofs = match self.mode {
+            Mode::Source => Micros::MAX,
+            Mode::Follower => self.proofs.due(&self.hubs),
+        };
+        self.next_digest.min(asked).min(self.tell_later.0).min(proofs)
+    }
+
+    /// Whether what is held here was once known, in this life, to be as new as what a majority had ordered.
+    pub fn proved(&self) -> bool {
+        self.proofs.done()
     }
 
     /// All commands up to here are applied (or, at a source, committed).
@@ -156,6 +174,9 @@
         if self.now >= self.next_digest {
             self.digest(out);
         }
+        if self.mode == Mode::Follower {
+            self.proofs.ask(self.now, &self.hubs, out);
+        }
     }
 
     /// Tells what is held to some at random: a follower to a hub and to another follower, in turn when it is calm
@@ -281,6 +302,30 @@
             Message::Have { index, weight, fresh } => self.have(from, index, weight, fresh, out),
             Message::Want { have } => self.want(from, have, out),
             Message::Whole { index, data } => self.whole(from, index, data, out),
+            Message::Prove => self.tell_standing(from, out),
+            Message::Proof { index, standing } => self.proof(from, index, standing, out),
+        }
+    }
+
+    fn tell_standing(&mut self, to: Place, out: &mut Vec<Effect>) {
+        if self.mode == Mode::Follower {
+            return;
+        }
+        let (standing, at) = self.stands;
+        let standing = match standing {
+            Standing::Proved { term, age } => Standing::Proved { term, age: age + (self.now - at) },
+            other => other,
+        };
+        out.push(Effect::Send { to, message: Message::Proof { index: self.index, standing } });
+    }
+
+    /// A source that holds more than is here is asked for it at once, as if it had told by a digest.
+    fn proof(&mut self, from: Place, index: Index, standing: Standing, out: &mut Vec<Effect>) {
+        if self.mode == Mode::Follower {
+            self.proofs.answered(self.now, from, index, standing);
+            if index > self.index {
+                self.have(from, index, 0, false, out);
+            }
         }
     }
 
