--- a/crates/cast/src/cast.rs
+++ b/crates/cast/src/cast.rs
@@ -32,8 +32,6 @@
 const STALL: Micros = 2 * SECOND;
 /// After standing still for longer than instances may be silent, beats may have lain in buffers: not taken.
 const THAW: Micros = 250 * MS;
-/// One that has never heard of another node acknowledges drains by itself after this.
-const ALONE: Micros = 5 * SECOND;
 /// What was remembered and has not beaten so long after the start is silent: before any machine counts as in
 /// touch again, and long enough for a beat, even a late one, to come.
 const REMEMBERED: Micros = 2_500 * MS;
@@ -59,9 +57,13 @@
     others: Vec<Place>,
     /// Whether this node takes beats.
     hub: bool,
-    /// Whether another node was ever named.
-    met: bool,
-    born: Micros,
+    /// The ordered voters, in order; a majority of them has to know of a drain.
+    voters: Vec<Place>,
+    /// When a majority of the voters was last known to be in touch with this hub; its start before the first time.
+    proved: Micros,
+    /// Since when the membership here holds up no majority of the voters: one that hears others and is not heard by
+    /// them has young proofs, and learns it by this only.
+    few_since: Option<Micros>,
     last_step: Micros,
     /// Silence before this moment is not judged.
     watch_from: Micros,
@@ -101,8 +103,9 @@
             hubs: Vec::new(),
             others: Vec::new(),
             hub: false,
-            met: false,
-            born: now,
+            voters: Vec::new(),
+            proved: now,
+            few_since: None,
             last_step: now,
             watch_from: now,
             mute_until: now,
@@ -154,6 +157,8 @@
             Event::Beat { ask, beat } => self.beat(now, ask, beat, &mut out),
             Event::Detach { ask, id } => self.detach(now, ask, id, &mut out),
             Event::Peers { hubs, others } => self.peers(now, hubs, others),
+            Event::Voters { places } => self.voters(now, places),
+            Event::Proved { at } => self.proved = self.proved.max(at),
         }
         self.work(now, &mut out);
         out
@@ -214,12 +219,37 @@
             let soon = if self.hubs.is_empty() { 0 } else { self.chance(300) * MS };
             self.compare_at = self.compare_at.min(now + soon);
         }
-        self.met |= !hubs.is_empty() || !others.is_empty();
         (self.hubs, self.others) = (hubs, others);
+        self.count_voters(now);
         let others = &self.others;
         self.rounds.iter_mut().for_each(|round| round.keep_foyers(others));
     }
 
+    fn voters(&mut self, now: Micros, places: Vec<Place>) {
+        self.voters = places;
+        self.voters.sort_unstable();
+        self.voters.dedup();
+        self.count_voters(now);
+    }
+
+    fn count_voters(&mut self, now: Micros) {
+        let up = |place: &&Place| **place == self.own || self.hubs.contains(place);
+        let few = 2 * self.voters.iter().filter(up).count() <= self.voters.len();
+        self.few_since = few.then_some(self.few_since.unwrap_or(now));
+    }
+
+    /// Other hubs that are told of a drain: those that are up, and the voters, whom a node that has just started knows
+    /// from its disk before it has met them.
+    fn told(&self) -> Vec<Place> {
+        let unmet = self.voters.iter().filter(|place| **place != self.own && !self.hubs.contains(place));
+        self.hubs.iter().chain(unmet).copied().collect()
+    }
+
+    /// Whether a majority has not been in touch for so long that beats are to go elsewhere.
+    fn cut_off(&self, now: Micros) -> bool {
+        now - self.proved.min(self.few_since.unwrap_or(now)) > self.timing.contact
+    }
+
     fn beat(&mut self, now: Micros, ask: Ask, beat: Beat, out: &mut Vec<Effect>) {
         self.hub = true;
         let mut learnt = Learnt::default();
@@ -234,6 +264,11 @@
             return self.leaves(now, ask, beat.id, out);
         }
         self.spread(now, learnt, None, out);
+        if self.cut_off(now) {
+            // It was heard, and so is not silent here: where nobody has a majority, the list stays as it is. But
+            // others may not hear of it, so it is sent on to look for a hub that they do hear.
+            return out.push(Effect::NotTaken { ask });
+        }
         let mut target = self.own;
         if let (Some(other), Some(entry)) = (self.shed_to, self.list.get_mut(&beat.id))
             && entry.known.state == State::InService
@@ -263,24 +298,32 @@
         if self.list.get(&id).is_none_or(|entry| entry.confirmed) {
             return out.push(Effect::Taken { ask, target: Some(self.own) });
         }
+        let round = self.round(now, &id);
+        let known = !self.voters.is_empty();
         let until = now + self.timing.beat_answer;
-        let index = match self.rounds.iter().position(|round| round.id == id) {
+        // What was heard is told on in any case.
+        if !known || !round.is_some_and(|round| self.rounds[round].join(ask, until)) {
+            out.push(Effect::NotTaken { ask });
+        }
+    }
+
+    /// The round for a life that leaves, begun where there is none. `None` where there are too many.
+    fn round(&mut self, now: Micros, id: &InstanceId) -> Option<usize> {
+        let index = match self.rounds.iter().position(|round| round.id == *id) {
             Some(index) => {
                 self.rounds[index].again(now);
                 index
             }
-            None if self.rounds.len() >= MOST_ROUNDS => return out.push(Effect::NotTaken { ask }),
+            None if self.rounds.len() >= MOST_ROUNDS => return None,
             None => {
                 self.next_round += 1;
                 let all = self.small();
                 let foyers = if all { self.others.clone() } else { self.own_share(true) };
-                self.rounds.push(Round::new(self.next_round, id, now, foyers, all));
+                self.rounds.push(Round::new(self.next_round, id.clone(), now, foyers, all));
                 self.rounds.len() - 1
             }
         };
-        if !self.rounds[index].join(ask, until) {
-            out.push(Effect::NotTaken { ask });
-        }
+        Some(index)
     }
 
     fn received(&mut self, now: Micros, from: Place, message: Message, out: &mut Vec<Effect>) {
@@ -288,8 +331,9 @@
             Message::News { relay, records } => self.news(now, relay, records, out),
             Message::Leaving { round, record } => self.told_leaving(now, from, round, record, out),
             Message::Heard { round } => {
+                let told = self.told();
                 if let Some(round) = self.rounds.iter_mut().find(|known| known.number == round) {
-                    round.heard(from, &self.hubs);
+                    round.heard(from, &told);
                 }
             }
             Message::Digest { sums, empty } => self.digest(now, from, &sums, empty, out),
@@ -422,10 +466,10 @@
     }
 
     fn work_rounds(&mut self, now: Micros, out: &mut Vec<Effect>) {
-        let alone = !self.met && now - self.born >= ALONE;
+        let told = self.told();
         let mut rounds = std::mem::take(&mut self.rounds);
         for round in &mut rounds {
-            let need = Need { hubs: &self.hubs, alone };
+            let need = Need { voters: &self.voters, own: self.own };
             if let Some(asks) = round.take_known(now, need) {
                 if let Some(entry) = self.list.get_mut(&round.id) {
                     entry.confirmed = true;
@@ -434,7 +478,7 @@
                 out.extend(asks.into_iter().map(|ask| Effect::Taken { ask, target }));
             }
             out.extend(round.take_late(now).into_iter().map(|ask| Effect::NotTaken { ask }));
-            let to = round.take_send(now, &self.hubs);
+            let to = round.take_send(now, &told);
             if let Some(entry) = self.list.get(&round.id).filter(|_| !to.is_empty()) {
                 let record = entry.known.record(now);
                 out.extend(to.into_iter().map(|to| {
@@ -443,7 +487,7 @@
                 }));
             }
         }
-        rounds.retain(|round| !round.over(now, &self.hubs));
+        rounds.retain(|round| !round.over(now, &told));
         self.rounds = rounds;
     }
 
@@ -572,7 +616,9 @@
         if mine <= share + (share / 2).max(2) {
             return;
         }
-        loads.retain(|_, load| *load < share.max(1));
+        // One that is up and no voter may not be in touch with those who are.
+        let voters = &self.voters;
+        loads.retain(|place, load| *load < share.max(1) && voters.contains(place));
         if !loads.is_empty() {
             let index = self.rng.rand_range(0..loads.len() as u32) as usize;
             self.shed_to = loads.get_index(index).map(|(place, _)| *place);
--- a/crates/cast/src/drains.rs
+++ b/crates/cast/src/drains.rs
@@ -37,10 +37,9 @@
 /// Who has to know before a drain is acknowledged.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Need<'a> {
-    /// Other hubs that are up.
-    pub hubs: &'a [Place],
-    /// Whether one that never knew of another node may acknowledge by itself.
-    pub alone: bool,
+    /// The ordered voters, this hub among them where it is one.
+    pub voters: &'a [Place],
+    pub own: Place,
 }
 
 impl Round {
@@ -61,17 +60,19 @@
         room
     }
 
+    /// `hubs`: those who are told.
     pub fn heard(&mut self, from: Place, hubs: &[Place]) {
         if !self.heard.contains(&from) && (hubs.contains(&from) || self.foyers.contains(&from)) {
             self.heard.push(from);
         }
     }
 
-    /// Whether a majority of the hubs, this one counted, and at least one other node know.
+    /// Whether a majority of the ordered voters, and at least one other node in any case, know. Never of those that
+    /// this node holds up: one that is cut off for long holds up nobody else, and would be its own majority.
     fn enough(&self, need: Need) -> bool {
-        let hubs = self.heard.iter().filter(|place| need.hubs.contains(place)).count();
-        let majority = 2 * (hubs + 1) > need.hubs.len() + 1;
-        majority && (!self.heard.is_empty() || need.alone)
+        let knows = |place: &&Place| **place == need.own || self.heard.contains(place);
+        let voters = need.voters.iter().filter(knows).count();
+        2 * voters > need.voters.len() && !self.heard.is_empty()
     }
 
     /// Callers that get their acknowledgement now. The first time, `confirmed` is to be kept with the life.
--- a/crates/cast/src/lib.rs
+++ b/crates/cast/src/lib.rs
@@ -45,12 +45,16 @@
     /// A drain that others don't know of within this is answered `NotTaken`. Under the second that an
     /// instance waits, with room for the way there and back.
     pub beat_answer: Micros,
+    /// A hub that a majority of the voters has not been in touch with for longer sends instances elsewhere: early
+    /// enough for them to be taken by another hub before others call them silent.
+    pub contact: Micros,
 }
 
 impl Timing {
     /// For instances that beat once in `heartbeat`: two lost beats and a late third are forgiven.
     pub fn of_heartbeat(heartbeat: Micros) -> Timing {
-        Timing { silent: heartbeat.saturating_mul(26) / 10 + SECOND / 2, beat_answer: 800 * MS }
+        let silent = heartbeat.saturating_mul(26) / 10 + SECOND / 2;
+        Timing { silent, beat_answer: 800 * MS, contact: (silent / 2).max(2 * SECOND) }
     }
 }
 
@@ -198,6 +202,14 @@
         hubs: Vec<Place>,
         others: Vec<Place>,
     },
+    /// The ordered voters as they are now, in the log here; a hub that was told of none acknowledges no drain.
+    Voters {
+        places: Vec<Place>,
+    },
+    /// A majority of the voters was in touch with this hub at this moment of the own clock.
+    Proved {
+        at: Micros,
+    },
 }
 
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/cast/tests/cast.rs
+++ b/crates/cast/tests/cast.rs
@@ -78,6 +78,94 @@
     assert_eq!(world.without(&InstanceId("i-00000000".into()), &LEAVING), []);
 }
 
+/// The ordered voters decide, not those that a hub holds up: one that is cut off for long holds up nobody else, and
+/// was its own majority with one foyer as a witness.
+#[test]
+fn a_hub_that_is_cut_off_with_foyers_acknowledges_no_drain_and_sends_instances_away_in_time() {
+    for seed in 0..20 {
+        let mut world = World::new(seed, 3, 6, 12);
+        world.run(6 * SECOND);
+        let (alone, beside) = (world.hubs[0], world.foyers[..3].to_vec());
+        let mine =
+            |world: &World| world.up[&alone].cast.records().filter(|known| known.keeper == alone).count();
+        assert!(mine(&world) > 0, "seed {seed}");
+        world.cut(&[&[alone], &beside[..]].concat());
+        // An instance that is on its side of the cut drains there and at no other.
+        let mut beat = world.instances[0].beat.clone();
+        (beat.draining, beat.sequence) = (true, beat.sequence + 100);
+        world.instances[0].alive = false;
+        for _ in 0..20 {
+            beat.sequence += 1;
+            let ask = world.call(alone, beat.clone());
+            world.run(SECOND);
+            assert_eq!(world.answer(ask), Some(Effect::NotTaken { ask }), "seed {seed}");
+        }
+        // What it heard is not lost on its side, and on the other no instance was without a hub for long.
+        for at in &beside {
+            let known = world.up[at].cast.get(&beat.id).map(|known| known.state);
+            assert!(known.is_some_and(State::leaving), "seed {seed}: {known:?} at {at}");
+        }
+        let there = world.up[&world.foyers[5]].cast.records();
+        let there = there.filter(|known| known.state == State::InService && known.keeper != alone).count();
+        assert_eq!(there, 11, "seed {seed}");
+        world.cut(&[]);
+        world.run(4 * SECOND);
+        world.assert_all_know();
+    }
+}
+
+/// Nobody has a majority: no beat is acknowledged, and yet no instance is lost from the list.
+#[test]
+fn where_no_hub_has_a_majority_beats_are_heard_and_the_list_stays() {
+    let mut world = World::new(6, 3, 4, 9);
+    world.run(6 * SECOND);
+    let [left, gone, dead] = world.hubs[..] else { panic!("three hubs") };
+    world.kill(gone);
+    world.kill(dead);
+    world.run(4 * SECOND);
+    let mut beat = world.instances[0].beat.clone();
+    beat.sequence += 1;
+    let ask = world.call(left, beat);
+    assert_eq!(world.answer(ask), Some(Effect::NotTaken { ask }));
+    for _ in 0..20 {
+        world.run(SECOND);
+        world.assert_all_know();
+    }
+}
+
+#[test]
+fn a_hub_that_was_told_of_no_voters_acknowledges_no_drain_and_tells_of_it_all_the_same() {
+    let place = |number| Place(Ipv4Addr::new(10, 0, 0, number));
+    let (own, foyer) = (place(1), place(2));
+    let mut hub = Cast::start(own, Timing::of_heartbeat(BEAT), 1, 0);
+    hub.step(0, Event::Peers { hubs: vec![own], others: vec![foyer] });
+    let beat = |sequence| cast::Beat {
+        id: InstanceId("i-1".into()),
+        service: "s".into(),
+        address: "10.9.0.1:80".parse().expect("an address"),
+        zone: "z".into(),
+        version: "v1".into(),
+        slots: 2,
+        draining: true,
+        warmup_left: 0,
+        sequence,
+    };
+    let ask = props::Ask(1);
+    let effects = hub.step(MS, Event::Beat { ask, beat: beat(1) });
+    assert!(effects.contains(&Effect::NotTaken { ask }));
+    let told = effects.iter().find_map(|effect| match effect {
+        Effect::Send { to, message: Message::Leaving { round, .. } } if *to == foyer => Some(*round),
+        _ => None,
+    });
+    let heard = Message::Heard { round: told.expect("the foyer is told") };
+    // One voter, itself: the foyer's word is needed and is enough.
+    hub.step(2 * MS, Event::Voters { places: vec![own] });
+    let ask = props::Ask(2);
+    assert!(!hub.step(3 * MS, Event::Beat { ask, beat: beat(2) }).contains(&Effect::NotTaken { ask }));
+    let effects = hub.step(4 * MS, Event::Received { from: foyer, message: heard });
+    assert!(effects.contains(&Effect::Taken { ask, target: Some(own) }), "{effects:?}");
+}
+
 #[test]
 fn the_silent_are_found_and_come_back_by_a_later_beat_also_when_their_keeper_dies() {
     let mut world = World::new(11, 5, 10, 12);
--- a/crates/playhouse/src/control.rs
+++ b/crates/playhouse/src/control.rs
@@ -1,7 +1,7 @@
 //! Control (a prompter's core): the ordered log, the common part, the votes and the callers who wait, joined
 //! without I/O: time and events in, effects out. What is decided, is decided in the rooms.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::sync::Arc;
 
 use cast::{Beat, InstanceId};
@@ -19,6 +19,11 @@
 const MEMORY_GATHER: Micros = 100 * MS;
 const MEMORY_EVERY: Micros = SECOND;
 const COUNT_EVERY: Micros = 200 * MS;
+/// A call is answered within this, come what may: its caller leaves after a second, and the way there and back
+/// takes a part of that.
+const CALL_WAIT: Micros = 850 * MS;
+/// A caller is sent on only to a leader that was heard within this: two of its beats, and half of one for the way.
+const SENT_ON: Micros = TIMING.beat * 5 / 2;
 /// A leader that is to end waits so long for somebody to take over, at most.
 const HAND_OVER: Micros = SECOND;
 /// A service's first version is proposed again after this, if it has not come to be ordered.
@@ -50,13 +55,18 @@
     Leave,
 }
 
-/// How a call that waited is answered.
+/// How a call that waited is answered; one for each `In` with an ask, within `CALL_WAIT` if the driver ticks in time.
 #[derive(Debug)]
 pub enum Told {
     Applied(Outcome),
     ReadAt,
-    Refused { leader: Option<Place> },
-    Beat { target: Option<Place> },
+    /// Not by this node, or not in time: nothing is said of the order. `leader`: where to go, if it was heard lately.
+    Refused {
+        leader: Option<Place>,
+    },
+    Beat {
+        target: Option<Place>,
+    },
     BeatNotTaken,
 }
 
@@ -76,6 +86,14 @@
     },
 }
 
+/// A caller that waits.
+struct Waiting {
+    /// A beat or a leave; else an order or a read.
+    beat: bool,
+    /// An order that is to be refused, as far as is known here, once it is proved that this node knows.
+    refusal: Option<Command>,
+}
+
 pub struct Control {
     pub house: House,
     book: Promptbook,
@@ -87,6 +105,11 @@
     memory_due: Micros,
     /// Bytes applied since the last snapshot.
     applied: usize,
+    waiting: BTreeMap<Ask, Waiting>,
+    /// Asks by the moment at which they are to be answered, the earliest first; also those that have been.
+    ends: VecDeque<(Micros, Ask)>,
+    /// The voters that the others here were told of.
+    voters: Vec<Seat>,
     seen: HashMap<String, Micros>,
     /// A form that may be agreed, and since when all known nodes read it.
     may_agree: Option<(Form, Micros)>,
@@ -114,6 +137,9 @@
             kept: (0, now - MEMORY_EVERY),
             memory_due: Micros::MAX,
             applied: 0,
+            waiting: BTreeMap::new(),
+            ends: VecDeque::new(),
+            voters: Vec::new(),
             seen: HashMap::new(),
             may_agree: None,
             own_ask: u64::MAX / 2,
@@ -122,12 +148,14 @@
             out: Vec::new(),
         };
         control.did(now, effects);
+        control.tell_standing(now);
         let out = control.settle(now);
         (control, out)
     }
 
     pub fn due(&self) -> Micros {
         let due = self.house.due().min(self.book.due()).min(self.count_due).min(self.memory_due);
+        let due = self.ends.front().map_or(due, |(until, _)| due.min(*until));
         self.leaving.map_or(due, |until| due.min(until))
     }
 
@@ -208,12 +236,19 @@
             In::Mail { from, bytes } => self.house.received(now, from, &bytes),
             In::Written { no, ok: true } => self.log(now, Event::Synced { write: no }),
             In::Written { no, ok: false } => self.log(now, Event::WriteFailed { write: no }),
-            In::Order { ask, command } => {
-                self.log(now, Event::Propose { ask, data: self.written(now, &command) })
+            In::Order { ask, command } => self.order(now, ask, command),
+            In::Read { ask } => {
+                self.wait(now, ask, false, None);
+                self.log(now, Event::Read { ask });
+            }
+            In::Beat { ask, beat } => {
+                self.wait(now, ask, true, None);
+                self.house.beat(now, ask, beat);
+            }
+            In::Detach { ask, id } => {
+                self.wait(now, ask, true, None);
+                self.house.detach(now, ask, id);
             }
-            In::Read { ask } => self.log(now, Event::Read { ask }),
-            In::Beat { ask, beat } => self.house.beat(now, ask, beat),
-            In::Detach { ask, id } => self.house.detach(now, ask, id),
             In::Seeds { places } => self.house.seeds_changed(now, places),
             In::Leave => {
                 self.leaving = Some(now + HAND_OVER);
@@ -223,6 +258,82 @@
         self.settle(now)
     }
 
+    /// Has a command ordered, or tells why it is not. A refusal, too, waits for proof of leadership: one that was
+    /// deposed knows only an old version.
+    fn order(&mut self, now: Micros, ask: Ask, command: Command) {
+        match self.house.script.check_at(now, &command) {
+            Ok(()) => {
+                self.wait(now, ask, false, None);
+                self.log(now, Event::Propose { ask, data: self.written(now, &command) });
+            }
+            Err(_) => {
+                self.wait(now, ask, false, Some(command));
+                self.log(now, Event::Read { ask });
+            }
+        }
+    }
+
+    fn wait(&mut self, now: Micros, ask: Ask, beat: bool, refusal: Option<Command>) {
+        self.waiting.insert(ask, Waiting { beat, refusal });
+        self.ends.push_back((now + CALL_WAIT, ask));
+    }
+
+    /// Answers a caller that still waits. One that has had its answer gets no other.
+    fn tell(&mut self, ask: Ask, told: Told) {
+        if self.waiting.remove(&ask).is_some() {
+            self.out.push(Out::Tell { ask, told });
+        }
+    }
+
+    /// It is proved that all acknowledged before the ask is applied here.
+    fn read(&mut self, now: Micros, ask: Ask) {
+        let refusal = self.waiting.get_mut(&ask).and_then(|waiting| waiting.refusal.take());
+        let Some(command) = refusal else { return self.tell(ask, Told::ReadAt) };
+        match self.house.script.check_at(now, &command) {
+            Ok(()) => self.log(now, Event::Propose { ask, data: self.written(now, &command) }),
+            Err(outcome) => self.tell(ask, Told::Applied(outcome)),
+        }
+    }
+
+    /// Callers whose time is over. What they asked for may still come about: they are told nothing of it.
+    fn end_late(&mut self, now: Micros) {
+        while let Some((_, ask)) = self.ends.pop_front_if(|(until, _)| *until <= now) {
+            let told = match self.waiting.get(&ask) {
+                Some(Waiting { beat: true, .. }) => Told::BeatNotTaken,
+                _ => Told::Refused { leader: None },
+            };
+            self.tell(ask, told);
+        }
+        while self.ends.pop_front_if(|(_, ask)| !self.waiting.contains_key(ask)).is_some() {}
+    }
+
+    /// Tells the rooms who is to be a majority, where that has changed.
+    fn tell_voters(&mut self, now: Micros) {
+        let voters = &self.book.members().0;
+        if *voters != self.voters {
+            self.voters.clone_from(voters);
+            let places = self.voters.iter().map(|seat| seat.place).collect();
+            self.house.voters(now, places);
+        }
+    }
+
+    /// Tells the rooms how this node stands to a majority, and has the next proof begun where it leads.
+    fn tell_standing(&mut self, now: Micros) {
+        let proved = self.book.proved();
+        let voters = u8::try_from(self.book.members().0.len()).unwrap_or(u8::MAX);
+        let standing = match proved {
+            Some((term, at)) => callboard::Standing::Proved { term, age: (now - at).max(0) },
+            None if self.book.is_member() && self.book.leader().is_none() => {
+                callboard::Standing::Started { voters }
+            }
+            None => callboard::Standing::Unproved,
+        };
+        self.house.stands(now, standing, proved.map(|(_, at)| at));
+        if self.book.leads() {
+            self.log(now, Event::Prove);
+        }
+    }
+
     fn tick(&mut self, now: Micros) {
         self.house.tick(now);
         if self.book.due() <= now {
@@ -230,6 +341,7 @@
         }
         if self.count_due <= now {
             self.count_due = now + COUNT_EVERY;
+            self.tell_standing(now);
             if self.book.leads() {
                 self.lead(now);
                 self.agree(now);
@@ -377,9 +489,10 @@
                     self.house.committed(now, index, data, ask);
                 }
                 Effect::Restore { index, data } => self.house.restored(now, index, data),
-                Effect::ReadAt { ask, .. } => self.out.push(Out::Tell { ask, told: Told::ReadAt }),
+                Effect::ReadAt { ask, .. } => self.read(now, ask),
                 Effect::Refused { ask, leader, .. } => {
-                    self.out.push(Out::Tell { ask, told: Told::Refused { leader } });
+                    let leader = leader.filter(|_| self.book.hears_leader(now, SENT_ON));
+                    self.tell(ask, Told::Refused { leader });
                 }
                 Effect::Leader { leader: None, term } if self.leaving.is_some() => {
                     log::info!("the lead of term {} is handed over before the end", term.0);
@@ -387,6 +500,7 @@
                 Effect::Leader { leader, term } => {
                     let name = leader.map_or("nobody".to_owned(), |seat| seat.to_string());
                     log::info!("{name} leads in term {}", term.0);
+                    self.tell_standing(now);
                 }
             }
         }
@@ -403,15 +517,15 @@
             match happened {
                 Happened::Applied { outcome, ask, .. } => {
                     if let Some(ask) = ask {
-                        self.out.push(Out::Tell { ask, told: Told::Applied(outcome) });
+                        self.tell(ask, Told::Applied(outcome));
                     }
                     self.inspect_intent(now);
                 }
                 Happened::BeatTaken { ask, target } => {
-                    self.out.push(Out::Tell { ask, told: Told::Beat { target } });
+                    self.tell(ask, Told::Beat { target });
                 }
                 Happened::BeatNotTaken { ask } => {
-                    self.out.push(Out::Tell { ask, told: Told::BeatNotTaken });
+                    self.tell(ask, Told::BeatNotTaken);
                 }
                 Happened::Peers => {
                     let places = self.house.up(Part::Prompter);
@@ -426,12 +540,12 @@
                 Happened::Instance(_) => {}
             }
         }
+        self.tell_voters(now);
+        self.end_late(now);
         self.tend_leave(now);
         self.tend_memory(now);
-        let words = self.house.out().into_iter();
-        let house = &self.house;
-        let mut out: Vec<Out> =
-            words.filter_map(|(to, word)| Some(Out::Send { to, word: house.letter(to, word)? })).collect();
+        let letters = self.house.letters().into_iter();
+        let mut out: Vec<Out> = letters.map(|(to, word)| Out::Send { to, word }).collect();
         out.append(&mut self.out);
         out
     }
--- a/crates/playhouse/src/floor/mod.rs
+++ b/crates/playhouse/src/floor/mod.rs
@@ -128,7 +128,9 @@
     peers_due: Micros,
     seed: u64,
     leaving: bool,
-    /// Whether clients may be sent here, and since when a configuration is known.
+    /// Whether what is here was once known to be new, whether clients may be sent here, and since when a
+    /// configuration is known.
+    proved: bool,
     opened: bool,
     partly: Option<Micros>,
     /// Final answers of the decisions that were no instance's, since the start.
@@ -171,6 +173,7 @@
             peers_due: Micros::MAX,
             seed,
             leaving: false,
+            proved: false,
             opened: false,
             partly: None,
             turned_back: 0,
@@ -202,6 +205,7 @@
             (true, ..) => "it is leaving",
             (_, _, Some(why)) => why,
             (_, None, _) => "no configuration is known",
+            _ if !self.proved => "no prompter has shown that what is known here is new",
             _ if !self.opened => "instances of some services are not known",
             _ => "",
         };
@@ -238,8 +242,10 @@
 
     /// Opens once a configuration is there, and instances of each service that a route leads to; without some
     /// of them after a while, since a service may have none. Guards against requests for services whose
-    /// instances are not known here yet, while other foyers know them.
+    /// instances are not known here yet, while other foyers know them. What is here has to be known as new
+    /// besides: guards against serving from a prompter that is cut off what has long been replaced.
     fn open(&mut self, now: Micros) {
+        self.proved |= self.house.proved();
         let Some(bill) = self.bill.as_ref().filter(|_| !self.opened) else { return };
         let cast = &self.house.cast;
         let known: HashSet<&str> = cast
@@ -250,7 +256,7 @@
         let mut targets = bill.routes.values().flat_map(|route| &route.targets);
         let all = targets.all(|target| known.contains(&*target.service));
         let since = *self.partly.get_or_insert(now);
-        self.opened = !known.is_empty() && (all || now - since >= PARTLY);
+        self.opened = self.proved && !known.is_empty() && (all || now - since >= PARTLY);
     }
 
     pub fn leaving(&self) -> bool {
@@ -283,10 +289,8 @@
             }
         }
         self.settle(now);
-        let words = self.house.out().into_iter();
-        let house = &self.house;
-        let mut out: Vec<Out> =
-            words.filter_map(|(to, word)| Some(Out::Send { to, word: house.letter(to, word)? })).collect();
+        let letters = self.house.letters().into_iter();
+        let mut out: Vec<Out> = letters.map(|(to, word)| Out::Send { to, word }).collect();
         out.append(&mut self.out);
         out
     }
--- a/crates/playhouse/src/house.rs
+++ b/crates/playhouse/src/house.rs
@@ -323,11 +323,43 @@
         self.out.push((to, word));
     }
 
-    /// What is to be sent since this was asked last.
+    /// What is to be said since this was asked last, as the rooms said it.
     pub fn out(&mut self) -> Vec<(Place, Word)> {
         std::mem::take(&mut self.out)
     }
 
+    /// What is to be sent since this was asked last, each word as its reader takes it. One that is newer than what
+    /// its reader is known to read is dropped, as a lost datagram would be.
+    pub fn letters(&mut self) -> Vec<(Place, Letter)> {
+        let words = self.out().into_iter();
+        words.filter_map(|(to, word)| Some((to, self.letter(to, word)?))).collect()
+    }
+
+    /// Whether what is here may be served from: a source once proved it in this life, or those that are there are
+    /// of programs that don't know how.
+    pub fn proved(&self) -> bool {
+        let hubs = self.up(Part::Prompter);
+        let mut forms = hubs.iter().filter_map(|place| self.heard.get(place)).peekable();
+        let knows = callboard::Message::Prove.since();
+        self.board.proved() || (forms.peek().is_some() && forms.all(|form| *form < knows))
+    }
+
+    /// The ordered voters, for those who count a majority.
+    pub fn voters(&mut self, now: Micros, places: Vec<Place>) {
+        let effects = self.cast.step(now, cast::Event::Voters { places });
+        self.cast_did(effects);
+    }
+
+    /// How this prompter stands to a majority, and when it was last in touch with one.
+    pub fn stands(&mut self, now: Micros, standing: callboard::Standing, proved: Option<Micros>) {
+        let effects = self.board.step(now, callboard::Event::Stands { standing });
+        self.board_did(now, effects);
+        if let Some(at) = proved {
+            let effects = self.cast.step(now, cast::Event::Proved { at });
+            self.cast_did(effects);
+        }
+    }
+
     /// When the rooms next want to be woken.
     pub fn due(&self) -> Micros {
         self.company.due().min(self.board.due()).min(self.cast.due())
--- a/crates/playhouse/src/prompter.rs
+++ b/crates/playhouse/src/prompter.rs
@@ -33,8 +33,6 @@
 
 /// Bytes of a call's body at most.
 const BODY_MOST: usize = 8 << 20;
-/// A call that has waited so long is answered 503, so that nothing waits for ever.
-const CALL_WAIT: Duration = Duration::from_millis(3_000);
 /// Callers that wait at once; more are answered 503.
 const ASKS_MOST: usize = 4096;
 
@@ -401,13 +399,9 @@
     reply(StatusCode::OK, value.encode())
 }
 
-/// Waits for what a call was told; `None` after `CALL_WAIT`, or where the call was not kept.
-async fn wait(told: oneshot::Receiver<Told>) -> Option<Told> {
-    tokio::time::timeout(CALL_WAIT, told).await.ok()?.ok()
-}
-
+/// `control` tells each call something in time; none is told what was not kept.
 async fn beaten(shared: &Shared, id: &str, told: oneshot::Receiver<Told>) -> Answer {
-    let told = wait(told).await;
+    let told = told.await.ok();
     match told {
         Some(Told::Beat { target }) => {
             let port = shared.borrow().settings.control_port();
@@ -416,21 +410,21 @@
             reply(StatusCode::OK, text)
         }
         told => {
-            let why = if told.is_some() { "not known to others" } else { "no answer in time" };
+            let why = if told.is_some() { "not known to others" } else { "too many wait" };
             shared.borrow_mut().refused(id, why);
             unavailable("not known to others in time")
         }
     }
 }
 
-/// Sends a caller on to the leader, or away for now.
+/// Sends a caller on to the leader, or away for now. `leader`: one that was heard lately.
 fn elsewhere(shared: &Shared, leader: Option<Place>, head: &hyper::http::request::Parts) -> Answer {
     let (own, port) = {
         let prompter = shared.borrow();
         (prompter.control.seat().place, prompter.settings.control_port())
     };
     let Some(leader) = leader.filter(|leader| *leader != own) else {
-        return unavailable("nobody is known to lead");
+        return unavailable("nobody is known to lead, or not in time");
     };
     let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
     let mut answer = fault(StatusCode::TEMPORARY_REDIRECT, "another machine leads");
@@ -443,39 +437,23 @@
 /// Waits until this node has proved that it leads and has applied all that was acknowledged before.
 async fn proved(shared: &Shared, head: &hyper::http::request::Parts) -> Result<(), Answer> {
     let told = shared.borrow_mut().begin(|ask| In::Read { ask });
-    match wait(told).await {
-        Some(Told::ReadAt) => Ok(()),
-        Some(Told::Refused { leader }) => Err(elsewhere(shared, leader, head)),
-        _ => Err(unavailable("leadership could not be proved in time")),
+    match told.await {
+        Ok(Told::ReadAt) => Ok(()),
+        Ok(Told::Refused { leader }) => Err(elsewhere(shared, leader, head)),
+        _ => Err(unavailable("too many wait")),
     }
 }
 
-/// Has a command ordered, or tells why it is not. A refusal, too, waits for proof of leadership: one that
-/// was deposed knows only an old version.
+/// Has a command ordered, or tells why it is not.
 async fn order(shared: &Shared, command: Command, head: &hyper::http::request::Parts) -> Answer {
-    let checked = check(shared, &command);
-    if checked.is_err() {
-        if let Err(answer) = proved(shared, head).await {
-            return answer;
-        }
-        let checked = check(shared, &command);
-        if let Err(outcome) = checked {
-            return ordered(outcome);
-        }
-    }
     let told = shared.borrow_mut().begin(|ask| In::Order { ask, command });
-    match wait(told).await {
-        Some(Told::Applied(outcome)) => ordered(outcome),
-        Some(Told::Refused { leader }) => elsewhere(shared, leader, head),
-        _ => unavailable("not ordered in time"),
+    match told.await {
+        Ok(Told::Applied(outcome)) => ordered(outcome),
+        Ok(Told::Refused { leader }) => elsewhere(shared, leader, head),
+        _ => unavailable("too many wait"),
     }
 }
 
-fn check(shared: &Shared, command: &Command) -> Result<(), Outcome> {
-    let prompter = shared.borrow();
-    prompter.control.house.script.check_at(prompter.clock.now(), command)
-}
-
 fn ordered(outcome: Outcome) -> Answer {
     let status = StatusCode::from_u16(outcome.status()).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
     if status.is_success() {
--- /dev/null
+++ b/crates/playhouse/tests/frozen.rs
@@ -0,0 +1,131 @@
+//! A prompter that leads is stopped (SIGSTOP) under orders, beats and drains, and goes on with calls in its sockets: real
+//! processes on loopback. All is asked for until it is so, or until a deadline that only a fault reaches.
+
+use std::net::SocketAddrV4;
+use std::process::Command;
+use std::time::{Duration, Instant};
+
+use company::Part;
+use hyper::{Method, StatusCode};
+use playhouse::demo::client::{Ask, call};
+use playhouse::demo::instance::{Instance, Plan, Record};
+use playhouse::demo::operator::{Operator, Route, change, items, whole};
+use playhouse::demo::stage::{self, Stage, ZONES};
+use playhouse::demo::until;
+
+/// No call waits so long unless something is wrong.
+const LONG: Duration = Duration::from_secs(20);
+/// Callers leave after a second; here other work may keep a machine busy.
+const ANSWERED: Duration = Duration::from_secs(3);
+
+/// A process that stands still, until this is dropped.
+struct Stopped(u32);
+
+impl Stopped {
+    fn of(pid: u32) -> Stopped {
+        signal("-STOP", pid);
+        Stopped(pid)
+    }
+}
+
+impl Drop for Stopped {
+    fn drop(&mut self) {
+        signal("-CONT", self.0);
+    }
+}
+
+fn signal(what: &str, pid: u32) {
+    let status = Command::new("kill").args([what, &pid.to_string()]).status().expect("the system's kill");
+    assert!(status.success(), "kill {what} {pid}: {status}");
+}
+
+async fn wait(stage: &Stage, what: &str, mut so: impl AsyncFnMut() -> bool) {
+    let began = Instant::now();
+    while !so().await {
+        assert!(began.elapsed() < LONG, "{what}: not after {LONG:?}\n{}", stage.logs(20));
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+async fn enter(stage: &mut Stage, number: usize, record: &Record) -> Instance {
+    let mut plan = Plan::new(&format!("i-{number}"), "playbill", "v1");
+    plan.zone = ZONES[number % ZONES.len()].to_owned();
+    let address = SocketAddrV4::new(stage.instance_address().expect("an address"), 8080);
+    Instance::start(plan, address, stage.controls(), record.clone()).await.expect("an instance")
+}
+
+#[test]
+fn a_leader_that_is_stopped_is_not_missed_and_promises_nothing_when_it_goes_on() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    runtime.expect("a runtime").block_on(async {
+        let plan = stage::Plan {
+            program: env!("CARGO_BIN_EXE_playhouse").into(),
+            prompters: 3,
+            foyers: 1,
+            folder: None,
+            log: "info".to_owned(),
+        };
+        let mut stage = Stage::set(plan).expect("a stage");
+        stage.start_all().expect("nodes that start");
+        let mut operator = Operator::new(stage.controls());
+        operator.patience = LONG;
+        let routes = [
+            Route::new("view", "frozen.example", "/view/", "safe", "playbill"),
+            Route::new("help", "frozen.example", "/help/", "safe", "playbill"),
+        ];
+        let first = whole(1, &routes, &["playbill"]);
+        let taken = operator.replace(0, 0, &first).await.expect("a clear answer");
+        assert_eq!(taken.status, StatusCode::OK, "{}", stage.logs(20));
+        let record = Record::default();
+        let mut cast = Vec::new();
+        for number in 0..6 {
+            cast.push(enter(&mut stage, number, &record).await);
+        }
+        wait(&stage, "beats are acknowledged", async || cast.iter().all(|one| one.acknowledged() >= 2)).await;
+        let leader = until("a leader", || operator.leader()).await.expect("a leader");
+        let node = stage.at(*leader.ip()).expect("a node of the stage");
+        let stopped = Stopped::of(stage.pid(node).expect("it runs"));
+        // Orders, beats and drains go on without it.
+        let answer = operator.modify(0, 1, &change(2, &[], &["help"])).await.expect("a clear answer");
+        assert_eq!(answer.status, StatusCode::OK, "{}", stage.logs(20));
+        let leaving = cast.remove(0);
+        assert!(leaving.drain(LONG).await.is_some(), "the drain is acknowledged\n{}", stage.logs(20));
+        let before: Vec<u64> = cast.iter().map(Instance::acknowledged).collect();
+        let on = || cast.iter().zip(&before).all(|(one, before)| one.acknowledged() >= before + 3);
+        wait(&stage, "beats go on", async || on()).await;
+        // These lie in its sockets: reads, an order that the core would refuse, one that it would take.
+        let modify = |base: u32, version: u32| {
+            Ask::new(Method::POST, "/api/Configuration.Modify")
+                .with("Base-Version", format!("{base:08x}"))
+                .json(change(version, &[], &[]))
+        };
+        let read = Ask::new(Method::GET, "/api/Configuration.Retrieve");
+        let asks = [read.clone(), modify(1, 9), modify(2, 3), read];
+        let mut lie = tokio::task::JoinSet::new();
+        for ask in asks.clone() {
+            lie.spawn(async move { (call(leader, &ask, LONG).await, Instant::now()) });
+        }
+        // They are connected, as a connection's opening is answered by the system.
+        for _ in 0..10 {
+            tokio::task::yield_now().await;
+        }
+        assert!(lie.try_join_next().is_none(), "one that stands still answers nothing");
+        let since = Instant::now();
+        drop(stopped);
+        while let Some(done) = lie.join_next().await {
+            let (answer, at) = done.expect("no panic");
+            let answer = answer.unwrap_or_else(|error| panic!("{error}\n{}", stage.logs(20)));
+            let took = at - since;
+            assert!(took < ANSWERED, "{took:?}: {} {}", answer.status, answer.text());
+            let sent_on =
+                [StatusCode::TEMPORARY_REDIRECT, StatusCode::SERVICE_UNAVAILABLE].contains(&answer.status);
+            assert!(sent_on, "{} {}\n{}", answer.status, answer.text(), stage.logs(20));
+        }
+        // What is in force is what was acknowledged, and the order that would be taken is.
+        let answer = operator.modify(0, 2, &change(3, &[], &[])).await.expect("a clear answer");
+        assert_eq!(answer.status, StatusCode::OK, "{}", stage.logs(20));
+        let now = operator.retrieve(0).await.expect("a clear answer");
+        assert_eq!(items(&now.body), items(whole(3, &routes[..1], &["playbill"]).as_bytes()));
+        assert_eq!(stage.nodes(Part::Prompter).len(), 3);
+    });
+}
