--- a/crates/playhouse/tests/cut.rs
+++ b/crates/playhouse/tests/cut.rs
@@ -516,3 +516,49 @@
         assert!((3..NODES).all(|node| world.foyer(node).ready()));
     }
 }
+
+/// An operator as the pages tell it: goes on at once after 503 with a pause that grows, follows 307, and hangs for a
+/// second at a machine that is gone.
+fn acknowledged(world: &mut World, gone: usize, first: usize) -> Micros {
+    let (sent, mut at, mut pause) = (world.now, first, 50 * MS);
+    loop {
+        world.answers.clear();
+        if at == gone {
+            world.play(SECOND);
+            at = (0..CORE).find(|node| *node != gone && *node != first).expect("a third machine");
+            continue;
+        }
+        world.call(at, Kind::Order, 1);
+        while world.answers.is_empty() {
+            world.play(MS);
+        }
+        match &world.answers[0].told {
+            Told::Applied(Outcome::Taken | Outcome::Again) => return world.now - sent,
+            Told::Refused { leader: Some(leader) } => {
+                at = (0..CORE).find(|node| place(*node) == *leader).expect("a machine of the core");
+            }
+            Told::Refused { leader: None } => {
+                world.play(pause);
+                pause = (2 * pause).min(300 * MS);
+                at = (0..CORE).find(|node| *node != gone && *node != at).expect("a third machine");
+            }
+            other => panic!("{other:?}"),
+        }
+    }
+}
+
+#[test]
+fn an_order_after_the_leader_has_lost_its_power_is_acknowledged_within_a_second_and_a_half() {
+    let mut took = Vec::new();
+    for after in (0..1_500).step_by(25) {
+        let mut world = World::open();
+        // Elections draw their waits anew by what has happened before.
+        world.play(Micros::from(after) * MS / 2);
+        let leader = world.leader(&[0, 1, 2]);
+        world.nodes[leader].process = None;
+        world.play(Micros::from(after) * MS);
+        took.push(acknowledged(&mut world, leader, (leader + 1) % CORE));
+    }
+    took.sort_unstable();
+    assert!(took[took.len() - 1] <= 1_500 * MS, "{took:?}");
+}
