--- a/crates/playhouse/src/floor/mod.rs
+++ b/crates/playhouse/src/floor/mod.rs
@@ -245,7 +245,7 @@
     /// instances are not known here yet, while other foyers know them. What is here has to be known as new
     /// besides: guards against serving from a prompter that is cut off what has long been replaced.
     fn open(&mut self, now: Micros) {
-        self.proved |= self.house.proved();
+        self.proved = self.proved || self.house.proved();
         let Some(bill) = self.bill.as_ref().filter(|_| !self.opened) else { return };
         let cast = &self.house.cast;
         let known: HashSet<&str> = cast
