--- a/crates/playhouse/src/control.rs
+++ b/crates/playhouse/src/control.rs
@@ -349,6 +349,7 @@
     }
 
     fn did(&mut self, now: Micros, effects: Vec<Effect>) {
+        let mut kept = None;
         for effect in effects {
             if self.house.unreadable().is_some() {
                 return;
@@ -362,8 +363,17 @@
                 Effect::Apply { index, data, ask } => {
                     self.applied += data.len() + 64;
                     self.house.committed(now, index, data, ask);
+                    // Right here and not after the rest: so all nodes take snapshots after the same entries, and what
+                    // one of them has begun to send another one can end.
+                    if self.applied >= KEEP_AFTER {
+                        self.applied = 0;
+                        kept = Some((self.house.script.index(), self.house.script.snapshot()));
+                    }
+                }
+                Effect::Restore { index, data } => {
+                    self.applied = 0;
+                    self.house.restored(now, index, data);
                 }
-                Effect::Restore { index, data } => self.house.restored(now, index, data),
                 Effect::ReadAt { ask, .. } => self.out.push(Out::Tell { ask, told: Told::ReadAt }),
                 Effect::Refused { ask, leader, .. } => {
                     self.out.push(Out::Tell { ask, told: Told::Refused { leader } });
@@ -377,9 +387,7 @@
                 }
             }
         }
-        if self.applied >= KEEP_AFTER {
-            self.applied = 0;
-            let (index, data) = (self.house.script.index(), self.house.script.snapshot());
+        if let Some((index, data)) = kept {
             self.log(now, Event::Kept { index, data });
         }
     }
--- a/crates/promptbook/src/book.rs
+++ b/crates/promptbook/src/book.rs
@@ -6,7 +6,7 @@
 
 use crate::disk::Disk;
 use crate::follow::Coming;
-use crate::lead::Leading;
+use crate::lead::{Leading, NOBODY};
 use crate::log::Log;
 use crate::mark::Marks;
 use crate::stand::Votes;
@@ -279,6 +279,15 @@
         self.term
     }
 
+    /// What entries and snapshots take in memory here, those on their way to and from others with them, in bytes.
+    pub fn bytes(&self) -> usize {
+        let led = match &self.role {
+            Role::Leading(lead) => lead.snapshots(&self.log),
+            _ => 0,
+        };
+        self.log.bytes() + led + self.coming.as_ref().map_or(0, Coming::bytes)
+    }
+
     /// True if the newest members here have the own seat.
     pub fn is_member(&self) -> bool {
         self.votes_in(self.own)
@@ -321,7 +330,6 @@
             self.term = term;
             self.voted = None;
             self.owes_vote = false;
-            self.coming = None;
             self.owes_round = None;
             // All that is committed is in the log of every later leader.
             self.verified = self.commit;
@@ -334,6 +342,7 @@
         if let Role::Leading(lead) = mem::replace(&mut self.role, Role::Following) {
             self.verified = self.commit;
             lead.close(leader.map(|seat| seat.place), &mut self.out);
+            self.log.trim(NOBODY);
             self.arm();
         }
     }
@@ -437,6 +446,8 @@
             let term = self.log.term_at(index).expect("what comes after the snapshot is in memory");
             let members = self.log.members_at(index).clone();
             self.log.replace(crate::Snapshot { index, term, members, data });
+            self.log.trim(self.needed());
+            self.share_snapshots();
         }
     }
 
--- a/crates/promptbook/src/follow.rs
+++ b/crates/promptbook/src/follow.rs
@@ -3,18 +3,28 @@
 use props::{Index, Seat, Term};
 
 use crate::book::{Promptbook, Role};
+use crate::lead::NOBODY;
 use crate::{Entry, Members, Snapshot, Word};
 
 /// Most bytes of a snapshot that is taken from a leader.
 const MOST_SNAPSHOT: u64 = 64 * 1024 * 1024;
 
-/// A snapshot of this term's leader that is not yet whole.
+/// A snapshot that is not yet whole. It outlasts its leader: snapshots hold only what is committed, and those after
+/// the same entry are the same bytes at every seat, so that another leader may go on where the first one ended.
 #[derive(Clone, Hash)]
 pub(crate) struct Coming {
     index: Index,
+    term: Term,
+    total: u64,
     data: Vec<u8>,
 }
 
+impl Coming {
+    pub(crate) fn bytes(&self) -> usize {
+        self.data.len()
+    }
+}
+
 impl Promptbook {
     /// Takes `from` for the leader of `term`, which is the own one or newer. False if it can't be.
     pub(crate) fn accept(&mut self, from: Seat, term: Term) -> bool {
@@ -93,6 +103,7 @@
 
     fn take_commit(&mut self, commit: Index) {
         self.commit = self.commit.max(commit.min(self.verified));
+        self.coming.take_if(|coming| coming.index <= self.commit);
     }
 
     fn answer(&mut self, round: u64) {
@@ -116,8 +127,9 @@
         if index <= self.commit {
             return self.answer(round);
         }
-        if self.coming.as_ref().is_none_or(|coming| coming.index != index) {
-            self.coming = Some(Coming { index, data: Vec::new() });
+        let same = |coming: &Coming| (coming.index, coming.term, coming.total) == (index, term, total);
+        if !self.coming.as_ref().is_some_and(same) {
+            self.coming = Some(Coming { index, term, total, data: Vec::new() });
         }
         let Some(coming) = &mut self.coming else { return };
         let have = coming.data.len() as u64;
@@ -137,6 +149,7 @@
         if !self.log.replace(Snapshot { index, term, members, data: data.clone() }) {
             self.disk.cut(Index(1));
         }
+        self.log.trim(NOBODY);
         self.verified = self.verified.max(index);
         self.restored(index, data);
     }
--- a/crates/promptbook/src/lead.rs
+++ b/crates/promptbook/src/lead.rs
@@ -15,6 +15,18 @@
 const MOST_OPEN: usize = 4 * 1024 * 1024;
 /// Most appends with entries that one follower has not answered yet.
 const WINDOW: usize = 2;
+/// What a byte is given before it is taken for lost, in microseconds: a link of 6 Mbit/s carries three in four, and
+/// others share it. Doubled up to so many times where it came after all.
+const BYTE: Micros = 3;
+const MOST_TRIES: u32 = 3;
+/// Bytes that are lost or there within a beat.
+const LIGHT: usize = 8 * 1024;
+/// Entries are held for a follower that has moved on within so many election spans.
+const HOLD_ELECTIONS: Micros = 16;
+/// Snapshots on their way that are not the newest, at most.
+const OLD_SNAPSHOTS: usize = 2;
+/// No follower needs anything.
+pub(crate) const NOBODY: Index = Index(u64::MAX);
 /// Most reads that wait for a proof of leadership; more are refused.
 const MOST_READS: usize = 4096;
 
@@ -24,14 +36,21 @@
     /// Where its log leaves the leader's is not known: one append at a time, from `next` on. `bare`: without
     /// entries, as the last one was not answered.
     Probe { bare: bool, sent: bool },
-    /// Entries follow each other before they are answered; `flight` has the last index of each append and when
-    /// it was sent.
-    Flow { flight: VecDeque<(Index, Micros)> },
+    /// Entries follow each other before they are answered.
+    Flow { flight: VecDeque<Flying> },
     /// It needs what is no longer in memory. `sent`: when the piece at `at` was, unless it is to be sent;
     /// `mute`: it did not answer, and a word from it comes first.
     Pieces { snapshot: Arc<Snapshot>, at: usize, sent: Option<Micros>, mute: bool },
 }
 
+/// An append that is not answered.
+#[derive(Clone)]
+struct Flying {
+    upto: Index,
+    since: Micros,
+    bytes: usize,
+}
+
 /// What a leader knows of one other seat, member or learner.
 #[derive(Clone)]
 pub(crate) struct Peer {
@@ -50,6 +69,13 @@
     /// The highest round that came back.
     pub(crate) round: u64,
     told: Index,
+    /// Bytes of the last append or piece sent to probe or as a snapshot.
+    sent_bytes: usize,
+    /// How often much was taken for lost lately, and whether what it has next was sent again.
+    tries: u32,
+    again: bool,
+    /// When it last had more than before.
+    moved: Micros,
 }
 
 impl Peer {
@@ -67,6 +93,10 @@
             asked_round,
             round,
             told,
+            sent_bytes: 0,
+            tries: 0,
+            again: false,
+            moved: now,
         }
     }
 
@@ -77,23 +107,67 @@
 
     /// `silence`: the longest that anything is told apart by, in microseconds.
     fn mark(&self, marks: &mut Marks, beat: Micros, silence: Micros) {
-        let Peer { seat, since, heard, matched, next, mode, asked, asked_round, round, told } = self;
+        let Peer { seat, since, heard, matched, next, mode, asked, asked_round, round, told, .. } = self;
+        let Peer { sent_bytes, tries, again, moved, .. } = self;
+        let patience = self.patience(2 * beat);
         marks.put((seat, heard.is_some(), marks.ago(heard.unwrap_or(*since), silence), matched, next));
-        marks.put((marks.ago(*asked, beat), asked_round, round, told));
+        marks.put((marks.ago(*asked, patience), asked_round, round, told));
+        marks.put((sent_bytes, tries, again, marks.ago(*moved, silence)));
         match mode {
             Mode::Probe { bare, sent } => marks.put((0u8, bare, sent)),
             Mode::Flow { flight } => {
                 marks.put((1u8, flight.len()));
-                for (upto, at) in flight {
-                    marks.put((upto, marks.ago(*at, beat)));
+                for Flying { upto, since, bytes } in flight {
+                    marks.put((upto, marks.ago(*since, patience), bytes));
                 }
             }
             Mode::Pieces { snapshot, at, sent, mute } => {
-                marks.put((2u8, snapshot, at, sent.map(|at| marks.ago(at, 2 * beat)), mute));
+                marks.put((2u8, snapshot, at, sent.map(|at| marks.ago(at, patience)), mute));
             }
         }
     }
 
+    fn snapshot(&self) -> Option<&Arc<Snapshot>> {
+        match &self.mode {
+            Mode::Pieces { snapshot, .. } => Some(snapshot),
+            Mode::Probe { .. } | Mode::Flow { .. } => None,
+        }
+    }
+
+    /// How long to wait for an answer: `least`, and what the bytes on their way take on a slow link. Guards against
+    /// sending a second time what is only on its way, which makes the link slower still.
+    fn patience(&self, least: Micros) -> Micros {
+        let bytes = match &self.mode {
+            Mode::Flow { flight } => flight.iter().map(|flying| flying.bytes).sum(),
+            Mode::Probe { .. } | Mode::Pieces { .. } => self.sent_bytes,
+        };
+        least + ((bytes.saturating_sub(LIGHT) as Micros * BYTE) << self.tries)
+    }
+
+    /// Much was sent, and not answered in time.
+    fn lost(&mut self) {
+        self.tries = (self.tries + 1).min(MOST_TRIES);
+        self.again = true;
+    }
+
+    /// It has more than before. What was sent twice tells nothing of the link, so that the patience stays (Karn and
+    /// Partridge, "Improving round-trip time estimates", 1987); what came at the first try lessens it.
+    fn moved(&mut self, now: Micros) {
+        self.moved = now;
+        if !std::mem::take(&mut self.again) {
+            self.tries = self.tries.saturating_sub(1);
+        }
+    }
+
+    /// It has all up to here, or has it once the snapshot on its way is whole.
+    fn has(&self) -> Index {
+        match &self.mode {
+            Mode::Pieces { snapshot, .. } => snapshot.index,
+            _ if self.matched > Index(0) => self.matched,
+            _ => Index(self.next.0.saturating_sub(1)),
+        }
+    }
+
     fn probe(&mut self, next: Index, bare: bool) {
         self.next = next;
         self.mode = Mode::Probe { bare, sent: false };
@@ -139,6 +213,7 @@
         {
             peer.mode =
                 Mode::Pieces { snapshot: snapshot.clone(), at: 0, sent: None, mute: peer.heard.is_none() };
+            peer.moved(self.now);
         }
         match &mut peer.mode {
             Mode::Probe { sent: true, .. } => {}
@@ -146,6 +221,7 @@
                 *sent = true;
                 let bytes = if *bare { None } else { Some(self.piece) };
                 let entries = bytes.map_or(Vec::new(), |bytes| self.log.slice(peer.next, bytes));
+                peer.sent_bytes = entries.iter().map(weight).sum();
                 self.append(peer, entries);
             }
             Mode::Flow { .. } => {
@@ -154,16 +230,18 @@
                 {
                     let entries = self.log.slice(peer.next, self.piece);
                     let upto = Index(peer.next.0 + entries.len() as u64 - 1);
+                    let bytes = entries.iter().map(weight).sum();
                     self.append(peer, entries);
                     peer.next = Index(upto.0 + 1);
                     if let Mode::Flow { flight } = &mut peer.mode {
-                        flight.push_back((upto, self.now));
+                        flight.push_back(Flying { upto, since: self.now, bytes });
                     }
                 }
             }
             Mode::Pieces { snapshot, at, sent, mute: false } if sent.is_none() => {
                 *sent = Some(self.now);
                 let end = snapshot.data.len().min(*at + self.piece.max(1));
+                peer.sent_bytes = end - *at;
                 let word = Word::Piece {
                     index: snapshot.index,
                     index_term: snapshot.term,
@@ -186,14 +264,20 @@
 
     /// Once a beat: a sign of life, and again what was not answered.
     fn beat(&mut self, peer: &mut Peer, beat: Micros) {
-        let late = |at: Micros| self.now - at >= beat;
+        let patience = peer.patience(beat);
+        let late = |at: Micros| self.now - at >= patience;
         match &mut peer.mode {
-            Mode::Probe { bare, sent } if late(peer.asked) => (*bare, *sent) = (true, false),
-            Mode::Flow { flight } if flight.front().is_some_and(|(_, at)| late(*at)) => {
+            Mode::Probe { bare, sent } if late(peer.asked) => {
+                (*bare, *sent) = (true, false);
+                peer.lost();
+            }
+            Mode::Flow { flight } if flight.front().is_some_and(|first| late(first.since)) => {
                 peer.probe(Index(peer.matched.0 + 1), true);
+                peer.lost();
             }
-            Mode::Pieces { sent, mute, .. } if sent.is_some_and(|at| self.now - at >= 2 * beat) => {
+            Mode::Pieces { sent, mute, .. } if sent.is_some_and(|at| late(at + beat)) => {
                 (*sent, *mute) = (None, true);
+                peer.lost();
             }
             _ => {}
         }
@@ -251,6 +335,14 @@
         self.asks.pop_front_if(|(at, _)| *at == index).map(|(_, ask)| ask)
     }
 
+    /// Bytes of the snapshots on their way that are not the log's own any more, each once.
+    pub(crate) fn snapshots(&self, log: &Log) -> usize {
+        let mut sent: Vec<_> = self.peers.iter().filter_map(Peer::snapshot).collect();
+        sent.sort_unstable_by_key(|snapshot| snapshot.index);
+        sent.dedup_by_key(|snapshot| snapshot.index);
+        sent.iter().filter(|one| one.index != log.snapshot_index()).map(|one| one.data.len()).sum()
+    }
+
     pub(crate) fn peer(&self, seat: Seat) -> Option<&Peer> {
         self.peers.iter().find(|peer| peer.seat == seat)
     }
@@ -426,9 +518,38 @@
         if !lead.reads.is_empty() {
             lead.round += 1;
         }
+        if self.log.holds() {
+            self.log.trim(self.needed());
+        }
         self.with_desk(|desk, peer| desk.beat(peer, beat));
     }
 
+    /// The last entry of the follower farthest behind, of those that are there and move.
+    pub(crate) fn needed(&self) -> Index {
+        let Role::Leading(lead) = &self.role else { return NOBODY };
+        let election = self.timing.election;
+        let follows = |peer: &&Peer| {
+            peer.heard.is_some()
+                && peer.silent(self.now) < LEARNER_ELECTIONS * election
+                && self.now - peer.moved < HOLD_ELECTIONS * election
+        };
+        lead.peers.iter().filter(follows).map(Peer::has).min().unwrap_or(NOBODY)
+    }
+
+    /// Bounds how many snapshots are in memory: whoever is sent the oldest begins anew with the newest.
+    pub(crate) fn share_snapshots(&mut self) {
+        let newest = self.log.snapshot_index();
+        let Role::Leading(lead) = &mut self.role else { return };
+        let old = |peer: &Peer| peer.snapshot().map(|snapshot| snapshot.index).filter(|at| *at < newest);
+        let mut sent: Vec<Index> = lead.peers.iter().filter_map(old).collect();
+        sent.sort_unstable();
+        sent.dedup();
+        let Some(last) = sent.len().checked_sub(OLD_SNAPSHOTS + 1).map(|at| sent[at]) else { return };
+        for peer in lead.peers.iter_mut().filter(|peer| old(peer).is_some_and(|at| at <= last)) {
+            peer.probe(Index(peer.matched.0 + 1), true);
+        }
+    }
+
     /// Notes a word of a seat that is served, and its round.
     fn peer_spoke(&mut self, from: Seat, round: u64) -> Option<&mut Peer> {
         let Role::Leading(lead) = &mut self.role else { return None };
@@ -443,12 +564,15 @@
     }
 
     pub(crate) fn appended(&mut self, from: Seat, matched: Index, got: Index, round: u64) {
-        let last = self.log.last();
+        let (now, last) = (self.now, self.log.last());
         let Some(peer) = self.peer_spoke(from, round) else { return };
         if matched > got || got > last {
             return;
         }
-        peer.matched = peer.matched.max(matched);
+        if matched > peer.matched {
+            peer.matched = matched;
+            peer.moved(now);
+        }
         let next = Index(got.0 + 1);
         match &mut peer.mode {
             Mode::Probe { .. } if next >= peer.next => {
@@ -460,7 +584,7 @@
                 peer.mode = Mode::Flow { flight: VecDeque::new() };
             }
             Mode::Flow { flight } => {
-                while flight.pop_front_if(|(upto, _)| *upto <= matched).is_some() {}
+                while flight.pop_front_if(|flying| flying.upto <= matched).is_some() {}
                 peer.next = peer.next.max(next);
             }
             Mode::Probe { .. } | Mode::Pieces { .. } => {}
@@ -468,6 +592,7 @@
     }
 
     pub(crate) fn gap(&mut self, from: Seat, prev: Index, hint: Index, round: u64) {
+        let now = self.now;
         let Some(peer) = self.peer_spoke(from, round) else { return };
         let asked = match peer.mode {
             Mode::Probe { .. } => prev.0 == peer.next.0 - 1,
@@ -477,10 +602,12 @@
         if asked && prev > peer.matched {
             let agreed = hint.min(Index(prev.0 - 1)).max(peer.matched);
             peer.probe(Index(agreed.0 + 1), false);
+            peer.moved = now;
         }
     }
 
     pub(crate) fn taken(&mut self, from: Seat, index: Index, upto: u64, round: u64) {
+        let now = self.now;
         let Some(peer) = self.peer_spoke(from, round) else { return };
         if let Mode::Pieces { snapshot, at, sent, .. } = &mut peer.mode
             && snapshot.index == index
@@ -489,6 +616,7 @@
             && upto != *at
         {
             (*at, *sent) = (upto, None);
+            peer.moved(now);
         }
     }
 }
--- a/crates/promptbook/src/log.rs
+++ b/crates/promptbook/src/log.rs
@@ -9,6 +9,10 @@
 
 /// Bytes of entries kept in memory before a snapshot's index, for followers that are a little behind.
 const TAIL: usize = 256 * 1024;
+/// Most bytes of them while a follower still needs them, and at most so many times the snapshot's own: beyond, a whole
+/// snapshot is less to send than they are.
+const HELD: usize = 8 * 1024 * 1024;
+const HELD_SNAPSHOTS: usize = 2;
 
 /// What an entry weighs, in bytes: its content and a rough share for the rest.
 pub(crate) fn weight(entry: &Entry) -> usize {
@@ -28,6 +32,8 @@
     /// Members after the entry at each index, ascending; the first is that at `base` or before.
     members: Vec<(Index, Members)>,
     snapshot: Option<Arc<Snapshot>>,
+    /// More than the tail is kept, as a follower needs it.
+    holds: bool,
 }
 
 impl Log {
@@ -39,6 +45,7 @@
             entries: VecDeque::new(),
             members: vec![(Index(0), Members::default())],
             snapshot: None,
+            holds: false,
         };
         if let Some(snapshot) = snapshot {
             log.replace(snapshot);
@@ -104,6 +111,11 @@
         self.entries.range(start.min(self.entries.len())..).map(weight).sum()
     }
 
+    /// What is in memory, in bytes.
+    pub(crate) fn bytes(&self) -> usize {
+        self.weight_after(self.base) + self.snapshot.as_ref().map_or(0, |snapshot| snapshot.data.len())
+    }
+
     pub(crate) fn append(&mut self, entry: Entry) {
         assert_eq!(entry.index.0, self.last().0 + 1, "the log has no gaps");
         if let What::Members(members) = &entry.what {
@@ -144,7 +156,8 @@
         self.snapshot.as_ref().map_or(Index(0), |snapshot| snapshot.index)
     }
 
-    /// Takes a snapshot in place of the entries up to its index. True if the entries after it stay.
+    /// Takes a snapshot in place of the entries up to its index, which go with the next `trim`. True if the entries
+    /// after it stay.
     pub(crate) fn replace(&mut self, snapshot: Snapshot) -> bool {
         let known = self.term_at(snapshot.index) == Some(snapshot.term);
         if !known {
@@ -154,21 +167,29 @@
             self.members = vec![(snapshot.index, snapshot.members.clone())];
         }
         self.snapshot = Some(Arc::new(snapshot));
-        if known {
-            self.trim();
-        }
         known
     }
 
-    fn trim(&mut self) {
+    /// True if `trim` may let go of more once less is needed.
+    pub(crate) fn holds(&self) -> bool {
+        self.holds
+    }
+
+    /// Drops what the snapshot stands for but for a tail. What comes after `needed`, the last entry of the follower
+    /// that is farthest behind, stays within the bounds: guards against a follower that never arrives, since what it
+    /// needs next goes while a snapshot is on its way to it.
+    pub(crate) fn trim(&mut self, needed: Index) {
         let upto = self.snapshot_index();
+        let most = HELD_SNAPSHOTS * self.snapshot.as_ref().map_or(0, |snapshot| snapshot.data.len());
+        let most = most.clamp(TAIL, HELD);
         let mut tail = self.weight_after(self.base) - self.weight_after(upto);
-        while tail > TAIL && self.base < upto {
+        while tail > TAIL && self.base < upto && (self.base < needed || tail > most) {
             let Some(entry) = self.entries.pop_front() else { break };
             tail -= weight(&entry);
             self.base = entry.index;
             self.base_term = entry.term;
         }
+        self.holds = tail > TAIL;
         let old = self.members.iter().filter(|(since, _)| *since <= self.base).count();
         self.members.drain(..old.saturating_sub(1));
     }
