--- a/crates/callboard/src/node.rs
+++ b/crates/callboard/src/node.rs
@@ -4,7 +4,7 @@
 use props::{Index, MS, Micros, Place, SECOND};
 
 use crate::ring::{Early, Ring};
-use crate::{Effect, Event, Message, Mode, PEERS_MAX, Piece, SMALL_BYTES};
+use crate::{Effect, Event, Message, Mode, PEERS_MAX, Piece, RING_BYTES_MAX, SMALL_BYTES};
 
 /// Where there are at most so many others, every command is pushed to each by two hubs; beyond, by one hub, and
 /// more is left to passing on.
@@ -30,6 +30,15 @@
 const WHOLE_ABOVE: usize = 64 * 1024;
 /// A whole state is kept for others that ask for the same one within this time.
 const WHOLE_KEPT: Micros = 2 * SECOND;
+/// Bytes of whole states that a node sends at once, and in a millisecond after that; a larger one goes alone. Whoever
+/// asks for more gets no answer, asks another, and is served by those who have it by then. Guards against a start of
+/// all, in which each follower's copy would wait in the memory of a few hubs.
+const WHOLES_MOST: i64 = 4_000_000;
+const WHOLES_MILLI: i64 = 500;
+/// After a whole state was sent, what is committed meanwhile is kept for the one that it goes to, for so long beside the
+/// time that its bytes are given, and in so many bytes at most beside the ring's own.
+const CHAIN_KEPT: Micros = 5 * SECOND;
+const CHAIN_BYTES_MAX: usize = 4_000_000;
 const WANTING_MAX: usize = 128;
 /// Commands pushed within a second; a log that is read again at the start must not flood the fleet.
 const PUSHES_MAX: u32 = 32;
@@ -43,6 +52,8 @@
     tries: u32,
     /// What is asked for was committed just now.
     fresh: bool,
+    /// The most bytes that it told of since.
+    told: u32,
 }
 
 /// A whole state as the driver told it.
@@ -76,6 +87,10 @@
     whole_bytes: usize,
     /// Who waits for `Kept`.
     wanting: Vec<Place>,
+    /// Bytes of whole states that may be sent now, and since when.
+    may_send: (i64, Micros),
+    /// Until when the ring keeps more, and how many bytes more.
+    chain: (Micros, usize),
     pushes: (Micros, u32),
     changed: Micros,
     next_digest: Micros,
@@ -106,6 +121,8 @@
             kept: None,
             whole_bytes: 0,
             wanting: Vec::new(),
+            may_send: (WHOLES_MOST, now),
+            chain: (now, 0),
             pushes: (now, 0),
             changed: now,
             next_digest,
@@ -147,6 +164,10 @@
         if self.kept.as_ref().is_some_and(|kept| self.now - kept.at > WHOLE_KEPT) {
             self.kept = None;
         }
+        if self.chain.1 > 0 && self.now >= self.chain.0 {
+            self.chain.1 = 0;
+            self.ring.trim(RING_BYTES_MAX);
+        }
         if self.asked.as_ref().is_some_and(|asked| self.now >= asked.until) {
             self.ask_another(out);
         }
@@ -190,6 +211,12 @@
         let new: Vec<Place> = hubs.iter().copied().filter(|hub| !self.hubs.contains(hub)).collect();
         (self.hubs, self.others) = (hubs, others);
         self.tellers.retain(|(place, _)| self.hubs.contains(place) || self.others.contains(place));
+        if let Some(asked) = &mut self.asked
+            && !self.hubs.contains(&asked.from)
+            && !self.others.contains(&asked.from)
+        {
+            asked.until = self.now;
+        }
         // A hub that was out of reach, or is new, may know more: it is asked at once.
         if self.mode == Mode::Follower
             && self.asked.is_none()
@@ -220,7 +247,7 @@
         let piece = Piece { prev: self.index, index, data };
         let push = index >= self.known;
         self.advance(index, piece.data.len() as u32);
-        self.ring.push(piece.clone());
+        self.ring.push(piece.clone(), RING_BYTES_MAX + self.chain.1);
         if !push {
             return;
         }
@@ -312,7 +339,7 @@
     fn apply(&mut self, piece: Piece, out: &mut Vec<Effect>) {
         self.advance(piece.index, piece.data.len() as u32);
         out.push(Effect::Apply { index: piece.index, data: piece.data.clone() });
-        self.ring.push(piece);
+        self.ring.push(piece, RING_BYTES_MAX + self.chain.1);
     }
 
     fn apply_early(&mut self, out: &mut Vec<Effect>) {
@@ -351,6 +378,8 @@
         if index > self.index {
             if self.mode == Mode::Follower && self.asked.is_none() {
                 self.ask(from, 0, fresh, out);
+            } else {
+                self.told_while_asking(from, weight);
             }
             return;
         }
@@ -384,10 +413,44 @@
         }
     }
 
+    /// Whoever is asked tells first how much is on its way: it is waited for so long. Guards against asking for a
+    /// second copy of a state while a slow link still carries the first, which makes the link slower still.
+    fn told_while_asking(&mut self, from: Place, weight: u32) {
+        let until = self.now + self.wait(0).max(ASK_BASE + Micros::from(weight) * ASK_BYTE);
+        if let Some(asked) = self.asked.as_mut().filter(|asked| asked.from == from && asked.told < weight) {
+            (asked.told, asked.until) = (weight, asked.until.max(until));
+        }
+    }
+
+    /// Whether a whole state of so many bytes may be sent now; counts it.
+    fn may_send(&mut self, bytes: usize) -> bool {
+        let earned = (self.now - self.may_send.1) / MS * WHOLES_MILLI;
+        if earned > 0 {
+            self.may_send = (self.may_send.0.saturating_add(earned).min(WHOLES_MOST), self.now);
+        }
+        let may = self.may_send.0 > 0 && (bytes as i64 <= self.may_send.0 || self.may_send.0 == WHOLES_MOST);
+        if may {
+            self.may_send.0 -= bytes as i64;
+        }
+        may
+    }
+
+    /// Sends a whole state, if that is not too much at once, behind a word of how much it is.
+    fn send_whole(&mut self, to: Place, index: Index, data: &[u8], out: &mut Vec<Effect>) {
+        if !self.may_send(data.len()) {
+            return;
+        }
+        let weight = u32::try_from(data.len()).unwrap_or(u32::MAX);
+        let until = self.now + CHAIN_KEPT + Micros::from(weight) * ASK_BYTE;
+        self.chain = (self.chain.0.max(until), data.len().min(CHAIN_BYTES_MAX));
+        out.push(Effect::Send { to, message: Message::Have { index, weight, fresh: false } });
+        out.push(Effect::Send { to, message: Message::Whole { index, data: data.to_vec() } });
+    }
+
     fn need_whole(&mut self, from: Place, out: &mut Vec<Effect>) {
-        if let Some(kept) = &self.kept {
-            let message = Message::Whole { index: kept.index, data: kept.data.clone() };
-            out.push(Effect::Send { to: from, message });
+        if let Some(kept) = self.kept.take() {
+            self.send_whole(from, kept.index, &kept.data, out);
+            self.kept = Some(kept);
             return;
         }
         if self.wanting.is_empty() {
@@ -403,7 +466,7 @@
         let index = index.min(self.index);
         self.whole_bytes = data.len();
         for to in std::mem::take(&mut self.wanting) {
-            out.push(Effect::Send { to, message: Message::Whole { index, data: data.clone() } });
+            self.send_whole(to, index, &data, out);
         }
         self.kept = Some(Kept { index, data, at: self.now });
     }
@@ -447,7 +510,7 @@
     }
 
     fn ask(&mut self, from: Place, tries: u32, fresh: bool, out: &mut Vec<Effect>) {
-        self.asked = Some(Asked { from, until: self.now + self.wait(tries), tries, fresh });
+        self.asked = Some(Asked { from, until: self.now + self.wait(tries), tries, fresh, told: 0 });
         out.push(Effect::Send { to: from, message: Message::Want { have: self.index } });
     }
 
--- a/crates/callboard/src/ring.rs
+++ b/crates/callboard/src/ring.rs
@@ -4,7 +4,7 @@
 
 use props::Index;
 
-use crate::{Piece, RING_BYTES_MAX};
+use crate::Piece;
 
 const RING_PIECES_MAX: usize = 4_096;
 const EARLY_PIECES_MAX: usize = 256;
@@ -18,10 +18,15 @@
 }
 
 impl Ring {
-    pub fn push(&mut self, piece: Piece) {
+    /// `most`: bytes that are kept.
+    pub fn push(&mut self, piece: Piece, most: usize) {
         self.bytes += piece.data.len();
         self.pieces.push_back(piece);
-        while self.pieces.len() > RING_PIECES_MAX || self.bytes > RING_BYTES_MAX {
+        self.trim(most);
+    }
+
+    pub fn trim(&mut self, most: usize) {
+        while self.pieces.len() > RING_PIECES_MAX || self.bytes > most {
             let Some(oldest) = self.pieces.pop_front() else { return };
             self.bytes -= oldest.data.len();
         }
--- a/crates/wings/src/incoming.rs
+++ b/crates/wings/src/incoming.rs
@@ -18,6 +18,9 @@
 /// After an error of a listening socket, such as a lack of descriptors.
 const REST: Duration = Duration::from_millis(100);
 const READ_BYTES: usize = 16 << 10;
+/// What each byte of a message is given beside the bound for all, in microseconds: links of 6 Mbit/s carry a state of 8 MB
+/// in eleven seconds.
+const BYTE_MICROS: u64 = 10;
 
 /// Hands on datagrams until the receiver is gone; drops them while it is full, and those over `longest`.
 pub(crate) async fn datagrams(socket: Rc<UdpSocket>, arrived: Arrived, longest: usize) {
@@ -99,7 +102,8 @@
             let read = (&mut stream).take(length as u64).read_to_end(&mut bytes).await.ok()?;
             (read == length).then_some(bytes)
         };
-        let Ok(Some(bytes)) = timeout(limits.frame, frame).await else { return };
+        let bound = limits.frame + Duration::from_micros(length as u64 * BYTE_MICROS);
+        let Ok(Some(bytes)) = timeout(bound, frame).await else { return };
         if arrived.send((from, bytes)).await.is_err() {
             return;
         }
--- a/crates/wings/src/post.rs
+++ b/crates/wings/src/post.rs
@@ -37,7 +37,7 @@
     pub stall: Duration,
     /// An outgoing stream without use is closed after this; an incoming one after twice as long.
     pub idle: Duration,
-    /// A message that takes longer to come in drops its stream.
+    /// A message that takes longer to come in, beside 10 µs for each of its bytes, drops its stream.
     pub frame: Duration,
 }
 
