--- a/crates/wings/src/disk.rs
+++ b/crates/wings/src/disk.rs
@@ -87,9 +87,7 @@
     /// Puts a damaged file out of the way, so that the next `open` begins an empty store: the disk then has a
     /// new life, and nothing it promised in the one before is expected of it.
     pub fn set_aside(dir: &Path) -> Result<(), StoreError> {
-        let folder = DirFolder(dir.to_owned());
-        folder.rename(NAME, ASIDE).map_err(|e| failed("setting the file aside", &e))?;
-        folder.sync().map_err(|e| failed("syncing the folder", &e))
+        Self::set_aside_in(&DirFolder(dir.to_owned()))
     }
 
     /// Whether a damaged file was ever put out of the way in `dir`: the disk then has been in use before, even
@@ -106,6 +104,12 @@
         Ok(Self { folder, database: Some(database) })
     }
 
+    /// As `set_aside`, in any folder.
+    pub fn set_aside_in(folder: &F) -> Result<(), StoreError> {
+        folder.rename(NAME, ASIDE).map_err(|e| failed("setting the file aside", &e))?;
+        folder.sync().map_err(|e| failed("syncing the folder", &e))
+    }
+
     /// Does something with the database; after a failure of any kind it is closed and in doubt.
     fn with<T>(
         &mut self, doing: &'static str, work: impl FnOnce(&Database) -> Result<T, redb::Error>,
--- a/crates/wings/tests/power.rs
+++ b/crates/wings/tests/power.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 
 use ledger::{Batch, Ledger, Store, StoreError};
-use promptbook::{Entry, What, Write, WriteNo};
+use promptbook::{Entry, Members, Saved, Snapshot, What, Write, WriteNo};
 use props::{Index, Life, Term};
 use redb::StorageBackend;
 use wings::{DiskStore, Folder};
@@ -333,3 +333,152 @@
     }
     assert!(begun > 10 && begun < 55, "{begun}");
 }
+
+fn entries(from: u64, upto: u64, term: u64) -> Vec<Entry> {
+    let what = |index: u64| What::Command(vec![index as u8; 40 + 97 * (index % 40) as usize]);
+    (from..=upto).map(|index| Entry { index: Index(index), term: Term(term), what: what(index) }).collect()
+}
+
+fn snapshot(index: u64, term: u64) -> Option<Snapshot> {
+    let data = vec![index as u8; 20_000 + 400 * index as usize];
+    Some(Snapshot { index: Index(index), term: Term(term), members: Members::default(), data })
+}
+
+/// What a member writes in its life: entries, an own snapshot beside new entries, entries of another leader in place of
+/// some, a leader's snapshot in the middle of the log and what is after it cut, one that is ahead of the whole log, and
+/// one with entries behind it.
+fn life_of_writes() -> Vec<Write> {
+    let write = |term: u64, cut: Option<u64>, entries: Vec<Entry>, snapshot: Option<Snapshot>| Write {
+        no: WriteNo(1),
+        term: Term(term),
+        voted: None,
+        committed: Index(snapshot.as_ref().map_or(0, |snapshot| snapshot.index.0)),
+        cut_from: cut.map(Index),
+        entries,
+        snapshot,
+    };
+    vec![
+        write(1, None, entries(1, 20, 1), None),
+        write(1, None, entries(21, 24, 1), snapshot(15, 1)),
+        write(2, Some(22), entries(22, 30, 2), None),
+        write(3, Some(27), Vec::new(), snapshot(26, 2)),
+        write(3, None, Vec::new(), snapshot(60, 3)),
+        write(3, None, entries(61, 70, 3), None),
+        write(4, None, entries(71, 80, 4), snapshot(70, 3)),
+    ]
+}
+
+/// Keeps the writes from the `at`th on, until one fails; the state that is sure then, and one that may be.
+fn live_on(folder: &ShakyFolder, mut sure: Saved, mut at: usize) -> (Saved, Option<Saved>, usize) {
+    let Ok(Ok((mut ledger, opened))) =
+        DiskStore::over(folder.clone()).map(|store| Ledger::open(store, Life(7)))
+    else {
+        return (sure, None, at);
+    };
+    assert_eq!(opened.saved, sure, "it starts with what it had");
+    for write in &life_of_writes()[at..] {
+        let mut after = sure.clone();
+        after.land(write.clone());
+        match ledger.keep(write) {
+            Ok(()) => (sure, at) = (after, at + 1),
+            Err(_) => return (sure, Some(after), at),
+        }
+    }
+    (sure, None, at)
+}
+
+/// A crash, a loss of power or both at every call of a life in which snapshots are taken and installed: what is read
+/// back is what was answered, or that and the write in doubt, whole; and life goes on from there to the same end.
+#[test]
+fn a_snapshot_may_be_cut_short_at_every_step() {
+    let writes = life_of_writes();
+    let mut end = Saved::default();
+    writes.iter().for_each(|write| end.land(write.clone()));
+    let (mut doubts, mut landed, mut left) = (0, 0, 0);
+    loop {
+        let folder = ShakyFolder::default();
+        folder.disk().chance = left;
+        drop(live_on(&folder, Saved::default(), writes.len()));
+        folder.disk().left = Some(left);
+        let (sure, doubt, at) = live_on(&folder, Saved::default(), 0);
+        let failed = folder.disk().failed > 0;
+        if left % 3 > 0 {
+            folder.disk().lose_power();
+        }
+        folder.disk().left = None;
+        let store = DiskStore::over(folder.clone()).expect("a cut write is no damage");
+        let found = Ledger::open(store, Life(8)).expect("nor is it for the ledger").1;
+        assert!(found.saved == sure || Some(&found.saved) == doubt.as_ref(), "call {left}, write {at}");
+        assert_eq!(found.life, Life(7), "call {left}");
+        let whole = doubt.is_some() && found.saved != sure;
+        doubts += u64::from(doubt.is_some());
+        landed += u64::from(whole);
+        let (last, none, _) = live_on(&folder, found.saved, at + usize::from(whole));
+        assert_eq!((last, none), (end.clone(), None), "call {left}: not the same end");
+        if !failed {
+            break;
+        }
+        left += 1;
+    }
+    println!("{left} calls, {doubts} writes in doubt, {landed} of them landed");
+    assert!(left > 60 && doubts > 40 && landed > 0 && landed < doubts, "{left} {doubts} {landed}");
+}
+
+/// A damaged file is set aside, and an empty one begun, with a crash or a loss of power at every call: a disk that has
+/// begun anew shows always that it was in use before, so that it is never taken for the one of a first voter.
+#[test]
+fn setting_aside_may_be_cut_short_at_every_step() {
+    let (mut still, mut begun, mut left) = (0, 0, 0);
+    loop {
+        let folder = ShakyFolder::default();
+        folder.disk().chance = left;
+        let (sure, ..) = live_on(&folder, Saved::default(), 0);
+        {
+            let mut disk = folder.disk();
+            let number = disk.names["ledger.redb"];
+            for data in [&mut disk.files[number].live.clone(), &mut disk.files[number].durable.clone()] {
+                let half = data.len() / 2;
+                data[..half].fill(0xa5);
+                disk.files[number] = Data { durable: data.clone(), live: data.clone(), unsynced: Vec::new() };
+            }
+        }
+        let begin = |life: u64| -> Result<Saved, StoreError> {
+            let store = match DiskStore::over(folder.clone()) {
+                Err(StoreError::Damaged { .. }) => {
+                    DiskStore::set_aside_in(&folder)?;
+                    DiskStore::over(folder.clone())?
+                }
+                store => store?,
+            };
+            let opened = Ledger::open(store, Life(life))
+                .map_err(|error| StoreError::Failed { doing: "opening", why: error.to_string() })?;
+            Ok(opened.1.saved)
+        };
+        folder.disk().left = Some(left);
+        let first = begin(11);
+        if left % 3 > 0 {
+            folder.disk().lose_power();
+        }
+        folder.disk().left = None;
+        let aside = || folder.disk().names.contains_key("ledger.bad");
+        match DiskStore::over(folder.clone()) {
+            Err(StoreError::Damaged { .. }) => {
+                assert!(first.is_err(), "call {left}");
+                still += 1;
+            }
+            Err(error) => panic!("call {left}: {error}"),
+            Ok(_) => {
+                assert!(aside(), "call {left}: begun anew, and nothing tells of the life before");
+                begun += 1;
+            }
+        }
+        assert_eq!(begin(12), Ok(Saved::default()), "call {left}");
+        assert!(aside() && sure != Saved::default());
+        if first.is_ok() {
+            break;
+        }
+        left += 1;
+    }
+    println!("{left} calls, {still} still damaged, {begun} begun anew");
+    assert!(still > 0 && begun > 5, "{still} {begun}");
+}
