--- a/crates/playhouse/src/control.rs
+++ b/crates/playhouse/src/control.rs
@@ -15,6 +15,9 @@
 
 /// Bytes of commands applied after which the log is cut by a snapshot.
 const KEEP_AFTER: usize = 512 << 10;
+/// A command counts for one in so many bytes of the configuration besides, which is read anew with each change: bounds
+/// what a restart plays again, 32 MB of it.
+const READ_ANEW: usize = 64;
 /// Changes of the instances are gathered for so long before they are kept, and kept at most so often.
 const MEMORY_GATHER: Micros = 100 * MS;
 const MEMORY_EVERY: Micros = SECOND;
@@ -376,6 +379,8 @@
                 Effect::Apply { index, data, ask } => {
                     self.applied += data.len() + 64;
                     self.house.committed(now, index, data, ask);
+                    self.applied +=
+                        self.house.script.bill().map_or(0, |bill| bill.as_text().len() / READ_ANEW);
                     // Right here and not after the rest: so all nodes take snapshots after the same entries, and what
                     // one of them has begun to send another one can end.
                     if self.applied >= KEEP_AFTER {
