--- a/crates/cast/src/cast.rs
+++ b/crates/cast/src/cast.rs
@@ -20,9 +20,8 @@
 const PASSED_TO_IN_LARGE: usize = 3;
 /// A drain that is found by comparing copies is passed on while it is younger.
 const FRESH: Micros = 3 * SECOND;
-/// Between two comparisons; half a second more or less by chance.
-const COMPARE: Micros = 750 * MS;
-const COMPARE_SPREAD: u32 = 500;
+/// Between two comparisons by chance up to so many thousandths of `Timing::compare` more.
+const COMPARE_SPREAD: u32 = 667;
 /// One that starts with nothing asks this often, so many times.
 const FIRST_ASK: Micros = 250 * MS;
 const FIRST_ASKS: u32 = 12;
@@ -144,6 +143,16 @@
         self.list.changes()
     }
 
+    /// Spreads what it knows as fast as a deployment with this `DrainS` wants.
+    pub fn spread_within(&mut self, drain: Micros) {
+        self.timing = self.timing.within(drain);
+    }
+
+    /// What others may not know yet: leaving lives that were not heard of by all in reach, changes not told.
+    pub fn untold(&self) -> usize {
+        self.rounds.len() + self.wide.len() + self.share.len() + self.few.len()
+    }
+
     /// Takes one event at `now` of the own steady clock, and does what is due.
     pub fn step(&mut self, now: Micros, event: Event) -> Vec<Effect> {
         let mut out = Vec::new();
@@ -434,7 +443,7 @@
                 out.extend(asks.into_iter().map(|ask| Effect::Taken { ask, target }));
             }
             out.extend(round.take_late(now).into_iter().map(|ask| Effect::NotTaken { ask }));
-            let to = round.take_send(now, &self.hubs);
+            let to = round.take_send(now, &self.hubs, self.timing.tell_again);
             if let Some(entry) = self.list.get(&round.id).filter(|_| !to.is_empty()) {
                 let record = entry.known.record(now);
                 out.extend(to.into_iter().map(|to| {
@@ -582,7 +591,11 @@
     /// Compares copies with one other node, mostly a hub; asks for everything where nothing is known yet.
     fn compare(&mut self, now: Micros, out: &mut Vec<Effect>) {
         let first = self.first_asks > 0;
-        let wait = if first { FIRST_ASK } else { COMPARE + self.chance(COMPARE_SPREAD) * MS };
+        let wait = if first {
+            FIRST_ASK
+        } else {
+            self.timing.compare + self.chance(COMPARE_SPREAD) * self.timing.compare / 1000
+        };
         self.compare_at = now + wait;
         // Foyers that begin at the same time know no more than this one.
         let begins = self.first_asks > FIRST_ASKS - 2;
--- a/crates/cast/src/drains.rs
+++ b/crates/cast/src/drains.rs
@@ -7,9 +7,8 @@
 /// Most drains in flight at once, and callers that wait for one.
 pub(crate) const MOST_ROUNDS: usize = 1024;
 const MOST_ASKS: usize = 16;
-/// Between sendings to those that have not answered: while someone waits, and after.
+/// Between sendings to those that have not answered while someone waits; after that it is `Timing::tell_again`.
 const RETRY: Micros = 100 * MS;
-const SLOW_RETRY: Micros = 300 * MS;
 /// How long those that don't answer are told again.
 const LASTS: Micros = 2 * SECOND;
 /// How long the answers of all foyers are waited for.
@@ -92,11 +91,11 @@
     }
 
     /// Those to be told now: all at first, later those that have not answered.
-    pub fn take_send(&mut self, now: Micros, hubs: &[Place]) -> Vec<Place> {
+    pub fn take_send(&mut self, now: Micros, hubs: &[Place], later: Micros) -> Vec<Place> {
         if now < self.next_send {
             return Vec::new();
         }
-        self.next_send = now + if self.asks.is_empty() { SLOW_RETRY } else { RETRY };
+        self.next_send = now + if self.asks.is_empty() { later } else { RETRY };
         hubs.iter().chain(&self.foyers).filter(|place| !self.heard.contains(place)).copied().collect()
     }
 
--- a/crates/cast/src/lib.rs
+++ b/crates/cast/src/lib.rs
@@ -45,12 +45,28 @@
     /// A drain that others don't know of within this is answered `NotTaken`. Under the second that an
     /// instance waits, with room for the way there and back.
     pub beat_answer: Micros,
+    /// From one comparing with another node to the next, at least; up to two thirds more, by lot.
+    pub compare: Micros,
+    /// From one telling of a drain that nobody waits for any more to the next.
+    pub tell_again: Micros,
 }
 
+/// The `DrainS` that the usual spans keep: every node in reach knows an acknowledged drain within 2 s.
+const USUAL_DRAIN: Micros = 2_500 * MS;
+
 impl Timing {
     /// For instances that beat once in `heartbeat`: two lost beats and a late third are forgiven.
     pub fn of_heartbeat(heartbeat: Micros) -> Timing {
-        Timing { silent: heartbeat.saturating_mul(26) / 10 + SECOND / 2, beat_answer: 800 * MS }
+        let silent = heartbeat.saturating_mul(26) / 10 + SECOND / 2;
+        Timing { silent, beat_answer: 800 * MS, compare: 750 * MS, tell_again: 300 * MS }
+    }
+
+    /// For a deployment where nothing may be sent to a draining instance later than `drain` after the acknowledgement:
+    /// all by which the last node learns of it comes sooner by as much, down to a quarter of the usual spans.
+    pub fn within(self, drain: Micros) -> Timing {
+        let drain = drain.clamp(USUAL_DRAIN / 4, USUAL_DRAIN);
+        let part = |span: Micros| span * drain / USUAL_DRAIN;
+        Timing { compare: part(750 * MS), tell_again: part(300 * MS), ..self }
     }
 }
 
--- a/crates/playhouse/src/commands/check.rs
+++ b/crates/playhouse/src/commands/check.rs
@@ -100,7 +100,13 @@
 
 /// All that holds, by the file's own keys, also where the file says nothing.
 fn holds(settings: &Settings, part: Part) -> String {
-    let Settings { listen_addresses: listen, limit_set: limits, timer_bounds: bounds, .. } = settings;
+    let Settings {
+        listen_addresses: listen,
+        limit_set: limits,
+        fault_tolerance: losses,
+        timer_bounds: bounds,
+        ..
+    } = settings;
     let seeds: Vec<String> = settings.seed_nodes.iter().map(|seed| seed.to_string()).collect();
     let [low, high] = settings.internal_port_range;
     let address = |address: Option<std::net::SocketAddrV4>| address.map_or("-".to_owned(), |a| a.to_string());
@@ -127,8 +133,12 @@
         ("LimitSet.FdLimit", limits.fd_limit.to_string()),
         ("LimitSet.LinkMbps", limits.link_mbps.to_string()),
         ("LimitSet.DiskMb", limits.disk_mb.to_string()),
+        ("FaultTolerance.MachineLosses", losses.machine_losses.to_string()),
+        ("FaultTolerance.Zones", losses.zones.to_string()),
+        ("FaultTolerance.RegionLosses", losses.region_losses.to_string()),
         ("TimerBounds.ContactS", bounds.contact_s.to_string()),
         ("TimerBounds.AckS", bounds.ack_s.to_string()),
+        ("TimerBounds.CatchUpS", bounds.catch_up_s.to_string()),
         ("TimerBounds.DrainS", bounds.drain_s.to_string()),
         ("TimerBounds.GraceS", bounds.grace_s.to_string()),
         ("TimerBounds.ConfigApplyS", bounds.config_apply_s.to_string()),
--- a/crates/playhouse/src/control.rs
+++ b/crates/playhouse/src/control.rs
@@ -7,11 +7,12 @@
 use cast::{Beat, InstanceId};
 use company::{Part, Standing};
 use intent::{Inspector, inspector};
-use promptbook::{Effect, Event, Members, Message, Promptbook, Saved, Timing, Write, WriteNo};
+use promptbook::{Effect, Event, Members, Message, Promptbook, Release, Saved, Write, WriteNo};
 use props::{Ask, Form, MS, Micros, Place, SECOND, Seat};
-use script::{Command, Count, CountSettings, Outcome};
+use script::{Command, Count, Outcome};
 
 use crate::house::{Happened, House, Letter, Word};
+use crate::settings::Spans;
 
 /// Bytes of commands applied after which the log is cut by a snapshot.
 const KEEP_AFTER: usize = 512 << 10;
@@ -19,8 +20,8 @@
 const MEMORY_GATHER: Micros = 100 * MS;
 const MEMORY_EVERY: Micros = SECOND;
 const COUNT_EVERY: Micros = 200 * MS;
-/// A leader that is to end waits so long for somebody to take over, at most.
-const HAND_OVER: Micros = SECOND;
+/// The form from which on a leader is asked who else has what a leaving member has.
+const LEAVING: Form = Form(2);
 /// A service's first version is proposed again after this, if it has not come to be ordered.
 const SEEN_AGAIN: Micros = SECOND;
 
@@ -28,11 +29,6 @@
 /// programs, a new leader has learnt who is there, and an operator may still go back.
 const AGREE_AFTER: Micros = 30 * SECOND;
 
-/// The spans of the log: an election within two seconds, so that calls are answered well within `AckS` after
-/// a loss; eight seconds of silence, well over a cut or a restart, before a member is let go.
-pub const TIMING: Timing =
-    Timing { beat: 150 * MS, election: 700 * MS, dismiss: 8 * SECOND, piece: 256 << 10 };
-
 /// What a prompter is told.
 #[derive(Debug)]
 pub enum In {
@@ -89,7 +85,9 @@
     may_agree: Option<(Form, Micros)>,
     /// Commands of this node's own, which nobody waits for, have asks from here on.
     own_ask: u64,
-    /// Until when a leader that is to end looks for another one; the others are told then that this node goes.
+    /// What a member that is told to end has for handing over.
+    hand_over: Micros,
+    /// Until when one that is to end hands over; the others are told then that this node goes.
     leaving: Option<Micros>,
     /// Judges what foyers do while this node leads; none unless `check_intent` was called.
     inspector: Option<Inspector>,
@@ -99,14 +97,16 @@
 impl Control {
     /// A prompter's start. `first` are the first voters, on the first start of the whole system only.
     pub fn start(
-        house: House, seat: Seat, first: Option<Members>, saved: Saved, seed: u64, now: Micros,
+        mut house: House, seat: Seat, first: Option<Members>, saved: Saved, spans: &Spans, seed: u64,
+        now: Micros,
     ) -> (Control, Vec<Out>) {
-        let (book, effects) = Promptbook::start(seat, first, saved, TIMING, seed, now);
+        house.cast.spread_within(spans.drain);
+        let (book, effects) = Promptbook::start(seat, first, saved, spans.book, seed, now);
         let mut control = Control {
             house,
             book,
             seat,
-            count: Count::new(CountSettings::default()),
+            count: Count::new(spans.count.clone()),
             count_due: now,
             kept: (0, now - MEMORY_EVERY),
             memory_due: Micros::MAX,
@@ -114,6 +114,7 @@
             seen: HashMap::new(),
             may_agree: None,
             own_ask: u64::MAX / 2,
+            hand_over: spans.hand_over,
             leaving: None,
             inspector: None,
             out: Vec::new(),
@@ -128,7 +129,7 @@
         self.leaving.map_or(due, |until| due.min(until))
     }
 
-    /// Whether a leave has begun that waits for another leader.
+    /// Whether a leave has begun that is not done: what only this node has is on its way to others.
     pub fn hands_over(&self) -> bool {
         self.leaving.is_some()
     }
@@ -211,7 +212,7 @@
             In::Detach { ask, id } => self.house.detach(now, ask, id),
             In::Seeds { places } => self.house.seeds_changed(now, places),
             In::Leave => {
-                self.leaving = Some(now + HAND_OVER);
+                self.leaving = Some(now + self.hand_over);
                 self.log(now, Event::Leave);
             }
         }
@@ -240,13 +241,44 @@
         }
     }
 
-    /// Tells the others that this node goes, once another one leads or the time for it is over. A node that goes
-    /// is not asked any more, so a leader must not say it while it still leads.
+    /// Tells the others that this node goes, once they have what only it had or the time for that is over. A node that
+    /// goes is not asked any more, so a leader must not say it while it still leads.
     fn tend_leave(&mut self, now: Micros) {
-        if self.leaving.is_some_and(|until| now >= until || !self.book.leads()) {
-            self.leaving = None;
-            self.house.leave(now);
+        let Some(until) = self.leaving else { return };
+        let (release, untold) = (self.book.release(), self.house.cast.untold());
+        let last = self.book.counted().0;
+        // One that reads form 1 only does not know the question.
+        let leader = self.book.leader().map(|seat| seat.place);
+        let asked = leader.is_some_and(|place| self.house.form_with(place) >= LEAVING);
+        let done = match release {
+            Release::Elsewhere | Release::NoVoter | Release::Alone => true,
+            Release::Waits => leader.is_some() && !asked && !self.book.leads(),
+        };
+        if now < until && !(done && untold == 0) {
+            return;
         }
+        match release {
+            Release::Elsewhere => log::info!("leaves: entries up to {last} are on the disks of others"),
+            Release::NoVoter => log::info!("leaves: it has no vote, nothing was counted on its disk"),
+            Release::Alone => {
+                log::warn!("leaves: it is the only voter, entries up to {last} are on its disk alone")
+            }
+            Release::Waits if done => {
+                log::info!(
+                    "leaves: the leader's program is older, nobody said who else has entries up to {last}"
+                );
+            }
+            Release::Waits => {
+                log::warn!("leaves as its grace ends: entries up to {last} may be on its disk alone");
+            }
+        }
+        if untold > 0 {
+            log::warn!(
+                "leaves as its grace ends: {untold} changes of instances were not told to all in reach"
+            );
+        }
+        self.leaving = None;
+        self.house.leave(now);
     }
 
     /// Has the instances kept where they have changed.
@@ -355,8 +387,11 @@
             }
             match effect {
                 Effect::Send { to, message } => {
+                    let since = message.since();
                     let word = self.house.letter(to, Word::Book { from: self.seat, message });
-                    self.out.push(Out::Send { to, word });
+                    if since <= word.form() {
+                        self.out.push(Out::Send { to, word });
+                    }
                 }
                 Effect::Write(write) => self.out.push(Out::Write(write)),
                 Effect::Apply { index, data, ask } => {
--- a/crates/playhouse/src/floor/mod.rs
+++ b/crates/playhouse/src/floor/mod.rs
@@ -140,7 +140,8 @@
 }
 
 impl Floor {
-    pub fn start(house: House, settings: Rc<Settings>, seed: u64, now: Micros) -> Floor {
+    pub fn start(mut house: House, settings: Rc<Settings>, seed: u64, now: Micros) -> Floor {
+        house.cast.spread_within(micros(settings.timer_bounds.drain_s));
         let bounds = &settings.timer_bounds;
         let bounds = Bounds {
             retry_ratio: bounds.retry_budget_ratio,
--- a/crates/playhouse/src/house.rs
+++ b/crates/playhouse/src/house.rs
@@ -42,6 +42,11 @@
 }
 
 impl Letter {
+    /// The form that it is written in.
+    pub fn form(&self) -> Form {
+        self.form
+    }
+
     /// Two bytes of head, then the word. There is one form yet, in which all is written.
     pub fn to_bytes(&self) -> Result<Vec<u8>, postcard::Error> {
         postcard::to_extend(&self.word, vec![self.form.head(), self.newest.head()])
@@ -230,9 +235,13 @@
 
     /// A word as it goes to a node: in the newest form that both read, the oldest while it was not heard.
     pub fn letter(&self, to: Place, word: Word) -> Letter {
+        Letter { form: self.form_with(to), newest: self.own.edition.forms.newest, word }
+    }
+
+    /// The newest form that both that node and this one read, as its last word said.
+    pub fn form_with(&self, to: Place) -> Form {
         let forms = self.own.edition.forms;
-        let form = self.heard.get(&to).map_or(forms.oldest, |newest| forms.shared(*newest));
-        Letter { form, newest: forms.newest, word }
+        self.heard.get(&to).map_or(forms.oldest, |newest| forms.shared(*newest))
     }
 
     /// The node at a place, where it is known not to read the form that is agreed.
--- a/crates/playhouse/src/prompter.rs
+++ b/crates/playhouse/src/prompter.rs
@@ -95,7 +95,7 @@
     if let Some(bytes) = remembered {
         house.remember(now, &bytes);
     }
-    let (control, out) = Control::start(house, seat, first, opened.saved, chance(), now);
+    let (control, out) = Control::start(house, seat, first, opened.saved, &settings.spans(), chance(), now);
     let changed = Rc::new(tokio::sync::Notify::new());
     let mut prompter = Prompter {
         control,
--- a/crates/playhouse/src/settings.rs
+++ b/crates/playhouse/src/settings.rs
@@ -4,7 +4,7 @@
 use std::path::{Path, PathBuf};
 
 use company::{Member, Part};
-use props::{Edition, Life, Micros, Place};
+use props::{Edition, Life, MS, Micros, Place, SECOND};
 
 /// Where the settings file's path stands.
 pub const VARIABLE: &str = "GARNETDOOR_SETTINGS";
@@ -58,6 +58,7 @@
     pub zones: std::collections::BTreeMap<String, String>,
     pub listen_addresses: Listen,
     pub limit_set: MachineLimits,
+    pub fault_tolerance: FaultTolerance,
     pub timer_bounds: Bounds,
 }
 
@@ -89,11 +90,26 @@
     }
 }
 
+/// What may be lost at once with all rules kept.
+#[derive(Clone, Copy, Debug)]
+pub struct FaultTolerance {
+    pub machine_losses: usize,
+    pub zones: usize,
+    pub region_losses: usize,
+}
+
+impl Default for FaultTolerance {
+    fn default() -> Self {
+        FaultTolerance { machine_losses: 1, zones: 0, region_losses: 0 }
+    }
+}
+
 /// The rules' figures that processes act by; seconds and shares.
 #[derive(Clone, Debug)]
 pub struct Bounds {
     pub contact_s: f64,
     pub ack_s: f64,
+    pub catch_up_s: f64,
     pub drain_s: f64,
     pub grace_s: f64,
     pub config_apply_s: f64,
@@ -110,6 +126,7 @@
         Bounds {
             contact_s: 3.0,
             ack_s: 5.0,
+            catch_up_s: 4.0,
             drain_s: 2.5,
             grace_s: 6.0,
             config_apply_s: 2.5,
@@ -123,12 +140,76 @@
     }
 }
 
+/// What rooms do that follows from the deployment's bounds, in microseconds: reckoned once, at the start, and handed to them.
+/// No room reads settings. `docs/control.md`, section 3, tells why each is as it is.
+#[derive(Clone, Debug)]
+pub struct Spans {
+    /// Of the ordered log.
+    pub book: promptbook::Timing,
+    /// Of the votes on trials.
+    pub count: script::CountSettings,
+    /// `DrainS`.
+    pub drain: Micros,
+    /// What a control machine that is told to end has for handing over.
+    pub hand_over: Micros,
+}
+
+/// A span within two bounds.
+fn within(span: Micros, least: Micros, most: Micros) -> Micros {
+    span.clamp(least, most)
+}
+
+impl Spans {
+    /// `zones` and `regions` are those that the deployment has.
+    pub fn of_bounds(bounds: &Bounds, losses: FaultTolerance, zones: usize, regions: usize) -> Spans {
+        let (contact, catch_up) = (micros(bounds.contact_s), micros(bounds.catch_up_s));
+        // A core is settled `ContactS` after a leader's death, so an election, two spans at the most, is over by half
+        // of it. Under the lower bound a slow machine's beats would come too late.
+        let election = within(contact * 7 / 30, 450 * MS, 700 * MS);
+        let share = |(lost, all): (usize, usize)| lost.min(all) * 1000 / all.max(1);
+        let parts = [(losses.zones, zones), (losses.region_losses, regions)];
+        let book = promptbook::Timing {
+            beat: election * 3 / 14,
+            election,
+            // A machine that is back has `CatchUpS` to be let in again; one that is not back for twice that is taken for gone.
+            dismiss: within(2 * catch_up, 4 * SECOND, 30 * SECOND),
+            // Of a successor's `CatchUpS` an election may take up to two spans, the letting in a tenth.
+            succeed: within(catch_up / 4, election, 2 * SECOND),
+            knock: within(catch_up / 8, 200 * MS, SECOND),
+            losses: promptbook::Losses {
+                machines: losses.machine_losses,
+                parts: parts.into_iter().max_by_key(|part| share(*part)).unwrap_or_default(),
+            },
+            piece: 256 << 10,
+        };
+        let usual = script::CountSettings::default();
+        let rollback = micros(bounds.rollback_s);
+        // A verdict's way to all foyers takes the rest of `RollbackS`.
+        let count = script::CountSettings {
+            lone_stands: within(rollback * 2 / 5, 0, usual.lone_stands),
+            again_after: within(rollback / 5, 200 * MS, usual.again_after),
+            ..usual
+        };
+        let hand_over = within(micros(bounds.grace_s) * 2 / 3, 0, 5 * SECOND);
+        Spans { book, count, drain: micros(bounds.drain_s), hand_over }
+    }
+}
+
+impl Default for Spans {
+    /// Of a deployment that tells nothing.
+    fn default() -> Spans {
+        Spans::of_bounds(&Bounds::default(), FaultTolerance::default(), 1, 1)
+    }
+}
+
 /// Seconds between beats where the file says nothing.
 const USUAL_HEARTBEAT: f64 = 1.5;
 /// Seconds are told as whole microseconds; a longer span than this is a slip of the pen.
 const LONGEST_S: f64 = 86_400.0;
 /// Figures of a machine: no share, size or count above this is meant.
 const LARGEST: f64 = 1e9;
+/// Machines, zones or regions that may be lost at once: more than any deployment has.
+const MOST_LOSSES: usize = 10_000;
 /// Bytes of names; among nodes they go cut to `company::NAME_BYTES_MAX`.
 const NAME_MOST: usize = 253;
 
@@ -245,11 +326,19 @@
             link_mbps: limits.above_0("LinkMbps", usual.link_mbps),
             disk_mb: limits.upto("DiskMb", usual.disk_mb, LARGEST),
         };
+        let usual = FaultTolerance::default();
+        let mut losses = top.within("FaultTolerance");
+        let fault_tolerance = FaultTolerance {
+            machine_losses: losses.count("MachineLosses", usual.machine_losses),
+            zones: losses.count("Zones", usual.zones),
+            region_losses: losses.count("RegionLosses", usual.region_losses),
+        };
         let usual = Bounds::default();
         let mut bounds = top.within("TimerBounds");
         let timer_bounds = Bounds {
             contact_s: bounds.upto("ContactS", usual.contact_s, LONGEST_S),
             ack_s: bounds.upto("AckS", usual.ack_s, LONGEST_S),
+            catch_up_s: bounds.upto("CatchUpS", usual.catch_up_s, LONGEST_S),
             drain_s: bounds.upto("DrainS", usual.drain_s, LONGEST_S),
             grace_s: bounds.upto("GraceS", usual.grace_s, LONGEST_S),
             config_apply_s: bounds.upto("ConfigApplyS", usual.config_apply_s, LONGEST_S),
@@ -285,6 +374,7 @@
             zones,
             listen_addresses,
             limit_set,
+            fault_tolerance,
             timer_bounds,
         })
     }
@@ -299,6 +389,12 @@
         Place(self.ip_address)
     }
 
+    /// What follows from the bounds.
+    pub fn spans(&self) -> Spans {
+        let regions: std::collections::BTreeSet<&String> = self.zones.values().collect();
+        Spans::of_bounds(&self.timer_bounds, self.fault_tolerance, self.zones.len(), regions.len())
+    }
+
     /// The machines that may know others.
     pub fn seeds(&self) -> Vec<Place> {
         self.seed_nodes.iter().map(|seed| Place(*seed.ip())).collect()
@@ -396,6 +492,13 @@
         })
     }
 
+    fn count(&mut self, key: &str, usual: usize) -> usize {
+        self.or(key, &format!("a whole number from 0 to {MOST_LOSSES}"), usual, |value| {
+            let found = number(value).filter(|found| found.fract() == 0.0)?;
+            (0.0..=MOST_LOSSES as f64).contains(&found).then_some(found as usize)
+        })
+    }
+
     fn above_0(&mut self, key: &str, usual: f64) -> f64 {
         self.or(key, "a number above 0", usual, |value| {
             number(value).filter(|found| *found > 0.0 && *found <= LARGEST)
@@ -409,6 +512,7 @@
         let within = match key {
             "ListenAddresses" => "ListenAddresses.",
             "LimitSet" => "LimitSet.",
+            "FaultTolerance" => "FaultTolerance.",
             _ => "TimerBounds.",
         };
         Keys { table, within, faults: self.faults }
--- a/crates/promptbook/src/book.rs
+++ b/crates/promptbook/src/book.rs
@@ -2,18 +2,17 @@
 
 use std::mem;
 
-use props::{Index, MS, Micros, Place, SECOND, Seat, Term};
+use props::{Index, MS, Micros, Place, Seat, Term};
 
 use crate::disk::Disk;
 use crate::follow::Coming;
 use crate::lead::Leading;
+use crate::leave::Leaving;
 use crate::log::Log;
 use crate::mark::Marks;
 use crate::stand::Votes;
 use crate::{Effect, Entry, Event, Members, Message, Saved, Timing, What, Word};
 
-/// How often a seat that is not let in knocks.
-const KNOCK_EVERY: Micros = SECOND;
 /// Most places that are remembered to knock at.
 const MOST_PEERS: usize = 64;
 /// A write that hangs for so many election spans costs leadership.
@@ -69,7 +68,7 @@
     /// Started again, and has neither heard a leader nor stood yet: its first try doesn't wait long.
     pub(crate) hasty: bool,
     /// The process is about to end: it takes no proposals and stands for nothing.
-    pub(crate) leaving: bool,
+    pub(crate) leaving: Option<Leaving>,
     /// What the last `Effect::Leader` said.
     told: (Option<Seat>, Term),
     pub(crate) out: Vec<Effect>,
@@ -110,7 +109,7 @@
             places: Vec::new(),
             next_knock: now,
             hasty: false,
-            leaving: false,
+            leaving: None,
             told: (None, Term(0)),
             out: Vec::new(),
         };
@@ -121,7 +120,7 @@
         }
         book.told.1 = book.term;
         if book.is_member() {
-            book.next_knock = now + KNOCK_EVERY;
+            book.next_knock = now + timing.knock;
         }
         book.arm();
         if !empty {
@@ -164,7 +163,7 @@
                 self.places = places;
             }
             Event::Kept { index, data } => self.kept(index, data),
-            Event::Leave => self.leaving = true,
+            Event::Leave => self.leaving = self.leaving.take().or_else(|| Some(Leaving::default())),
         }
         self.finish()
     }
@@ -182,6 +181,9 @@
         } else if !self.is_member() {
             due = due.min(self.deadline);
         }
+        if let Some(ask) = self.release_due() {
+            due = due.min(ask);
+        }
         self.disk.due().map_or(due, |write| due.min(write))
     }
 
@@ -204,6 +206,11 @@
         self.commit
     }
 
+    /// The end of the own log.
+    pub fn last(&self) -> Index {
+        self.log.last()
+    }
+
     /// The entry at an index, where it is in memory.
     pub fn entry(&self, index: Index) -> Option<&Entry> {
         self.log.get(index)
@@ -244,7 +251,10 @@
             out: _,
         } = self;
         marks.put((own, term, voted, log, commit, applied, leader, verified));
-        marks.put((owes_vote, owes_round, coming, places, hasty, leaving));
+        marks.put((owes_vote, owes_round, coming, places, hasty, leaving.is_some()));
+        if let Some(leaving) = leaving {
+            leaving.mark(&mut marks);
+        }
         disk.mark(&mut marks, HUNG_ELECTIONS * timing.election);
         if leader.is_none() {
             // Where there is a leader, the next knock is set anew when it is gone.
@@ -327,7 +337,7 @@
             self.verified = self.commit;
         }
         if self.leader.is_some() && leader.is_none() {
-            self.next_knock = self.now + KNOCK_EVERY;
+            self.next_knock = self.now + self.timing.knock;
         }
         self.leader = leader;
         self.hasty &= leader.is_none();
@@ -356,7 +366,7 @@
         }
         if self.now >= self.deadline {
             self.arm();
-            if self.is_member() && self.disk_well() && !self.leaving {
+            if self.is_member() && self.disk_well() && !self.leaves() {
                 self.ask_to_stand();
             } else if !matches!(self.role, Role::Following) || self.leader.is_some() {
                 self.follow(self.term, None);
@@ -370,7 +380,7 @@
     }
 
     fn knock(&mut self) {
-        self.next_knock = self.now + KNOCK_EVERY;
+        self.next_knock = self.now + self.timing.knock;
         let mut places = self.places.clone();
         places.extend(self.log.members().0.iter().map(|seat| seat.place));
         places.sort_unstable();
@@ -429,6 +439,8 @@
             Word::Gap { prev, hint, round } => self.gap(from, prev, hint, round),
             Word::Taken { index, upto, round } => self.taken(from, index, upto, round),
             Word::Go { next } => self.handed(from, next),
+            Word::Leaving { last } => self.asked_release(from, last),
+            Word::Released { upto } => self.released(from, upto),
         }
     }
 
@@ -451,7 +463,7 @@
     fn finish(&mut self) -> Vec<Effect> {
         if self.leads() {
             self.commit_more();
-            if !self.leaving {
+            if !self.leaves() {
                 self.tend_members();
                 self.commit_more();
             }
@@ -463,10 +475,11 @@
         if self.leads() {
             self.answer_reads();
             self.pump();
-            if self.leaving {
+            if self.leaves() {
                 self.hand_over();
             }
         }
+        self.ask_release();
         if let Some(write) = self.disk.issue(self.now, self.term, self.voted, &self.log, self.commit) {
             self.out.push(Effect::Write(write));
         }
--- a/crates/promptbook/src/follow.rs
+++ b/crates/promptbook/src/follow.rs
@@ -98,7 +98,10 @@
     fn answer(&mut self, round: u64) {
         let Some(leader) = self.leader else { return };
         let got = self.verified;
-        self.say(leader, Word::Appended { matched: got.min(self.disk.stable()), got, round });
+        self.say(
+            leader,
+            Word::Appended { matched: got.min(self.disk.stable()).min(self.counted()), got, round },
+        );
     }
 
     /// The answer that waited for the disk.
--- a/crates/promptbook/src/lead.rs
+++ b/crates/promptbook/src/lead.rs
@@ -8,7 +8,7 @@
 use crate::book::{Promptbook, Role};
 use crate::log::{Log, weight};
 use crate::mark::Marks;
-use crate::seats::LEARNER_ELECTIONS;
+use crate::seats::{LEARNER_ELECTIONS, Rounds};
 use crate::{Effect, Entry, Message, Snapshot, Timing, What, Word};
 
 /// Most bytes of entries that are not committed; proposals beyond are refused.
@@ -50,6 +50,10 @@
     /// The highest round that came back.
     pub(crate) round: u64,
     told: Index,
+    /// Of a learner that knocked here.
+    pub(crate) rounds: Option<Rounds>,
+    /// When it last said that it was about to end.
+    pub(crate) leaving: Option<Micros>,
 }
 
 impl Peer {
@@ -67,6 +71,8 @@
             asked_round,
             round,
             told,
+            rounds: None,
+            leaving: None,
         }
     }
 
@@ -75,9 +81,34 @@
         now - self.heard.unwrap_or(self.since)
     }
 
+    /// True if its last word came within `span` of its telling that it was about to end: it has not come back since.
+    pub(crate) fn ends(&self, span: Micros) -> bool {
+        matches!((self.leaving, self.heard), (Some(told), Some(heard)) if heard - told < span)
+    }
+
     /// `silence`: the longest that anything is told apart by, in microseconds.
-    fn mark(&self, marks: &mut Marks, beat: Micros, silence: Micros) {
-        let Peer { seat, since, heard, matched, next, mode, asked, asked_round, round, told } = self;
+    fn mark(&self, marks: &mut Marks, timing: &Timing, silence: Micros) {
+        let beat = timing.beat;
+        let Peer {
+            seat,
+            since,
+            heard,
+            matched,
+            next,
+            mode,
+            asked,
+            asked_round,
+            round,
+            told,
+            rounds,
+            leaving,
+        } = self;
+        if let Some(rounds) = rounds {
+            rounds.mark(marks, timing.election);
+        }
+        if let Some(leaving) = leaving {
+            marks.put(marks.ago(*leaving, silence));
+        }
         marks.put((seat, heard.is_some(), marks.ago(heard.unwrap_or(*since), silence), matched, next));
         marks.put((marks.ago(*asked, beat), asked_round, round, told));
         match mode {
@@ -214,7 +245,7 @@
     pub(crate) next_beat: Micros,
     asks: VecDeque<(Index, Ask)>,
     /// Each read with the round that must come back from a majority.
-    reads: VecDeque<(u64, Ask)>,
+    pub(crate) reads: VecDeque<(u64, Ask)>,
     pub(crate) round: u64,
     /// Bytes of entries that are not committed.
     open: usize,
@@ -241,9 +272,9 @@
             open,
             wish,
         ));
-        let silence = timing.dismiss.max(LEARNER_ELECTIONS * timing.election);
+        let silence = timing.dismiss.max(timing.succeed).max(LEARNER_ELECTIONS * timing.election);
         for peer in peers {
-            peer.mark(marks, timing.beat, silence);
+            peer.mark(marks, timing, silence);
         }
     }
 
@@ -294,7 +325,8 @@
     }
 
     pub(crate) fn propose(&mut self, ask: Ask, data: Vec<u8>) {
-        if self.leaving || !matches!(&self.role, Role::Leading(lead) if lead.open + data.len() <= MOST_OPEN) {
+        if self.leaves() || !matches!(&self.role, Role::Leading(lead) if lead.open + data.len() <= MOST_OPEN)
+        {
             return self.refuse(ask);
         }
         let index = self.place(What::Command(data));
@@ -304,40 +336,16 @@
     }
 
     pub(crate) fn read(&mut self, ask: Ask) {
+        let leaves = self.leaves();
         match &mut self.role {
             // Only what is sent after the ask can prove that it still leads.
-            Role::Leading(lead) if !self.leaving && lead.reads.len() < MOST_READS => {
+            Role::Leading(lead) if !leaves && lead.reads.len() < MOST_READS => {
                 lead.reads.push_back((lead.round + 1, ask))
             }
             _ => self.refuse(ask),
         }
     }
 
-    /// Of a leader about to end: once all that it placed is committed and a voter that answered lately has all of
-    /// it on disk, that voter is to stand at once, and the rest are told not to wait for this one. Guards against
-    /// an election's span without a leader whenever a machine is stopped in order. Without such a voter it goes on
-    /// leading until it ends.
-    pub(crate) fn hand_over(&mut self) {
-        let Role::Leading(lead) = &self.role else { return };
-        let last = self.log.last();
-        let members = &self.log.members().0;
-        let fit = |peer: &&Peer| {
-            peer.matched == last
-                && peer.heard.is_some()
-                && peer.silent(self.now) < 2 * self.timing.beat
-                && members.contains(&peer.seat)
-        };
-        let next = lead.peers.iter().filter(fit).max_by_key(|peer| peer.heard).map(|peer| peer.seat);
-        let (Some(next), true) = (next, self.commit == last && lead.reads.is_empty()) else { return };
-        let others: Vec<Seat> =
-            members.iter().copied().filter(|seat| *seat != self.own && *seat != next).collect();
-        // The one that stands is told last, so that its question finds the others ready.
-        for seat in others.into_iter().chain([next]) {
-            self.say(seat, Word::Go { next });
-        }
-        self.follow(self.term, None);
-    }
-
     pub(crate) fn knows_peer(&self, seat: Seat) -> bool {
         matches!(&self.role, Role::Leading(lead) if lead.peer(seat).is_some())
     }
@@ -430,7 +438,7 @@
     }
 
     /// Notes a word of a seat that is served, and its round.
-    fn peer_spoke(&mut self, from: Seat, round: u64) -> Option<&mut Peer> {
+    pub(crate) fn peer_spoke(&mut self, from: Seat, round: u64) -> Option<&mut Peer> {
         let Role::Leading(lead) = &mut self.role else { return None };
         let newest = lead.round;
         let peer = lead.peers.iter_mut().find(|peer| peer.seat == from)?;
--- a/crates/promptbook/src/lib.rs
+++ b/crates/promptbook/src/lib.rs
@@ -9,15 +9,17 @@
 mod disk;
 mod follow;
 mod lead;
+mod leave;
 mod log;
 mod mark;
 mod seats;
 mod stand;
 
 pub use book::Promptbook;
+pub use leave::Release;
 pub use mark::Marks;
 
-use props::{Ask, Index, Micros, Place, Seat, Term};
+use props::{Ask, Form, Index, Micros, Place, Seat, Term};
 use serde::{Deserialize, Serialize};
 
 /// Who votes, after some entry of the log.
@@ -140,6 +142,21 @@
     /// The leader leads no more, as it is about to end; `next` is to stand at once, and nobody waits for the
     /// one that goes.
     Go { next: Seat },
+    /// To the leader, from a voter about to end: who else has all up to `last` on disk? Up to there the sender's log is
+    /// as the leader's, and it acknowledges nothing beyond.
+    Leaving { last: Index },
+    /// Answer to that, once enough others have.
+    Released { upto: Index },
+}
+
+impl Message {
+    /// The form that brought it. It is not sent to who reads less.
+    pub fn since(&self) -> Form {
+        match self {
+            Message::Said { word: Word::Leaving { .. } | Word::Released { .. }, .. } => Form(2),
+            Message::Knock | Message::Leader { .. } | Message::Said { .. } => Form::FIRST,
+        }
+    }
 }
 
 #[derive(Clone, Debug)]
@@ -174,8 +191,9 @@
         index: Index,
         data: Vec<u8>,
     },
-    /// The process is about to end in order: it never stands again, and hands over if it leads. It goes on
-    /// answering and voting until it ends.
+    /// The process is about to end in order: it never stands again, hands over if it leads, and asks whether others
+    /// have on disk what it has: `Promptbook::release` tells. It goes on answering and voting until it ends, and
+    /// acknowledges no new entries.
     Leave,
 }
 
@@ -224,8 +242,37 @@
     /// A leader that hears from no majority for so long gives up; followers wait for it for this to twice this.
     /// At least three beats.
     pub election: Micros,
-    /// A voter not heard from for so long is dismissed where the rest can spare it.
+    /// A voter not heard from for so long is dismissed where the rest can spare it: `Losses::least` are left.
     pub dismiss: Micros,
-    /// Most bytes of entries or snapshot in one message; a single entry may be larger.
+    /// The same where a seat that has caught up waits to take its place. At least an election span.
+    pub succeed: Micros,
+    /// How often a seat without a leader knocks.
+    pub knock: Micros,
+    /// What the deployment may lose at once.
+    pub losses: Losses,
+    /// Most bytes of entries or snapshot in one message; a single entry may be larger. A learner that lacks more is not
+    /// let in.
     pub piece: usize,
 }
+
+/// What a deployment may lose at once with all promises kept (`FaultTolerance`).
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Losses {
+    pub machines: usize,
+    /// Zones or regions, and of how many, with all voters that are in them.
+    pub parts: (usize, usize),
+}
+
+impl Losses {
+    /// Of so many voters, spread evenly.
+    pub fn of(self, voters: usize) -> usize {
+        let (lost, all) = self.parts;
+        self.machines.max((voters * lost.min(all)).div_ceil(all.max(1)))
+    }
+
+    /// Fewest voters that a dismissal leaves which nobody asked for, of so many: as many as bear the losses, three at
+    /// least. Guards against a cut that makes the core too small for the loss that comes after it.
+    pub fn least(self, voters: usize) -> usize {
+        (2 * self.of(voters) + 1).max(3)
+    }
+}
--- a/crates/promptbook/src/seats.rs
+++ b/crates/promptbook/src/seats.rs
@@ -4,23 +4,56 @@
 
 use crate::book::{Promptbook, Role};
 use crate::lead::Peer;
+use crate::mark::Marks;
 use crate::{Members, What};
 
 /// Most voters; more than any core has.
 const MOST_VOTERS: usize = 15;
 /// Most seats that are caught up at the same time.
 const MOST_LEARNERS: usize = 4;
-/// Entries that a learner may be behind when it becomes a voter.
-const NEARLY: u64 = 32;
+/// Most entries that a learner may be behind when it becomes a voter; of bytes it is `Timing::piece`.
+const NEARLY: u64 = 256;
 /// A learner silent for so many election spans is let go; it may knock again.
 pub(crate) const LEARNER_ELECTIONS: Micros = 4;
-/// Fewest voters that are left by a dismissal with nobody to take the place.
-const FEWEST_LEFT: usize = 3;
-/// With a learner that can take its place, or among an even number of voters, a silent one goes after this part
-/// of the span for dismissal. Guards against the loss of a second voter before a machine that came for a removed
-/// one counts: it is at another address, so that nothing but silence tells whose place it takes. Fewer by one of
-/// an even number bear as many losses.
+/// Fewest voters that are left by a dismissal from an even number.
+const FEWEST_OF_EVEN: usize = 3;
+/// Among an even number of voters a silent one goes after this part of the span for dismissal: fewer by one bear as
+/// many losses, and one more than that once this one is lost for good.
 const SOONER: Micros = 4;
+/// A voter said that it was about to end, and has said nothing later than so many election spans after: it was stopped
+/// in order.
+const ENDED_ELECTIONS: Micros = 2;
+
+/// A learner's rounds of catching up (dissertation, 4.2.1): each ends once it has on disk all that the log had when
+/// the round began. Guards against a voter that counts in the majority and can't help, as it waits for megabytes.
+#[derive(Clone)]
+pub(crate) struct Rounds {
+    goal: Index,
+    since: Micros,
+    /// The last one was shorter than an election span, and so is the one under way.
+    short: bool,
+}
+
+impl Rounds {
+    pub(crate) fn new(goal: Index, now: Micros) -> Rounds {
+        Rounds { goal, since: now, short: false }
+    }
+
+    /// `last`: the end of the leader's log.
+    fn tend(&mut self, now: Micros, matched: Index, last: Index, election: Micros) {
+        let took = now - self.since;
+        if matched >= self.goal && matched > Index(0) {
+            *self = Rounds { goal: last, since: now, short: took < election };
+        } else if took >= election {
+            self.short = false;
+        }
+    }
+
+    pub(crate) fn mark(&self, marks: &mut Marks, election: Micros) {
+        let Rounds { goal, since, short } = self;
+        marks.put((goal, marks.ago(*since, election), short));
+    }
+}
 
 /// The next members, where there is a change to make.
 enum Change {
@@ -44,7 +77,9 @@
             .retain(|peer| !learner(peer) || peer.seat.place != from.place || peer.silent(now) < election);
         let learners = || lead.peers.iter().filter(|peer| learner(peer));
         if learners().count() < MOST_LEARNERS && !learners().any(|peer| peer.seat.place == from.place) {
-            lead.peers.push(Peer::new(from, next, now));
+            let mut peer = Peer::new(from, next, now);
+            peer.rounds = Some(Rounds::new(self.log.last(), now));
+            lead.peers.push(peer);
         }
     }
 
@@ -55,6 +90,11 @@
         let Role::Leading(lead) = &mut self.role else { return };
         lead.peers
             .retain(|peer| members.0.contains(&peer.seat) || peer.silent(now) < LEARNER_ELECTIONS * election);
+        for peer in &mut lead.peers {
+            if let Some(rounds) = &mut peer.rounds {
+                rounds.tend(now, peer.matched, self.log.last(), election);
+            }
+        }
         if lead.first > self.commit || self.log.members_since() > self.commit {
             return;
         }
@@ -83,6 +123,7 @@
         let (Some(next), Role::Leading(lead)) = (next, &mut self.role) else { return };
         lead.wish = None;
         lead.peers.retain(|peer| next.0.contains(&peer.seat) || !self.log.members().0.contains(&peer.seat));
+        lead.peers.iter_mut().filter(|peer| next.0.contains(&peer.seat)).for_each(|peer| peer.rounds = None);
         self.place(What::Members(next));
     }
 
@@ -94,6 +135,15 @@
         count.count() > seats.len() / 2
     }
 
+    /// Whether a learner can help from the moment that it counts: by rounds, entries and bytes, all of them on its disk.
+    fn caught_up(&self, learner: &Peer) -> bool {
+        let (matched, last) = (learner.matched, self.log.last());
+        learner.rounds.as_ref().is_some_and(|rounds| rounds.short)
+            && matched > Index(0)
+            && matched.0 + NEARLY >= last.0
+            && self.log.weight_after(matched) <= self.timing.piece
+    }
+
     fn next_members(&self) -> Option<Change> {
         let Role::Leading(lead) = &self.role else { return None };
         let members = self.log.members();
@@ -105,7 +155,7 @@
         for peer in lead.peers.iter().filter(|peer| !members.0.contains(&peer.seat)) {
             if peer.heard.is_some() && peer.silent(self.now) < self.timing.election {
                 learners.push(peer.seat.place);
-                if peer.matched.0 + NEARLY >= self.log.last().0 && peer.matched.0 > 0 {
+                if self.caught_up(peer) {
                     ready = ready.or(Some(peer.seat));
                 }
             }
@@ -118,11 +168,20 @@
         if let Some(next) = gone.filter_map(|peer| without(peer.seat)).next() {
             return Some(next);
         }
-        let spare = members.0.len() > FEWEST_LEFT || ready.is_some();
-        let sooner = ready.is_some() || members.0.len().is_multiple_of(2);
-        let dismiss = self.timing.dismiss / if sooner { SOONER } else { 1 };
-        let mut silent: Vec<&Peer> =
-            voters().filter(|peer| spare && peer.silent(self.now) >= dismiss).collect();
+        let (all, timing) = (members.0.len(), self.timing);
+        let even = all.is_multiple_of(2) && all > FEWEST_OF_EVEN;
+        let spare = all > timing.losses.least(all);
+        let ends = ENDED_ELECTIONS * timing.election;
+        // How long a voter may be silent. One that was stopped in order has said so; where nobody waits for its place
+        // it comes back with its disk, as in a rolling restart.
+        let allowed = |peer: &Peer| match ready {
+            Some(_) if peer.ends(ends) => Some(timing.election),
+            Some(_) => Some(timing.succeed.max(timing.election)),
+            None if even => Some(timing.dismiss / SOONER),
+            None => spare.then_some(timing.dismiss),
+        };
+        let late = |peer: &&Peer| allowed(peer).is_some_and(|span| peer.silent(self.now) >= span);
+        let mut silent: Vec<&Peer> = voters().filter(late).collect();
         // The one that is silent longest first: others may only stand still.
         silent.sort_by_key(|peer| std::cmp::Reverse(peer.silent(self.now)));
         if let Some(next) = silent.into_iter().filter_map(|peer| without(peer.seat)).next() {
@@ -130,7 +189,9 @@
         }
         // Without it there must be enough for the larger majority, or its loss would stop everybody; where there
         // are not, a silent voter goes first. A seat that is alone has no choice.
-        let (all, lately) = (members.0.len(), self.lately(&members.0));
+        let stay = |seat: &Seat| lead.peer(*seat).is_none_or(|peer| !peer.ends(ends));
+        let staying: Vec<Seat> = members.0.iter().copied().filter(stay).collect();
+        let lately = self.lately(&staying);
         let borne = all == 1 || lately > all.div_ceil(2);
         let free = |seat: &Seat| members.0.iter().all(|member| member.place != seat.place);
         ready.filter(|seat| free(seat) && borne && all < MOST_VOTERS).map(|seat| {
--- a/crates/promptbook/src/stand.rs
+++ b/crates/promptbook/src/stand.rs
@@ -80,8 +80,9 @@
             return;
         }
         self.follow(self.term, None);
-        self.arm();
-        if next == self.own && self.is_member() && self.disk_well() && !self.leaving {
+        // The word may not have reached the one that is named: it has two beats, then the others ask.
+        self.arm_within((2 * self.timing.beat, 4 * self.timing.beat));
+        if next == self.own && self.is_member() && self.disk_well() && !self.leaves() {
             self.stand();
         }
     }
--- a/crates/rehearsal/src/exhaust/stage.rs
+++ b/crates/rehearsal/src/exhaust/stage.rs
@@ -8,11 +8,21 @@
 use std::net::Ipv4Addr;
 use std::rc::Rc;
 
-use promptbook::{Effect, Entry, Event, Marks, Members, Message, Promptbook, Saved, Timing, Word, Write};
+use promptbook::{
+    Effect, Entry, Event, Losses, Marks, Members, Message, Promptbook, Saved, Timing, Word, Write,
+};
 use props::{Ask, Index, Life, MS, Micros, Place, SECOND, Seat, Term};
 
 /// As in promptbook's own world.
-pub const TIMING: Timing = Timing { beat: 50 * MS, election: 250 * MS, dismiss: 3 * SECOND, piece: 3000 };
+pub const TIMING: Timing = Timing {
+    beat: 50 * MS,
+    election: 250 * MS,
+    dismiss: 3 * SECOND,
+    succeed: 750 * MS,
+    knock: SECOND,
+    losses: Losses { machines: 1, parts: (0, 1) },
+    piece: 3000,
+};
 /// Asks from this one on are reads.
 const READS: u64 = 1 << 32;
 
@@ -772,6 +782,8 @@
         Word::Taken { index, upto, .. } => format!("I have {upto} bytes of the state at {}", index.0),
         Word::Late => "there is a newer term".into(),
         Word::Go { next } => format!("I go, {next} is to stand"),
+        Word::Leaving { last } => format!("I leave, who else has all up to {}", last.0),
+        Word::Released { upto } => format!("go, others have all up to {}", upto.0),
     };
     format!("{said} (term {})", term.0)
 }
--- a/crates/understudy/src/targets/disk.rs
+++ b/crates/understudy/src/targets/disk.rs
@@ -6,8 +6,8 @@
 
 use company::{Member, Part};
 use ledger::{Batch, Ledger, LedgerError, Pairs, Step, Store, StoreError, note};
-use playhouse::control::TIMING;
 use playhouse::house::House;
+use playhouse::settings::Spans;
 use promptbook::{Entry, Members, Promptbook, Snapshot, What, Write, WriteNo};
 use props::{Index, Life, Place, Seat, Term};
 use redb::StorageBackend;
@@ -187,7 +187,8 @@
         let (_, again) = Ledger::open(store.clone(), Life(8)).expect("it opens again");
         assert_eq!((&again.saved, again.life), (&opened.saved, opened.life), "it reads back the same");
         // Whoever starts on it goes on, or says that it can't.
-        let (book, effects) = Promptbook::start(seat(1), None, opened.saved.clone(), TIMING, 5, 0);
+        let (book, effects) =
+            Promptbook::start(seat(1), None, opened.saved.clone(), Spans::default().book, 5, 0);
         signature.bucket("effects", effects.len() as u64);
         signature.mark("member", u64::from(book.is_member()));
         if let Some(snapshot) = &opened.saved.snapshot {
--- a/crates/understudy/src/targets/words.rs
+++ b/crates/understudy/src/targets/words.rs
@@ -6,6 +6,7 @@
 use company::{Member, Part};
 use playhouse::control::{Control, In, Out};
 use playhouse::house::{House, Letter, Word, opened};
+use playhouse::settings::Spans;
 use promptbook::{Members, Saved};
 use props::{Ask, Edition, Form, Forms, Life, MS, Micros, Place, SECOND, Seat, Version};
 use script::{Command, Tally, Voice, Vote};
@@ -57,8 +58,15 @@
 fn prompter(number: u8, now: Micros) -> (Control, Vec<Out>) {
     let voters = Members((1..=3).map(seat).collect());
     let house = house(number, now);
-    let (mut control, out) =
-        Control::start(house, seat(number), Some(voters), Saved::default(), number.into(), now);
+    let (mut control, out) = Control::start(
+        house,
+        seat(number),
+        Some(voters),
+        Saved::default(),
+        &Spans::default(),
+        number.into(),
+        now,
+    );
     control.check_intent(now, 2_500_000);
     (control, out)
 }
