--- a/crates/playhouse/src/control.rs
+++ b/crates/playhouse/src/control.rs
@@ -21,7 +21,7 @@
 const MEMORY_EVERY: Micros = SECOND;
 const COUNT_EVERY: Micros = 200 * MS;
 /// The form from which on a leader is asked who else has what a leaving member has.
-const LEAVING: Form = Form(2);
+const LEAVING: Form = Form::SECOND;
 /// A service's first version is proposed again after this, if it has not come to be ordered.
 const SEEN_AGAIN: Micros = SECOND;
 
@@ -29,6 +29,9 @@
 /// programs, a new leader has learnt who is there, and an operator may still go back.
 const AGREE_AFTER: Micros = 30 * SECOND;
 
+/// A proposal to agree on a form may be applied within so long.
+const AGREE_AGAIN: Micros = SECOND;
+
 /// What a prompter is told.
 #[derive(Debug)]
 pub enum In {
@@ -206,7 +209,9 @@
             In::Mail { from, bytes } => self.house.received(now, from, &bytes),
             In::Written { no, ok: true } => self.log(now, Event::Synced { write: no }),
             In::Written { no, ok: false } => self.log(now, Event::WriteFailed { write: no }),
-            In::Order { ask, command } => self.log(now, Event::Propose { ask, data: self.written(&command) }),
+            In::Order { ask, command } => {
+                self.log(now, Event::Propose { ask, data: self.written(now, &command) })
+            }
             In::Read { ask } => self.log(now, Event::Read { ask }),
             In::Beat { ask, beat } => self.house.beat(now, ask, beat),
             In::Detach { ask, id } => self.house.detach(now, ask, id),
@@ -249,7 +254,7 @@
         let last = self.book.counted().0;
         // One that reads form 1 only does not know the question.
         let leader = self.book.leader().map(|seat| seat.place);
-        let asked = leader.is_some_and(|place| self.house.form_with(place) >= LEAVING);
+        let asked = leader.is_some_and(|place| self.house.shared(place) >= LEAVING);
         let done = match release {
             Release::Elsewhere | Release::NoVoter | Release::Alone => true,
             Release::Waits => leader.is_some() && !asked && !self.book.leads(),
@@ -322,30 +327,38 @@
 
     fn propose(&mut self, now: Micros, command: &Command) {
         self.own_ask += 1;
-        self.log(now, Event::Propose { ask: Ask(self.own_ask), data: self.written(command) });
+        self.log(now, Event::Propose { ask: Ask(self.own_ask), data: self.written(now, command) });
     }
 
-    fn written(&self, command: &Command) -> Vec<u8> {
-        command.to_bytes_in(self.house.script.agreed())
+    fn written(&self, now: Micros, command: &Command) -> Vec<u8> {
+        self.house.script.written(now, command)
     }
 
-    /// Has a newer form agreed once every voter and every node known reads it.
+    /// Has a newer form agreed once every voter and every node known reads it, and has for a while. Before the first
+    /// configuration there is nothing that an older program could go on with: then it is agreed at once.
     fn agree(&mut self, now: Micros) {
-        let agreed = self.house.script.agreed();
+        let script = &self.house.script;
+        let agreed = script.agreed();
+        // Once an entry of its own term is committed, a leader has applied all that was acknowledged before.
+        let last = self.book.entry(self.book.committed());
+        let new = script.bill().is_none() && last.is_some_and(|last| last.term == self.book.term());
         let Some(form) = self.read_by_all().filter(|form| *form > agreed) else {
             self.may_agree = None;
             return;
         };
-        match self.may_agree {
-            Some((may, since)) if may == form => {
-                if now - since >= AGREE_AFTER {
-                    log::info!("all nodes known read form {form}: it is proposed");
-                    self.may_agree = None;
-                    self.propose(now, &Command::Agree { form });
-                }
-            }
-            _ => self.may_agree = Some((form, now)),
+        let since = match self.may_agree {
+            Some((may, since)) if may == form => since,
+            _ => now,
+        };
+        let span = if new { 0 } else { AGREE_AFTER };
+        if now - since < span {
+            self.may_agree = Some((form, since));
+            return;
         }
+        log::info!("all nodes known read form {form}: it is proposed");
+        // Not again before this one can have been applied.
+        self.may_agree = Some((form, now + AGREE_AGAIN));
+        self.propose(now, &Command::Agree { form });
     }
 
     /// The newest form that all read; none where a voter's forms are not known. One that ended in order counts
@@ -387,11 +400,8 @@
             }
             match effect {
                 Effect::Send { to, message } => {
-                    let since = message.since();
                     let word = self.house.letter(to, Word::Book { from: self.seat, message });
-                    if since <= word.form() {
-                        self.out.push(Out::Send { to, word });
-                    }
+                    self.out.extend(word.map(|word| Out::Send { to, word }));
                 }
                 Effect::Write(write) => self.out.push(Out::Write(write)),
                 Effect::Apply { index, data, ask } => {
@@ -453,7 +463,7 @@
         let words = self.house.out().into_iter();
         let house = &self.house;
         let mut out: Vec<Out> =
-            words.map(|(to, word)| Out::Send { to, word: house.letter(to, word) }).collect();
+            words.filter_map(|(to, word)| Some(Out::Send { to, word: house.letter(to, word)? })).collect();
         out.append(&mut self.out);
         out
     }
--- a/crates/promptbook/src/lib.rs
+++ b/crates/promptbook/src/lib.rs
@@ -114,6 +114,16 @@
     },
 }
 
+impl Message {
+    /// The form that brought this word: it is not sent to a node that reads less.
+    pub fn since(&self) -> Form {
+        match self {
+            Message::Knock | Message::Leader { .. } => Form::FIRST,
+            Message::Said { word, .. } => word.since(),
+        }
+    }
+}
+
 /// The words of the protocol; each goes with its sender's term.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Word {
@@ -149,12 +159,23 @@
     Released { upto: Index },
 }
 
-impl Message {
-    /// The form that brought it. It is not sent to who reads less.
+impl Word {
+    /// As `Message::since`.
     pub fn since(&self) -> Form {
         match self {
-            Message::Said { word: Word::Leaving { .. } | Word::Released { .. }, .. } => Form(2),
-            Message::Knock | Message::Leader { .. } | Message::Said { .. } => Form::FIRST,
+            Word::MayStand { .. }
+            | Word::MayStood { .. }
+            | Word::Stand { .. }
+            | Word::Stood { .. }
+            | Word::Append { .. }
+            | Word::Beat { .. }
+            | Word::Appended { .. }
+            | Word::Gap { .. }
+            | Word::Piece { .. }
+            | Word::Taken { .. }
+            | Word::Late
+            | Word::Go { .. } => Form::FIRST,
+            Word::Leaving { .. } | Word::Released { .. } => Form::SECOND,
         }
     }
 }
