--- a/crates/promptbook/tests/world.rs
+++ b/crates/promptbook/tests/world.rs
@@ -608,6 +608,96 @@
     }
 }
 
+/// Disks lost 5 to 400 ms after an acknowledgement, with a loss of power of the others or without, before, during and after a
+/// change of members, twice in a row. As many as the deployment bears at once: a machine that was replaced, wiped or
+/// stopped counts until `CATCH_UP` after its return or its successor's start.
+fn struck_after_an_acknowledgement(seed: u64) {
+    const CATCH_UP: Micros = 2500 * MS;
+    let (machines, losses) = [(3, 1), (4, 1), (5, 2), (6, 2), (7, 3)][(seed % 5) as usize];
+    let timing = Timing { knock: 300 * MS, losses: Losses { machines: losses, parts: (0, 1) }, ..TIMING };
+    let mut world = World::with(seed, machines, timing);
+    world.run(4 * SECOND);
+    for strike in 0..2 {
+        let live: Vec<usize> = (0..world.machines.len()).filter(|at| !world.machines[*at].gone).collect();
+        // A step of a change of members, and how far it has come when the strike comes.
+        let (led, at) = (world.leader(), live[world.below(live.len() as u32) as usize]);
+        let at = if world.below(3) == 0 { led } else { at };
+        let spent = match world.below(4) {
+            0 => 0,
+            1 => {
+                world.replace(at);
+                1
+            }
+            2 => {
+                world.wipe(at);
+                world.later(50 * MS, What::Start { at });
+                1
+            }
+            _ => {
+                world.step(at, Event::Leave);
+                let wait = world.span(0, 400 * MS);
+                world.run(wait);
+                world.replace(at);
+                1
+            }
+        };
+        let wait = world.span(0, CATCH_UP + SECOND);
+        world.run(wait);
+        let spent = if wait < CATCH_UP { spent } else { 0 };
+        let acks = world.acks;
+        assert!(world.until(2 * SECOND, |world| world.acks > acks), "seed {seed}: nothing is ordered");
+        let (acked, wait) = (world.acked, world.span(5 * MS, 400 * MS));
+        world.run(wait);
+        let mut left: Vec<usize> = (0..world.machines.len()).filter(|at| !world.machines[*at].gone).collect();
+        let led = left.iter().position(|at| world.leads(*at));
+        // The leader, the newest (a learner perhaps), a seed, or any.
+        let mut wiped = Vec::new();
+        for _ in spent..losses {
+            let at = match (world.below(4), led) {
+                (0, Some(led)) if wiped.is_empty() => led,
+                (1, _) => left.len() - 1,
+                (2, _) => 0,
+                _ => world.below(left.len() as u32) as usize,
+            };
+            let at = left.remove(at);
+            // One that is on its way back already is not lost a second time.
+            if world.machines[at].book.is_some() || spent == 0 {
+                wiped.push(at);
+            }
+        }
+        let power = world.below(2) == 0;
+        for at in wiped {
+            world.wipe(at);
+            let back = world.span(50 * MS, SECOND);
+            world.later(back, What::Start { at });
+        }
+        for at in left.into_iter().filter(|_| power) {
+            world.stop(at, true);
+            let back = world.span(50 * MS, SECOND);
+            world.later(back, What::Start { at });
+        }
+        world.run(SECOND + CATCH_UP);
+        let leads = (0..world.machines.len()).any(|at| world.leads(at));
+        assert!(
+            leads,
+            "seed {seed}, strike {strike}: {:#?}",
+            world.machines.iter().map(Machine::view).collect::<Vec<_>>()
+        );
+        assert!(world.machines[world.leader()].applied >= acked, "seed {seed}: acknowledged and lost");
+    }
+    world.calm_down(6 * SECOND);
+}
+
+#[test]
+fn disks_lost_right_after_an_acknowledgement_lose_nothing_in_any_step_of_a_change() {
+    let seeds = std::env::var("STRIKES").unwrap_or("0-10".into());
+    let (from, to) = seeds.split_once('-').expect("from-to");
+    for seed in from.parse::<u64>().expect("a number")..to.parse().expect("a number") {
+        println!("seed {seed}");
+        struck_after_an_acknowledgement(seed);
+    }
+}
+
 /// A calm world of so many machines, all of them let in.
 fn calm(machines: usize) -> World {
     calm_with(machines, TIMING)
