--- a/crates/garnetdoor-lab/src/prove/rehearsal.rs
+++ b/crates/garnetdoor-lab/src/prove/rehearsal.rs
@@ -28,7 +28,10 @@
 /// Plays `days` drawn days, a day of each worst moment, and the hunts.
 pub fn cases(seed: u64, days: u64, time: Duration) -> Proof {
     let began = Instant::now();
-    let mut jobs: Vec<Job> = Planted::ALL.map(Job::Hunt).into();
+    // Those of the worst days are hunted by the proof of `control`.
+    let planted: Vec<Planted> =
+        Planted::ALL.into_iter().filter(|planted| planted.point().is_none()).collect();
+    let mut jobs: Vec<Job> = planted.iter().copied().map(Job::Hunt).collect();
     jobs.extend((0..MOMENTS).map(Job::Moment));
     jobs.extend((0..days).map(Job::Drawn));
     let (next, done) = (AtomicUsize::new(0), Mutex::new(Tally::default()));
@@ -53,8 +56,8 @@
     let terms = Terms::default();
     proof.figure("days", all.days as f64, Limit::AtLeast(days.min(LEAST) as f64));
     proof.figure("rules_broken", all.broken as f64, Limit::Is(0.0));
-    proof.figure("planted", Planted::ALL.len() as f64, Limit::None);
-    proof.figure("planted_found", all.found as f64, Limit::Is(Planted::ALL.len() as f64));
+    proof.figure("planted", planted.len() as f64, Limit::None);
+    proof.figure("planted_found", all.found as f64, Limit::Is(planted.len() as f64));
     proof.figure("planted_seeds_most", all.seeds as f64, Limit::AtMost(Planted::SEEDS as f64));
     proof.figure("progress_worst_s", all.progress, Limit::AtMost(terms.progress as f64 / 1e6));
     proof.figure("changes_acknowledged", all.acked as f64, Limit::AtLeast(1.0));
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -14,3 +14,4 @@
 mod touch;
 pub mod widen;
 pub mod world;
+pub mod worst;
--- a/crates/rehearsal/src/play.rs
+++ b/crates/rehearsal/src/play.rs
@@ -28,6 +28,8 @@
     pub counts: Counts,
     /// The last lines of each process, where a rule is broken.
     pub rings: String,
+    /// The longest that a caller of control waited at a machine that ran.
+    pub answer: Micros,
     pub log: Vec<Seen>,
 }
 
@@ -92,6 +94,7 @@
         good: count(|what| matches!(what, What::Answered { answer: Answer::Good, .. })),
         acked: count(|what| matches!(what, What::Acked { .. })),
         leaders: count(|what| matches!(what, What::Leads { .. })),
+        answer: rules::worst_answer(&world.log),
         margins: rules::margins(&world.log, &world.terms),
         counts: world.counts().clone(),
         scenario,
--- a/crates/rehearsal/src/scenario.rs
+++ b/crates/rehearsal/src/scenario.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::site::Site;
-use crate::widen;
+use crate::{widen, worst};
 
 /// Times are milliseconds from the day's start, spans are milliseconds, machines are numbers: the core first,
 /// from 0, then the foyers.
@@ -219,6 +219,51 @@
     Race,
     /// The call acknowledged last, again, to any machine.
     Again,
+    /// The one acknowledged so many before the last.
+    AgainOld {
+        back: usize,
+    },
+    /// So many changes on one base at once.
+    Rivals {
+        count: usize,
+    },
+    /// The roll-out order so many before the last one that was acknowledged, again.
+    RolloutAgain {
+        back: usize,
+    },
+    /// Of the acknowledgements to operators so many of a thousand are lost; they send the same again, to other
+    /// machines first.
+    AckLost {
+        span: u64,
+        share: u32,
+    },
+    /// A core machine is cut off from the rest of the core, and from nobody else.
+    CoreCut {
+        machine: usize,
+        span: u64,
+        how: Way,
+    },
+    /// A core machine and a foyer, by their numbers, see each other and no other machine.
+    Island {
+        core: usize,
+        foyer: usize,
+        span: u64,
+    },
+    /// A core machine comes at another address, and so long after its start an old one is told to end for good.
+    Planned {
+        machine: usize,
+        after: u64,
+    },
+    /// Instances that leave serve on for up to four seconds more.
+    Linger {
+        span: u64,
+    },
+    /// The links of a machine carry so many thousand bits a second.
+    Narrow {
+        machine: usize,
+        span: u64,
+        kbit: u64,
+    },
     Rollout {
         service: usize,
         bad: bool,
@@ -239,6 +284,18 @@
     Deaf,
     DiskFull,
     DiskHung,
+    /// Cut off from the rest of the core only: callers still reach it.
+    Apart,
+}
+
+/// Which ways a cut goes, as seen from who is cut off.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Way {
+    Both,
+    /// It hears nothing, or is not heard.
+    In,
+    Out,
 }
 
 /// How an instance is odd.
@@ -375,6 +432,8 @@
         let mut day = Scenario { foyers: 5, length: 24_000, ..Scenario::calm() };
         if number < MOMENTS {
             worst_moment(number, &mut draw, &mut day, FIRST, &mut false);
+        } else if number >= MOMENTS + widen::MOMENTS {
+            worst::moment(number - MOMENTS - widen::MOMENTS, &mut draw, &mut day, FIRST);
         } else {
             day.length = 30_000;
             widen::moment(number - MOMENTS, &mut draw, &mut day, FIRST, &mut 0);
@@ -383,6 +442,11 @@
         day
     }
 
+    /// A short day of a worst moment of control, by its number among those of `worst`.
+    pub fn control_moment(seed: u64, number: u64) -> Scenario {
+        Scenario::moment(seed, MOMENTS + widen::MOMENTS + number)
+    }
+
     pub(crate) fn add(&mut self, at: u64, what: What) {
         self.troubles.push(Trouble { at, what });
     }
@@ -451,6 +515,9 @@
                 | What::Invalid { .. }
                 | What::Race
                 | What::Again
+                | What::AgainOld { .. }
+                | What::Rivals { .. }
+                | What::RolloutAgain { .. }
                 | What::Rollout { .. }
                 | What::Crash { .. }
                 | What::Drain { .. }
@@ -485,6 +552,7 @@
             | What::HerdAll { back, .. } => *back,
             What::AfterAckAll { back, .. } | What::AfterAck { back, .. } => back.saturating_add(2_000),
             What::Stop { back, .. } => back.saturating_add(6_000),
+            What::Planned { after, .. } => after.saturating_add(2_000),
             What::Freeze { span, .. }
             | What::Slow { span, .. }
             | What::Cut { span, .. }
@@ -502,6 +570,11 @@
             | What::Odd { span, .. }
             | What::Burst { span, .. }
             | What::Eager { span }
+            | What::Linger { span }
+            | What::AckLost { span, .. }
+            | What::CoreCut { span, .. }
+            | What::Island { span, .. }
+            | What::Narrow { span, .. }
             | What::Sick { span, .. } => *span,
             _ => 0,
         }
--- a/crates/rehearsal/src/seen.rs
+++ b/crates/rehearsal/src/seen.rs
@@ -173,6 +173,33 @@
     Unsettled {
         until: Micros,
     },
+    /// A caller of control waited so long at a machine whose process, and the way to it, ran all the while; a
+    /// second where no answer came.
+    Waited {
+        machine: Machine,
+        took: Micros,
+    },
+    /// An operator finds a version on trial again whose roll-out had ended.
+    Retried {
+        service: usize,
+        version: u32,
+    },
+    /// A client has a good answer whose stamp is that of a run of the request `of`.
+    Stamped {
+        request: u64,
+        of: u64,
+    },
+    /// A foyer is ready for the first time in its life, by this configuration.
+    Ready {
+        foyer: Machine,
+        life: u64,
+        version: u32,
+    },
+    /// As the day ends: the configuration by which a core machine goes.
+    Stands {
+        machine: Machine,
+        version: u32,
+    },
     /// From here on there is no trouble.
     Calm,
     Leads {
--- a/crates/rehearsal/src/touch.rs
+++ b/crates/rehearsal/src/touch.rs
@@ -11,6 +11,8 @@
     contact: Micros,
     machines: Vec<Spans>,
     core: Spans,
+    /// When not more than half of the core was well.
+    minorities: Spans,
     links: Spans,
 }
 
@@ -34,8 +36,9 @@
                 _ => {}
             }
         }
-        core.extend(minorities(&impaired, size));
-        Touch { contact, machines, core, links }
+        let minorities = minorities(&impaired, size);
+        core.extend(&minorities);
+        Touch { contact, machines, core, minorities, links }
     }
 
     fn well(&self, spans: &Spans, at: Micros) -> bool {
@@ -58,6 +61,11 @@
         clear(&self.core, from - self.contact) && clear(&self.links, from)
     }
 
+    /// From `from` to `to` more than half of the core was well.
+    pub fn majority(&self, from: Micros, to: Micros) -> bool {
+        self.minorities.iter().all(|(begin, end)| *begin > to || *end < from)
+    }
+
     /// The last moment up to `at` at which the core was unsettled.
     pub fn unsettled_before(&self, at: Micros) -> Micros {
         let ends = self.core.iter().filter(|(begin, _)| *begin <= at).map(|(_, end)| (*end).min(at));
--- a/crates/rehearsal/src/world/guests.rs
+++ b/crates/rehearsal/src/world/guests.rs
@@ -42,7 +42,7 @@
             let reached = self.now >= self.machines[at].frozen
                 && self.passes(None, Some(at))
                 && self.passes(Some(at), None);
-            let ready = reached && self.foyer(at).is_some_and(|process| process.floor.ready());
+            let ready = reached && self.says_ready(at);
             let misses = &mut self.guests.misses[at];
             *misses = if ready { 0 } else { *misses + 1 };
             if ready {
--- a/crates/rehearsal/src/world/instances.rs
+++ b/crates/rehearsal/src/world/instances.rs
@@ -74,6 +74,8 @@
     pub arrived: bool,
     /// The connection is closed.
     pub hung_up: bool,
+    /// The transport has sent it once more by itself: only where that is planted.
+    pub again: bool,
 }
 
 /// What is known of a service's versions: which are bad.
@@ -178,7 +180,10 @@
                     if let Some(by) = by {
                         self.saw(What::DrainAcked { instance: instance as u32, by });
                     }
-                    let after = self.terms.drain + self.span(50 * MS, 500 * MS);
+                    let mut after = self.terms.drain + self.span(50 * MS, 500 * MS);
+                    if self.now < self.linger {
+                        after += self.span(0, 4 * SECOND);
+                    }
                     self.later(after, Event::Detach { instance });
                 }
                 if self.instances[instance].detached {
--- a/crates/rehearsal/src/world/mod.rs
+++ b/crates/rehearsal/src/world/mod.rs
@@ -4,7 +4,7 @@
 mod foyer;
 mod guests;
 mod instances;
-mod machine;
+pub(crate) mod machine;
 mod net;
 mod operators;
 mod prompter;
@@ -117,6 +117,16 @@
     Watch {
         rollout: usize,
     },
+    Look {
+        rollout: usize,
+    },
+    /// A core machine that is replaced in order is told to end, and then has gone.
+    Retire {
+        at: usize,
+    },
+    Retired {
+        at: usize,
+    },
     Guest,
     Knock {
         at: usize,
@@ -240,6 +250,10 @@
     pub(crate) seeds: Vec<usize>,
     pub(crate) tasks: Vec<Task>,
     pub(crate) next_try: u64,
+    /// Calls that have reached a machine: where, which process, when.
+    pub(crate) calls: BTreeMap<(operators::Who, u64), (usize, u64, Micros)>,
+    /// Until when acknowledgements to operators are lost, and how many of a thousand.
+    pub(crate) ack_lost: (Micros, u32),
     pub(crate) office: operators::Office,
     pub(crate) instances: Vec<Instance>,
     pub(crate) by_address: BTreeMap<SocketAddrV4, usize>,
@@ -248,6 +262,8 @@
     /// Until when clients press, and how much more; until when they don't wait.
     pub(crate) burst: (Micros, u32),
     pub(crate) eager: Micros,
+    /// Until when instances that leave serve on for longer.
+    pub(crate) linger: Micros,
     pub(crate) counts: Counts,
     pub(crate) trips: Vec<Trip>,
     pub(crate) requests: Vec<Request>,
@@ -283,6 +299,8 @@
             seeds: (0..scenario.prompters.min(3)).collect(),
             tasks: Vec::new(),
             next_try: 0,
+            calls: BTreeMap::new(),
+            ack_lost: (0, 0),
             office: operators::Office::default(),
             instances: Vec::new(),
             by_address: BTreeMap::new(),
@@ -290,6 +308,7 @@
             sick: vec![(0, 0, 0); scenario.site.services],
             burst: (0, 1),
             eager: 0,
+            linger: 0,
             counts: Counts::default(),
             trips: Vec::new(),
             requests: Vec::new(),
@@ -417,6 +436,9 @@
                 Event::Gone { instance } => self.gone(instance),
                 Event::Leave { instance } => self.drain(instance),
                 Event::Watch { rollout } => self.watch(rollout),
+                Event::Look { rollout } => self.look(rollout),
+                Event::Retire { at } => self.retire(at),
+                Event::Retired { at } => self.retired(at),
                 Event::Guest => self.guest(),
                 Event::Knock { at, request } => self.knock(at, request),
                 Event::Patience { request } => self.patience(request),
--- a/crates/rehearsal/src/world/net.rs
+++ b/crates/rehearsal/src/world/net.rs
@@ -38,6 +38,18 @@
         self.machines.iter().rposition(|machine| machine.place == place && !machine.gone)
     }
 
+    /// How long the narrow links of a machine take for so many bytes, with what waits before them.
+    fn carried(&mut self, at: usize, bytes: usize) -> Micros {
+        let (until, rate, free) = self.machines[at].narrow;
+        if self.now >= until {
+            return 0;
+        }
+        let takes = (bytes as u64 * 1_000_000 / rate.max(1)) as Micros;
+        let free = free.max(self.now) + takes;
+        self.machines[at].narrow.2 = free;
+        free - self.now
+    }
+
     /// A datagram.
     pub(crate) fn send(&mut self, from: usize, to: Place, word: &Letter) {
         let Some(to) = self.machine_at(to) else { return };
@@ -45,6 +57,7 @@
             return;
         }
         let Ok(bytes) = word.to_bytes() else { return };
+        let bytes = self.altered(from, bytes);
         let storm = self.now < self.storm.0;
         // Larger ones go by streams, which don't lose them.
         let lost = if storm { self.storm.1 } else { self.scenario.lost };
@@ -62,6 +75,7 @@
         if storm {
             delay += self.span(0, self.storm.2);
         }
+        delay += self.carried(from, bytes.len()) + self.carried(to, bytes.len());
         let from = self.machines[from].place;
         let bytes: Rc<[u8]> = bytes.into();
         if self.odds(2) {
--- a/crates/rehearsal/src/world/operators.rs
+++ b/crates/rehearsal/src/world/operators.rs
@@ -11,11 +11,13 @@
 use simd_json::OwnedValue;
 
 use super::instances::Bad;
+use super::machine::Process;
 use super::{Event, World};
+use crate::plant::Planted;
 use crate::seen::What;
 use crate::texts;
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Who {
     Task(usize),
     Instance(usize),
@@ -55,6 +57,7 @@
     Modify,
     Invalid(u32),
     Race,
+    Rivals(usize),
     /// Again and again until one is taken.
     Progress,
 }
@@ -80,6 +83,13 @@
     RolloutBack {
         rollout: usize,
     },
+    /// A roll-out's order once more, and a look at what came of that.
+    RolloutRepeat {
+        rollout: usize,
+    },
+    Look {
+        rollout: usize,
+    },
 }
 
 pub(crate) struct Task {
@@ -112,6 +122,7 @@
     service: usize,
     version: u32,
     old: u32,
+    period: Micros,
     acked: bool,
     ended: Option<bool>,
     refused: bool,
@@ -178,13 +189,61 @@
         if self.tasks[number].over || self.tasks[number].no != no {
             return;
         }
-        let at = self.listed_one();
+        let before = self.tasks[number].at;
+        let mut at = self.listed_one();
+        if self.now < self.ack_lost.0 && at == before && self.listed.len() > 1 {
+            // To other machines first.
+            let place = self.listed.iter().position(|one| *one == at).unwrap_or(0);
+            at = self.listed[(place + 1) % self.listed.len()];
+        }
         self.tasks[number].at = at;
         self.tasks[number].hops = 0;
         self.send_task(number);
     }
 
+    /// Whether an acknowledgement to an operator is lost on its way.
+    pub(crate) fn ack_is_lost(&mut self, caller: Caller, reply: &Reply) -> bool {
+        let (until, share) = self.ack_lost;
+        let Who::Task(number) = caller.who else { return false };
+        let order = matches!(self.tasks[number].purpose, Purpose::Order { .. } | Purpose::Rollout { .. });
+        let lost = self.now < until && order && matches!(reply, Reply::Status(200)) && self.odds(share);
+        if lost {
+            self.calls.remove(&(caller.who, caller.no));
+        }
+        lost
+    }
+
+    /// Whether a caller repeats a change since which two others have come into force here.
+    pub(crate) fn is_old(&self, at: usize, caller: Caller) -> bool {
+        let here = match &self.machines[at].process {
+            Some(Process::Prompter(process)) => process.control.house.script.version().0,
+            _ => 0,
+        };
+        let Who::Task(number) = caller.who else { return false };
+        let (Purpose::Order { order, .. } | Purpose::Repeat { order }) = self.tasks[number].purpose else {
+            return false;
+        };
+        let version = self.office.orders[order as usize].version;
+        let later = |one: &&Order| one.acked && one.version > version && one.version <= here;
+        self.office.orders.iter().filter(later).count() >= 2
+    }
+
+    /// A caller has an answer, or none within a second. What a machine or the way to it was in trouble for is not
+    /// told.
+    fn waited(&mut self, caller: Caller, reply: &Reply) {
+        let Some((at, run, since)) = self.calls.remove(&(caller.who, caller.no)) else { return };
+        let machine = &self.machines[at];
+        let well = machine.run == run && machine.frozen <= since && machine.slow.0 <= since && !machine.gone;
+        let (there, back) = (self.cuts[0][at + 1], self.cuts[at + 1][0]);
+        let way = there.max(back).max(self.storm.0) <= since;
+        if well && way && !matches!(reply, Reply::Closed) {
+            let took = self.now - since;
+            self.saw(What::Waited { machine: at, took });
+        }
+    }
+
     pub(crate) fn replied(&mut self, caller: Caller, reply: Reply) {
+        self.waited(caller, &reply);
         match caller.who {
             Who::Instance(instance) => self.instance_told(instance, caller.no, &reply),
             Who::Task(number) if self.tasks[number].no == caller.no && !self.tasks[number].over => {
@@ -269,6 +328,15 @@
                     self.saw(What::OrderDenied { service, version });
                 }
             }
+            Purpose::RolloutRepeat { rollout } => {
+                let Ordered { service, version, .. } = self.office.rollouts[rollout];
+                if status != 200 {
+                    self.saw(What::OrderDenied { service, version });
+                }
+                for after in [200 * MS, SECOND] {
+                    self.later(after, Event::Look { rollout });
+                }
+            }
             _ => {}
         }
     }
@@ -359,6 +427,32 @@
         self.task(call, Purpose::Repeat { order: order as u32 }, self.terms.ack);
     }
 
+    /// The same, of one that was acknowledged so many before the last.
+    pub(crate) fn send_old_again(&mut self, back: usize) {
+        let acked = (0..self.office.orders.len()).rev().filter(|order| self.office.orders[*order].acked);
+        let Some(order) = acked.take(back + 1).last() else { return };
+        let call = Call::Order(self.office.orders[order].command.clone());
+        self.task(call, Purpose::Repeat { order: order as u32 }, self.terms.ack);
+    }
+
+    /// A roll-out's order, so many before the last one that was acknowledged.
+    pub(crate) fn roll_out_again(&mut self, back: usize) {
+        let acked = (0..self.office.rollouts.len()).rev().filter(|one| self.office.rollouts[*one].acked);
+        let Some(rollout) = acked.take(back + 1).last() else { return };
+        let Ordered { service, version, period, .. } = self.office.rollouts[rollout];
+        if self.planted == Some(Planted::TrialAgain) {
+            self.plant_trial(service, version);
+        }
+        let (service, target) = (texts::service(service), format!("v{version}"));
+        let call = Call::Order(Command::Rollout { service, target, period });
+        self.task(call, Purpose::RolloutRepeat { rollout }, self.terms.ack);
+    }
+
+    pub(crate) fn look(&mut self, rollout: usize) {
+        let service = texts::service(self.office.rollouts[rollout].service);
+        self.task(Call::Rollout(service), Purpose::Look { rollout }, 2 * SECOND);
+    }
+
     /// A configuration was read, with leadership proved.
     fn read(&mut self, number: usize, bill: Option<Arc<Bill>>) {
         let Task { began: asked, purpose, .. } = self.tasks[number];
@@ -379,6 +473,11 @@
                 let bill = if self.odds(500) { bill.as_deref() } else { None };
                 self.change(version, bill, false);
             }
+            Purpose::Edit(Edit::Rivals(count)) => {
+                for _ in 0..count {
+                    self.change(version, None, false);
+                }
+            }
             Purpose::Edit(Edit::Invalid(kind)) => {
                 let next = self.version();
                 let text = texts::invalid(&self.scenario.site, kind, version, next, &mut self.chance);
@@ -424,6 +523,13 @@
         if !self.office.read_back {
             self.saw(What::Unread);
         }
+        for machine in self.core() {
+            let stands = match &self.machines[machine].process {
+                Some(Process::Prompter(process)) => process.control.house.script.version().0,
+                _ => continue,
+            };
+            self.saw(What::Stands { machine, version: stands });
+        }
     }
 
     pub(crate) fn calm(&mut self) {
@@ -452,6 +558,7 @@
             service,
             version,
             old,
+            period,
             acked: false,
             ended: None,
             refused: false,
@@ -473,13 +580,21 @@
 
     fn rollout_read(&mut self, number: usize, found: Option<(State, String)>) {
         let (rollout, last) = match self.tasks[number].purpose {
-            Purpose::Watch { rollout } => (rollout, false),
+            Purpose::Watch { rollout } | Purpose::Look { rollout } => (rollout, false),
             Purpose::RolloutBack { rollout } => (rollout, true),
             _ => return,
         };
+        let look = matches!(self.tasks[number].purpose, Purpose::Look { .. });
         let one = &mut self.office.rollouts[rollout];
         let (service, version, old) = (one.service, one.version, one.old);
         let ours = found.filter(|(_, target)| *target == format!("v{version}"));
+        let under_way = ours.as_ref().is_some_and(|(state, _)| *state == State::InProgress);
+        if under_way && one.ended.is_some() {
+            return self.saw(What::Retried { service, version });
+        }
+        if look {
+            return;
+        }
         let Some((state, _)) = ours else {
             if last {
                 self.saw(What::RolloutLost { service, version });
--- a/crates/rehearsal/src/world/troubles.rs
+++ b/crates/rehearsal/src/world/troubles.rs
@@ -6,12 +6,14 @@
 use super::machine::Process;
 use super::operators::Edit;
 use super::{Event, World, instances};
-use crate::scenario::{Harm, What as Do};
+use crate::scenario::{Harm, Way, What as Do};
 use crate::seen::What;
 
 /// A process that is told to end has gone so long before its grace is over, and takes clients for so long.
 const END_BEFORE: Micros = 700 * MS;
 const STILL_COMING: Micros = 2_600 * MS;
+/// A core machine that is told to end for good has gone after this.
+const RETIRES: Micros = 1_500 * MS;
 /// Callers learn so late which machines serve control.
 const SEED_LAG: Micros = 3 * SECOND;
 
@@ -130,6 +132,22 @@
             Do::Invalid { kind } => self.edit(Edit::Invalid(kind)),
             Do::Race => self.edit(Edit::Race),
             Do::Again => self.send_again(),
+            Do::AgainOld { back } => self.send_old_again(back),
+            Do::Rivals { count } => self.edit(Edit::Rivals(count)),
+            Do::RolloutAgain { back } => self.roll_out_again(back),
+            Do::AckLost { span, share } => self.ack_lost = (self.now + ms(span), share),
+            Do::CoreCut { machine, span, how } => self.apart(machine, how, self.now + ms(span)),
+            Do::Island { core, foyer, span } => {
+                let foyer = self.scenario.prompters + foyer % self.scenario.foyers;
+                self.split(|_, one| one == core || one == foyer, self.now + ms(span));
+            }
+            Do::Planned { machine, after } => self.replace_in_order(machine, ms(after)),
+            Do::Linger { span } => self.linger = self.now + ms(span),
+            Do::Narrow { machine, span, kbit } => {
+                self.machines[machine].narrow = (self.now + ms(span), kbit * 125, 0);
+                self.saw(What::Links { until: self.now + ms(span) });
+                self.harmed(machine, self.now + ms(span));
+            }
             Do::Rollout { service, bad, period } => {
                 self.roll_out(service % self.scenario.site.services, bad, ms(period));
             }
@@ -259,6 +277,57 @@
         self.note(machine, format!("{how} for {span} ms"));
     }
 
+    /// A core machine is cut off from the others of the core; foyers, instances and operators reach it.
+    fn apart(&mut self, at: usize, how: Way, until: Micros) {
+        for other in self.core() {
+            if other == at {
+                continue;
+            }
+            if how != Way::Out {
+                self.cut(Some(other), Some(at), until);
+            }
+            if how != Way::In {
+                self.cut(Some(at), Some(other), until);
+            }
+        }
+        self.saw(What::Links { until });
+        self.impaired(at, until);
+        self.note(at, format!("cut off from the core ({how:?}) for {} ms", (until - self.now) / MS));
+    }
+
+    /// Another core machine comes, and then this one is told to end.
+    fn replace_in_order(&mut self, at: usize, after: Micros) {
+        if self.machines[at].gone || self.machines[at].part != Part::Prompter {
+            return;
+        }
+        let zone = self.machines[at].zone;
+        let new = self.add_machine(true, zone);
+        self.saw(What::Impaired { machine: new, until: self.now + self.terms.catch_up });
+        self.saw(What::Harmed { machine: new, until: self.now });
+        self.later(0, Event::Start { at: new, alone: false });
+        let swap = |list: &[usize]| list.iter().map(|one| if *one == at { new } else { *one }).collect();
+        let listed: Vec<usize> = swap(&self.listed);
+        self.seeds = swap(&self.seeds);
+        self.later(SEED_LAG, Event::List { core: listed });
+        self.later(after, Event::Retire { at });
+    }
+
+    pub(crate) fn retire(&mut self, at: usize) {
+        if !self.well(at) {
+            return self.retired(at);
+        }
+        self.note(at, "is told to end for good");
+        self.saw(What::Planned { machine: at, until: self.now + RETIRES });
+        self.settles(at);
+        self.prompter_step(at, playhouse::control::In::Leave);
+        self.later(RETIRES, Event::Retired { at });
+    }
+
+    pub(crate) fn retired(&mut self, at: usize) {
+        self.down(at, false, false, None);
+        self.machines[at].gone = true;
+    }
+
     /// Not a trouble of the core, as the rules have it: only the machine itself is not in touch.
     fn disk_trouble(&mut self, at: usize, until: Micros, hung: bool) {
         let one = &mut self.machines[at];
@@ -294,6 +363,7 @@
             Harm::Deaf => self.silenced(at, true, false, until),
             Harm::DiskFull => self.disk_trouble(at, until, false),
             Harm::DiskHung => self.disk_trouble(at, until, true),
+            Harm::Apart => self.apart(at, Way::Both, until),
         }
     }
 
