--- a/crates/rehearsal/src/exhaust/starts.rs
+++ b/crates/rehearsal/src/exhaust/starts.rs
@@ -1,6 +1,6 @@
 //! States that explorations begin in, each played to from the first start of all by steps of the same kinds.
 
-use promptbook::Word;
+use promptbook::{Entry, What, Word};
 use props::Index;
 
 use super::stage::{Bounds, Planted, Stage, Step};
@@ -21,12 +21,22 @@
     Rivals,
     /// As `Led`, and the leader has kept its state and started again, so that its log begins there.
     Cut,
+    /// Machine 0 was cut off while it led, and leads in its own view; the last one leads, and has acknowledged a
+    /// change since. Nothing that either said to the other has arrived.
+    Apart,
+    /// Machine 1 lost its disk, and its new seat has been let in: the repair is committed, and not all know it yet.
+    Repaired,
+    /// As `Cut`, with a state of two pieces, of which the first has just come to the last machine.
+    Sending,
 }
 
 impl Start {
     pub const ALL: [Start; 7] =
         [Start::Cold, Start::Led, Start::Open, Start::Members, Start::Deposed, Start::Rivals, Start::Cut];
 
+    /// Those of control's worst days: a cut with a read, a change of members with a loss, a snapshot under way.
+    pub const WORST: [Start; 3] = [Start::Apart, Start::Repaired, Start::Sending];
+
     pub fn name(self) -> &'static str {
         match self {
             Start::Cold => "cold",
@@ -36,6 +46,9 @@
             Start::Deposed => "deposed",
             Start::Rivals => "rivals",
             Start::Cut => "cut",
+            Start::Apart => "apart",
+            Start::Repaired => "repaired",
+            Start::Sending => "sending",
         }
     }
 
@@ -105,6 +118,51 @@
                 }
                 stage.lose_all_but(|word| matches!(word, Word::Stand { .. }));
             }
+            Start::Apart => {
+                led(&mut stage, &[]);
+                depose(&mut stage, last, &[0]);
+                stage.run(Step::Propose { at: last as u8 });
+                stage.settle(&[0]);
+                assert!(stage.machines[0].book.leads() && stage.machines[last].book.leads());
+            }
+            Start::Repaired => {
+                led(&mut stage, &[]);
+                stage.run(Step::Wipe { at: 1 });
+                stage.settle(&[]);
+                stage.run(Step::Timer { at: 1 });
+                // The old seat is dismissed, and the new one let in, each by an entry of its own.
+                let repaired = |stage: &Stage| {
+                    let (book, seat) = (&stage.machines[0].book, stage.machines[1].seat);
+                    let members = book.members().0.contains(&seat) && book.members().0.len() == machines;
+                    members && book.entry(book.committed()).is_some_and(is_members) && book.leads()
+                };
+                for _ in 0..80 {
+                    stage.settle_until(&[], repaired);
+                    if repaired(&stage) {
+                        break;
+                    }
+                    stage.run(Step::Timer { at: 0 });
+                }
+                assert!(repaired(&stage), "{}", stage.view());
+            }
+            Start::Sending => {
+                stage.large = true;
+                led(&mut stage, &[last]);
+                stage.run(Step::Keep { at: 0 });
+                stage.settle(&[last]);
+                stage.run(Step::Restart { at: 0, landed: false });
+                depose(&mut stage, 0, &[last]);
+                let first = |word: &Word| matches!(word, Word::Piece { at: 0, .. });
+                for _ in 0..10 {
+                    stage.settle_until(&[], |stage| stage.slot(0, last, first).is_some());
+                    if stage.slot(0, last, first).is_some() {
+                        break;
+                    }
+                    stage.run(Step::Timer { at: 0 });
+                }
+                let piece = stage.slot(0, last, first);
+                stage.run(piece.expect("the first piece is sent"));
+            }
             Start::Cut => {
                 led(&mut stage, &[last]);
                 stage.run(Step::Keep { at: 0 });
@@ -119,6 +177,10 @@
     }
 }
 
+fn is_members(entry: &Entry) -> bool {
+    matches!(entry.what, What::Members(_))
+}
+
 fn sync(stage: &mut Stage, at: usize) {
     stage.run(Step::Synced { at: at as u8 });
 }
--- a/crates/rehearsal/src/plant.rs
+++ b/crates/rehearsal/src/plant.rs
@@ -169,7 +169,7 @@
     /// The worst moment at which it shows most, where it is rare on drawn days.
     fn moment(self) -> Option<u64> {
         match self {
-            Planted::AckBeforeSync | Planted::OldSeat => Some(0),
+            Planted::AckBeforeSync => Some(0),
             Planted::NoCap => Some(3),
             Planted::WholeBudget => Some(8),
             Planted::ForgottenVote => Some(11),
@@ -192,6 +192,7 @@
             Planted::OldSnapshot | Planted::MixedPieces => Some(7),
             Planted::FirstMembers | Planted::LostTail => Some(8),
             Planted::LateAnswer | Planted::TransportRetry | Planted::EarlierLife => Some(9),
+            Planted::OldSeat => Some(13),
             _ => None,
         }
     }
--- a/crates/rehearsal/tests/exhaust.rs
+++ b/crates/rehearsal/tests/exhaust.rs
@@ -33,6 +33,20 @@
     assert_eq!(leaves, [27033, 24629, 72036, 173148, 59901, 51372, 23570]);
 }
 
+/// A cut with reads on both sides, a loss right after a repair, a snapshot under way with restarts and a newer one.
+#[test]
+fn orders_of_the_worst_days_break_nothing() {
+    let kinds = [(Start::Apart, "reads", 6), (Start::Repaired, "losses", 5), (Start::Sending, "states", 5)];
+    let states = kinds.map(|(start, bounds, steps)| explored(start, bounds, steps).states);
+    assert_eq!(states, [30069, 26273, 27283]);
+    // The first with a fault planted is not as harmless.
+    let (_, bounds) = Bounds::ALL.into_iter().find(|(name, _)| *name == "reads").expect("named bounds");
+    let planted = Some(Planted::ReadUnproved);
+    let plan = Plan { start: Start::Apart, machines: 3, steps: 6, bounds, planted, states: 1_000_000 };
+    let found = explore(&plan, |_| true).found.expect("a read without proof is found");
+    assert_eq!((found.broken.rule, found.steps.len()), (Rule::OldRead, 1));
+}
+
 #[test]
 fn each_planted_fault_is_found_by_a_shortest_path() {
     let found = Planted::ALL.map(|planted| {
