--- /dev/null
+++ b/crates/extras/src/kind.rs
@@ -0,0 +1,124 @@
+//! Kinds (of words and of work): what is counted apart.
+
+use playhouse::house::Word;
+
+/// Every kind, by its number: words as `room.variant`, then work that no word brings.
+pub const NAMES: [&str; 45] = [
+    "company.join",
+    "company.news",
+    "company.probe",
+    "company.answer",
+    "company.ask_for",
+    "company.vouch",
+    "company.doubt",
+    "company.who",
+    "company.compare",
+    "board.pieces",
+    "board.have",
+    "board.want",
+    "board.whole",
+    "cast.news",
+    "cast.leaving",
+    "cast.heard",
+    "cast.digest",
+    "cast.nothing",
+    "cast.keys",
+    "cast.want",
+    "cast.give",
+    "book.knock",
+    "book.leader",
+    "book.may_stand",
+    "book.may_stood",
+    "book.stand",
+    "book.stood",
+    "book.append",
+    "book.beat",
+    "book.appended",
+    "book.gap",
+    "book.piece",
+    "book.taken",
+    "book.late",
+    "book.go",
+    "vote",
+    "intent",
+    "not_let_in",
+    "work.tick",
+    "work.beat",
+    "work.order",
+    "work.written",
+    "work.start",
+    "work.request",
+    "work.answer",
+];
+
+pub const TICK: usize = 38;
+pub const BEAT: usize = 39;
+pub const ORDER: usize = 40;
+pub const WRITTEN: usize = 41;
+pub const START: usize = 42;
+pub const REQUEST: usize = 43;
+pub const ANSWER: usize = 44;
+
+/// The kind of a word.
+pub fn of(word: &Word) -> usize {
+    match word {
+        Word::Company(message) => match message.talk {
+            company::Talk::Join => 0,
+            company::Talk::News => 1,
+            company::Talk::Probe { .. } => 2,
+            company::Talk::Answer { .. } => 3,
+            company::Talk::AskFor { .. } => 4,
+            company::Talk::Vouch { .. } => 5,
+            company::Talk::Doubt { .. } => 6,
+            company::Talk::Who => 7,
+            company::Talk::Compare { .. } => 8,
+        },
+        Word::Board(message) => match message {
+            callboard::Message::Pieces { .. } => 9,
+            callboard::Message::Have { .. } => 10,
+            callboard::Message::Want { .. } => 11,
+            callboard::Message::Whole { .. } => 12,
+        },
+        Word::Cast(message) => match message {
+            cast::Message::News { .. } => 13,
+            cast::Message::Leaving { .. } => 14,
+            cast::Message::Heard { .. } => 15,
+            cast::Message::Digest { .. } => 16,
+            cast::Message::Nothing => 17,
+            cast::Message::Keys { .. } => 18,
+            cast::Message::Want { .. } => 19,
+            cast::Message::Give { .. } => 20,
+        },
+        Word::Book { message, .. } => of_book(message),
+        Word::Vote(_) => 35,
+        Word::Intent(_) => 36,
+        Word::NotLetIn { .. } => 37,
+    }
+}
+
+fn of_book(message: &promptbook::Message) -> usize {
+    use promptbook::{Message, Word};
+    match message {
+        Message::Knock => 21,
+        Message::Leader { .. } => 22,
+        Message::Said { word, .. } => match word {
+            Word::MayStand { .. } => 23,
+            Word::MayStood { .. } => 24,
+            Word::Stand { .. } => 25,
+            Word::Stood { .. } => 26,
+            Word::Append { .. } => 27,
+            Word::Beat { .. } => 28,
+            Word::Appended { .. } => 29,
+            Word::Gap { .. } => 30,
+            Word::Piece { .. } => 31,
+            Word::Taken { .. } => 32,
+            Word::Late => 33,
+            Word::Go { .. } => 34,
+        },
+    }
+}
+
+/// The room that a kind belongs to: what stands before the dot.
+pub fn room(kind: usize) -> &'static str {
+    NAMES[kind].split('.').next().unwrap_or("")
+}
--- /dev/null
+++ b/crates/extras/src/path.rs
@@ -0,0 +1,207 @@
+//! Path (of one request): a real foyer and prompter as processes on loopback, a stand-in instance, and one client
+//! that asks straight and through in turn, in one run. Tells the time added and the processor time of a request.
+
+use std::path::{Path, PathBuf};
+use std::time::{Duration, Instant};
+
+use company::Part;
+use hdrhistogram::Histogram;
+use hyper::Method;
+use playhouse::demo::client::{Ask, Line, Platform};
+use playhouse::demo::instance::{Instance, Plan, Record};
+use playhouse::demo::operator::Operator;
+use playhouse::demo::stage::{self, Stage};
+use playhouse::demo::until;
+
+use crate::text;
+
+pub type Error = Box<dyn std::error::Error>;
+
+/// Requests open at once while the foyer is pressed.
+const PRESSED: usize = 16;
+const SERVICE: usize = 0;
+/// A tick of the kernel's accounts of processes.
+const TICK: f64 = 0.01;
+
+/// What was found.
+#[derive(Debug)]
+pub struct Found {
+    /// Microseconds of whole exchanges, straight to the instance and through the foyer, in turn.
+    pub straight: Histogram<u64>,
+    pub through: Histogram<u64>,
+    pub failed: usize,
+    /// Processor time that a request takes at the foyer, and that the foyer takes without any, a second.
+    pub request_cpu: Duration,
+    pub idle_share: f64,
+    /// Of the foyer's process.
+    pub resident_mb: f64,
+    pub peak_mb: f64,
+}
+
+impl Found {
+    pub fn added_ms(&self, quantile: f64) -> f64 {
+        let at = |of: &Histogram<u64>| of.value_at_quantile(quantile) as f64 / 1e3;
+        at(&self.through) - at(&self.straight)
+    }
+
+    /// Requests a second that a share of a core bears: an estimate from the processor time of one.
+    pub fn borne(&self, share: f64) -> f64 {
+        (share - self.idle_share).max(0.0) / self.request_cpu.as_secs_f64().max(1e-9)
+    }
+}
+
+/// The system's program beside this one, or beside the folder of tests.
+pub fn program() -> Option<PathBuf> {
+    let own = std::env::current_exe().ok()?;
+    let named = |dir: &Path| dir.join("playhouse");
+    let near = own.ancestors().skip(1).take(2).map(named).find(|path| path.is_file());
+    near.or_else(|| {
+        let target = own.ancestors().find(|dir| dir.ends_with("target"))?;
+        Some(target.join("release/playhouse")).filter(|path| path.is_file())
+    })
+}
+
+fn cpu(pid: u32) -> Option<f64> {
+    let text = std::fs::read_to_string(format!("/proc/{pid}/stat")).ok()?;
+    let mut fields = text.rsplit(')').next()?.split_whitespace().skip(11);
+    let user: f64 = fields.next()?.parse().ok()?;
+    let system: f64 = fields.next()?.parse().ok()?;
+    Some((user + system) * TICK)
+}
+
+fn memory(pid: u32, key: &str) -> Option<f64> {
+    let text = std::fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
+    let line = text.lines().find(|line| line.starts_with(key))?;
+    line.split_whitespace().nth(1)?.parse::<f64>().ok().map(|kb| kb / 1e3)
+}
+
+fn ask(route: usize, number: u64, target: &str) -> Ask {
+    let ask = Ask::new(Method::GET, &text::path(route))
+        .with("Host", text::HOST)
+        .with("Attempt-Id", format!("{number:016x}"))
+        .with("Remaining-Time", "1500");
+    if target.is_empty() { ask } else { ask.with("Target-Instance", target) }
+}
+
+/// Measures at `rate` requests a second each way for `span`, before a configuration of so many routes.
+pub fn measure(
+    program: PathBuf, routes: usize, rate: f64, span: Duration, seed: u64,
+) -> Result<Found, Error> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    runtime.block_on(measured(program, routes, rate, span, seed))
+}
+
+async fn measured(
+    program: PathBuf, routes: usize, rate: f64, span: Duration, seed: u64,
+) -> Result<Found, Error> {
+    let plan = stage::Plan { program, prompters: 1, foyers: 1, folder: None, log: "warn".to_owned() };
+    let mut stage = Stage::set(plan)?;
+    stage.start_all()?;
+    let foyer = stage.nodes(Part::Foyer)[0];
+    let pid = stage.pid(foyer).ok_or("the foyer does not run")?;
+    let operator = Operator::new(stage.controls());
+    until("a leader", || operator.leader()).await?;
+    let whole = String::from_utf8(text::whole(1, routes, 1, 0, None))?;
+    let answer = operator.replace(0, 0, &whole).await?;
+    if !answer.status.is_success() {
+        return Err(format!("the configuration was answered {}", answer.status).into());
+    }
+    let mut plan = Plan::new("i-path", &text::service(SERVICE), "v1");
+    (plan.slots, plan.queue, plan.work) = (64, 64, Duration::ZERO);
+    let address = stage.instance_address().ok_or("no address for an instance")?;
+    let address = std::net::SocketAddrV4::new(address, 8080);
+    let instance = Instance::start(plan, address, stage.controls(), Record::default()).await?;
+    let platform = Platform::new(vec![(stage.frontend(foyer), stage.readiness(foyer))]);
+    until("a foyer that is ready", || async {
+        platform.probe().await;
+        (platform.ready() == 1).then_some(())
+    })
+    .await?;
+    let mut found = Found {
+        straight: Histogram::new(3)?,
+        through: Histogram::new(3)?,
+        failed: 0,
+        request_cpu: Duration::ZERO,
+        idle_share: 0.0,
+        resident_mb: 0.0,
+        peak_mb: 0.0,
+    };
+    let ends = (instance.address(), stage.frontend(foyer));
+    in_turn(&mut found, ends, instance.id(), routes, rate, span, seed).await?;
+    let began = (Instant::now(), cpu(pid).ok_or("no account of the foyer")?);
+    tokio::time::sleep(span / 4).await;
+    found.idle_share = (cpu(pid).unwrap_or(0.0) - began.1) / began.0.elapsed().as_secs_f64();
+    let served = pressed(pid, ends.1, routes, span / 4).await?;
+    found.request_cpu = served;
+    found.resident_mb = memory(pid, "VmRSS").unwrap_or(0.0);
+    found.peak_mb = memory(pid, "VmHWM").unwrap_or(0.0);
+    Ok(found)
+}
+
+/// Each way in turn, one request at a time, spaced as `rate` has it.
+async fn in_turn(
+    found: &mut Found, ends: (std::net::SocketAddrV4, std::net::SocketAddrV4), id: &str, routes: usize,
+    rate: f64, span: Duration, seed: u64,
+) -> Result<(), Error> {
+    let mut chance = oorandom::Rand64::new(u128::from(seed));
+    let (mut straight, mut through) = (Line::open(ends.0).await?, Line::open(ends.1).await?);
+    let mut ticks = tokio::time::interval(Duration::from_secs_f64(1.0 / rate.clamp(1.0, 5_000.0)));
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let began = Instant::now();
+    for number in 0u64.. {
+        if began.elapsed() > span {
+            break;
+        }
+        ticks.tick().await;
+        let route = chance.rand_range(0..routes as u64) as usize;
+        let at = Instant::now();
+        let good = straight.ask(&ask(route, number * 2, id)).await.is_ok_and(|one| one.status.is_success());
+        let took = at.elapsed().as_micros() as u64;
+        let at = Instant::now();
+        let answer = through.ask(&ask(route, number * 2 + 1, "")).await;
+        let passed = at.elapsed().as_micros() as u64;
+        let good = good && answer.is_ok_and(|one| one.status.is_success());
+        // The first few open connections and warm the code up.
+        if !good {
+            found.failed += 1;
+            (straight, through) = (Line::open(ends.0).await?, Line::open(ends.1).await?);
+        } else if number >= 20 {
+            found.straight.record(took.max(1))?;
+            found.through.record(passed.max(1))?;
+        }
+    }
+    Ok(())
+}
+
+/// As many as it bears from `PRESSED` clients: the foyer's processor time for one.
+async fn pressed(
+    pid: u32, to: std::net::SocketAddrV4, routes: usize, span: Duration,
+) -> Result<Duration, Error> {
+    let before = cpu(pid).ok_or("no account of the foyer")?;
+    let began = Instant::now();
+    let mut clients = tokio::task::JoinSet::new();
+    for client in 0..PRESSED {
+        clients.spawn(async move {
+            let mut served = 0u64;
+            let Ok(mut line) = Line::open(to).await else { return served };
+            while began.elapsed() < span {
+                let number = (client as u64 + 1) << 32 | served;
+                match line.ask(&ask((served as usize * 7 + client) % routes, number, "")).await {
+                    Ok(answer) if answer.status.is_success() => served += 1,
+                    Ok(_) => {}
+                    Err(_) => break,
+                }
+            }
+            served
+        });
+    }
+    let mut served = 0;
+    while let Some(one) = clients.join_next().await {
+        served += one?;
+    }
+    let spent = cpu(pid).ok_or("no account of the foyer")? - before;
+    if served == 0 {
+        return Err("nothing was served while the foyer was pressed".into());
+    }
+    Ok(Duration::from_secs_f64((spent / served as f64).max(0.0)))
+}
--- /dev/null
+++ b/crates/extras/src/world/node.rs
@@ -0,0 +1,247 @@
+//! Node (one machine's process): a real `Control` or `Floor`, its disk, and what it has spent.
+
+use std::rc::Rc;
+
+use company::{Member, Part};
+use garnetdoor::host::{Ending, TicketId, TripNo};
+use playhouse::control::{self, Control, Told};
+use playhouse::floor::{self, Floor};
+use playhouse::house::{House, Letter};
+use playhouse::settings::{Settings, micros};
+use promptbook::{Members, Saved, Write, WriteNo};
+use props::{Ask, Life, Micros, Place, Seat};
+use script::Command;
+
+use super::report::Spent;
+use crate::kind;
+
+/// Prompters that vote from the first start on.
+const FIRST_VOTERS: usize = 3;
+
+pub(super) enum Process {
+    Prompter(Box<Control>),
+    Gateway(Box<Floor>),
+}
+
+/// What a node asks of the world; words as they go over the wire.
+pub(super) enum Did {
+    Send { to: Place, kind: usize, bytes: Vec<u8> },
+    Write(Box<Write>),
+    Tell { ask: Ask, told: Told },
+    Trip { ticket: TicketId, trip: TripNo },
+    Final { ticket: TicketId },
+}
+
+impl Did {
+    /// Bytes of heap that leave the node with it.
+    pub fn heap(&self) -> usize {
+        match self {
+            Did::Send { bytes, .. } => bytes.capacity(),
+            Did::Write(write) => {
+                let entries = write.entries.iter().map(|entry| match &entry.what {
+                    promptbook::What::Command(data) => data.capacity(),
+                    _ => 0,
+                });
+                let state = write.snapshot.as_ref().map_or(0, |snapshot| snapshot.data.capacity());
+                entries.sum::<usize>() + state + std::mem::size_of::<Write>()
+            }
+            Did::Tell { .. } | Did::Trip { .. } | Did::Final { .. } => 0,
+        }
+    }
+}
+
+pub(super) struct Node {
+    pub place: Place,
+    pub zone: usize,
+    prompter: bool,
+    process: Option<Process>,
+    /// Numbers the processes here.
+    pub run: u64,
+    pub born: Micros,
+    pub tick_at: Micros,
+    disk: Saved,
+    started: bool,
+    /// Bytes of heap held, and at most since the phase began.
+    pub held: i64,
+    pub peak: i64,
+    pub spent: Spent,
+    pub next_ticket: u64,
+}
+
+impl Node {
+    pub fn new(place: Place, zone: usize, prompter: bool) -> Node {
+        Node {
+            place,
+            zone,
+            prompter,
+            process: None,
+            run: 0,
+            born: 0,
+            tick_at: Micros::MAX,
+            disk: Saved::default(),
+            started: false,
+            held: 0,
+            peak: 0,
+            spent: Spent::default(),
+            next_ticket: 0,
+        }
+    }
+
+    pub fn runs(&self) -> bool {
+        self.process.is_some()
+    }
+
+    pub fn leads(&self) -> bool {
+        matches!(&self.process, Some(Process::Prompter(control)) if control.book().leads())
+    }
+
+    pub fn house(&self) -> Option<&House> {
+        match &self.process {
+            Some(Process::Prompter(control)) => Some(&control.house),
+            Some(Process::Gateway(floor)) => Some(&floor.house),
+            None => None,
+        }
+    }
+
+    pub fn floor(&self) -> Option<&Floor> {
+        match &self.process {
+            Some(Process::Gateway(floor)) => Some(floor),
+            _ => None,
+        }
+    }
+
+    pub fn begin(&mut self, now: Micros) {
+        self.run += 1;
+        self.born = now;
+        self.tick_at = Micros::MAX;
+    }
+
+    pub fn end(&mut self) {
+        self.run += 1;
+        self.tick_at = Micros::MAX;
+        self.process = None;
+        self.held = 0;
+    }
+
+    pub fn due(&self) -> Micros {
+        match &self.process {
+            Some(Process::Prompter(control)) => control.due(),
+            Some(Process::Gateway(floor)) => floor.due(),
+            None => Micros::MAX,
+        }
+    }
+
+    pub fn start(
+        &mut self, at: usize, seeds: &[Place], settings: Rc<Settings>, seed: u64, life: u64,
+    ) -> Vec<Did> {
+        let part = if self.prompter { Part::Prompter } else { Part::Foyer };
+        let member = Member {
+            place: self.place,
+            life: Life(life),
+            part,
+            zone: format!("zone-{}", self.zone),
+            name: format!("{}-{at:04}", if self.prompter { "prompter" } else { "gateway" }),
+            edition: props::Edition::OWN,
+        };
+        let beat = micros(settings.heartbeat_s);
+        let house = House::start(member, seeds.to_vec(), beat, seed, 0);
+        if !self.prompter {
+            self.process = Some(Process::Gateway(Box::new(Floor::start(house, settings, seed ^ 3, 0))));
+            // The first words lie in the house until the first step.
+            return self.tick(0);
+        }
+        let first = !std::mem::replace(&mut self.started, true) && at < FIRST_VOTERS;
+        let seat = Seat { place: self.place, life: if at < FIRST_VOTERS { Life(0) } else { Life(life | 1) } };
+        let voters = seeds.iter().map(|place| Seat { place: *place, life: Life(0) }).collect();
+        let members = first.then_some(Members(voters));
+        let (control, out) = Control::start(house, seat, members, self.disk.clone(), seed ^ 3, 0);
+        self.process = Some(Process::Prompter(Box::new(control)));
+        out.into_iter().filter_map(of_control).collect()
+    }
+
+    fn control(&mut self, now: Micros, event: control::In) -> Vec<Did> {
+        match &mut self.process {
+            Some(Process::Prompter(control)) => {
+                control.step(now, event).into_iter().filter_map(of_control).collect()
+            }
+            _ => Vec::new(),
+        }
+    }
+
+    fn gateway(&mut self, now: Micros, event: floor::In<'_>) -> Vec<Did> {
+        match &mut self.process {
+            Some(Process::Gateway(floor)) => {
+                floor.step(now, event).into_iter().filter_map(of_floor).collect()
+            }
+            _ => Vec::new(),
+        }
+    }
+
+    pub fn tick(&mut self, now: Micros) -> Vec<Did> {
+        if self.prompter { self.control(now, control::In::Tick) } else { self.gateway(now, floor::In::Tick) }
+    }
+
+    pub fn mail(&mut self, now: Micros, from: Place, bytes: &[u8]) -> Vec<Did> {
+        if self.prompter {
+            self.control(now, control::In::Mail { from, bytes: bytes.to_vec() })
+        } else {
+            self.gateway(now, floor::In::Mail { from, bytes })
+        }
+    }
+
+    pub fn beat(&mut self, now: Micros, ask: Ask, beat: cast::Beat) -> Vec<Did> {
+        self.control(now, control::In::Beat { ask, beat })
+    }
+
+    pub fn order(&mut self, now: Micros, ask: Ask, command: Command) -> Vec<Did> {
+        self.control(now, control::In::Order { ask, command })
+    }
+
+    pub fn written(&mut self, now: Micros, no: WriteNo) -> Vec<Did> {
+        self.control(now, control::In::Written { no, ok: true })
+    }
+
+    pub fn came(&mut self, now: Micros, ticket: TicketId, service: &str, route: &str) -> Vec<Did> {
+        let kind = bill::Kind::Safe;
+        let left = 1_500_000;
+        self.gateway(now, floor::In::Came { ticket, service, route, kind, left })
+    }
+
+    pub fn ended(&mut self, now: Micros, ticket: TicketId, trip: TripNo, ending: Ending) -> Vec<Did> {
+        let took = 30_000;
+        self.gateway(now, floor::In::Ended { ticket, trip, took, ending, over: true })
+    }
+
+    pub fn left(&mut self, now: Micros, ticket: TicketId) -> Vec<Did> {
+        self.gateway(now, floor::In::Left { ticket })
+    }
+
+    pub fn land(&mut self, write: Write) {
+        self.disk.land(write);
+    }
+}
+
+fn sent(to: Place, word: &Letter) -> Option<Did> {
+    // Plain types into a growing vector: nothing is lost here that a socket would carry.
+    let bytes = word.to_bytes().ok()?;
+    Some(Did::Send { to, kind: kind::of(word), bytes })
+}
+
+fn of_control(out: control::Out) -> Option<Did> {
+    match out {
+        control::Out::Send { to, word } => sent(to, &word),
+        control::Out::Write(write) => Some(Did::Write(Box::new(write))),
+        // A file of its own, outside what is counted here.
+        control::Out::Remember(_) => None,
+        control::Out::Tell { ask, told } => Some(Did::Tell { ask, told }),
+    }
+}
+
+fn of_floor(out: floor::Out) -> Option<Did> {
+    match out {
+        floor::Out::Send { to, word } => sent(to, &word),
+        floor::Out::Trip { ticket, trip, .. } => Some(Did::Trip { ticket, trip }),
+        floor::Out::TurnBack { ticket, .. } | floor::Out::Forfeit { ticket } => Some(Did::Final { ticket }),
+        floor::Out::Stop { .. } => None,
+    }
+}
