--- a/crates/extras/src/fit.rs
+++ b/crates/extras/src/fit.rs
@@ -129,7 +129,11 @@
         .map(|row| (At::of(row), (cost.of)(row)))
         .filter(|(_, value)| *value > 0.0)
         .collect();
-    let terms = cost.terms;
+    solve(&points, cost.terms)
+}
+
+/// As `fit`, of points alone.
+pub fn solve(points: &[(At, f64)], terms: &[Term]) -> Option<Fit> {
     if points.len() < terms.len() {
         return None;
     }
@@ -161,8 +165,13 @@
     both(row) * row.seconds / 1e3
 }
 
-fn cpu_ms(row: &PhaseRow) -> f64 {
-    row.core_share * row.seconds * 1e3
+/// Processor time of a phase, in readings of a configuration of 100 routes.
+fn yards(row: &PhaseRow) -> f64 {
+    row.core_share * row.seconds * 1e6 / row.yard_us
+}
+
+fn yards_s(row: &PhaseRow) -> f64 {
+    row.core_share * 1e6 / row.yard_us
 }
 
 /// The costs that the page tells.
@@ -188,15 +197,7 @@
     }
     [
         cost!("gateway_bytes_s", "B/s", Steady, Gateway, both, &[One, Gateways, Instances], Some(7_000.0)),
-        cost!(
-            "gateway_core_share",
-            "",
-            Steady,
-            Gateway,
-            |row| row.core_share,
-            &[One, Gateways, Instances],
-            Some(0.017)
-        ),
+        cost!("gateway_yards_s", "", Steady, Gateway, yards_s, &[One, Gateways, Instances], None),
         cost!(
             "gateway_mb",
             "MB",
@@ -207,20 +208,20 @@
             Some(128.0)
         ),
         cost!(
-            "leader_core_share",
+            "leader_yards_s",
             "",
             Steady,
             Leader,
-            |row| row.core_share,
+            yards_s,
             &[One, GatewaysEach, InstancesEach, Instances],
             None
         ),
         cost!(
-            "follower_core_share",
+            "follower_yards_s",
             "",
             Steady,
             Follower,
-            |row| row.core_share,
+            yards_s,
             &[One, GatewaysEach, InstancesEach, Instances],
             None
         ),
@@ -246,11 +247,11 @@
             None
         ),
         cost!(
-            "gateway_start_cpu_ms",
-            "ms",
+            "gateway_start_yards",
+            "yards",
             Start,
             Gateway,
-            cpu_ms,
+            yards,
             &[One, Gateways, InstancesServices, Instances, Routes, RoutesServices],
             None
         ),
@@ -264,11 +265,11 @@
             None
         ),
         cost!(
-            "leader_start_cpu_ms",
-            "ms",
+            "leader_start_yards",
+            "yards",
             Start,
             Leader,
-            cpu_ms,
+            yards,
             &[One, Gateways, Instances, GatewaysInstancesEach, Routes],
             None
         ),
@@ -282,11 +283,11 @@
             None
         ),
         cost!(
-            "gateway_replace_cpu_ms",
-            "ms",
+            "gateway_replace_yards",
+            "yards",
             Replace,
             Gateway,
-            cpu_ms,
+            yards,
             &[One, Gateways, Routes, InstancesServices, RoutesServices],
             None
         ),
@@ -301,11 +302,11 @@
         ),
         cost!("gateway_modify_kb", "kB", Modify, Gateway, total_kb, &[One, Gateways], None),
         cost!(
-            "gateway_modify_cpu_ms",
-            "ms",
+            "gateway_modify_yards",
+            "yards",
             Modify,
             Gateway,
-            cpu_ms,
+            yards,
             &[One, Gateways, Routes, InstancesServices, RoutesServices],
             None
         ),
--- a/crates/extras/src/main.rs
+++ b/crates/extras/src/main.rs
@@ -5,11 +5,14 @@
 use std::time::Duration;
 
 use clap::{Parser, Subcommand};
+use extras::change::{self, Plan};
 use extras::fit::{self, At, COSTS};
 use extras::path;
 use extras::size::Size;
 use extras::sweep::{self, AXES, Found, SweepError};
+use extras::table;
 use extras::tally::Phase;
+use extras::text;
 use extras::world::PhaseRow;
 use indicatif::{ProgressBar, ProgressStyle};
 use props::Micros;
@@ -56,6 +59,45 @@
         #[arg(long)]
         program: Option<PathBuf>,
     },
+    /// One change as long as a whole configuration, by the callboards of all nodes alone.
+    Change {
+        #[arg(long, default_value_t = 880)]
+        gateways: usize,
+        #[arg(long, default_value_t = 4)]
+        prompters: usize,
+        #[arg(long, default_value_t = 9_800)]
+        routes: usize,
+        #[arg(long, default_value_t = 260)]
+        services: usize,
+        #[arg(long, default_value_t = 39_000)]
+        tenants: usize,
+        /// Mbit/s of a gateway's and of a prompter's link.
+        #[arg(long, default_value_t = 100.0)]
+        gateway_link: f64,
+        #[arg(long, default_value_t = 1000.0)]
+        prompter_link: f64,
+        /// One route by name instead of the whole.
+        #[arg(long)]
+        modify: bool,
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+    },
+    /// The constants of the table that the proof holds its days against.
+    Table {
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Processor seconds after which a day is given up.
+        #[arg(long, default_value_t = 120)]
+        most: u64,
+    },
+    /// What a beat costs a real prompter on loopback.
+    Beats {
+        #[arg(long, default_value_t = 5)]
+        seconds: u64,
+        /// The system's program; without it the one beside this.
+        #[arg(long)]
+        program: Option<PathBuf>,
+    },
     /// Slopes from what `sweep` wrote, and what they come to at the size to design for.
     Fit {
         #[arg(long)]
@@ -303,9 +345,10 @@
         );
     }
     println!(
-        "a request takes {:.0} us of processor time at the foyer, {:.4} of a core goes without any; memory {:.1} MB, at its \
+        "a request takes {:.0} us of processor time at the foyer, {:.2} of what client and instance take; {:.4} of a core goes without any; memory {:.1} MB, at its \
          peak {:.1} MB",
         found.request_cpu.as_secs_f64() * 1e6,
+        found.cpu_ratio,
         found.idle_share,
         found.resident_mb,
         found.peak_mb
@@ -319,11 +362,74 @@
     Ok(())
 }
 
+fn tables(seed: u64, most: u64) -> Result<(), SweepError> {
+    let mut days = Vec::new();
+    let all: Vec<Size> = [seed, seed + 100, seed + 200].into_iter().flat_map(table::grid).collect();
+    let shown = bar(all.len() as u64);
+    for size in all {
+        days.extend(table::played(size, Duration::from_secs(most))?);
+        shown.inc(1);
+    }
+    shown.finish_and_clear();
+    let mut yards: Vec<f64> = days.iter().map(|day| day.yard_us).collect();
+    yards.sort_by(f64::total_cmp);
+    println!("{} days; a yard here: {:.0} us", days.len(), yards.get(yards.len() / 2).unwrap_or(&f64::NAN));
+    for (row, fit) in table::TABLE.iter().zip(table::fitted(&days)) {
+        let Some(fit) = fit else { continue };
+        let slopes: Vec<String> =
+            fit.slopes.iter().map(|(term, slope)| format!("{slope:.3e} {}", term.name())).collect();
+        println!(
+            "{:20} {:8} error {:.1}% in the middle, {:.1}% at most: {}",
+            row.name,
+            row.unit,
+            fit.middle * 100.0,
+            fit.worst * 100.0,
+            slopes.join(" + ")
+        );
+    }
+    Ok(())
+}
+
+fn beats(seconds: u64, program: Option<PathBuf>) -> Result<(), Box<dyn std::error::Error>> {
+    let missing = "the system's program is not built: cargo build --release -p playhouse";
+    let program = program.or_else(path::program).ok_or(missing)?;
+    let [kept, anew] = path::beats(program, Duration::from_secs(seconds))?;
+    println!(
+        "a beat takes {:.0} us of a prompter's processor on a kept connection, {:.0} us on a new one",
+        kept.as_secs_f64() * 1e6,
+        anew.as_secs_f64() * 1e6
+    );
+    Ok(())
+}
+
 fn main() -> ExitCode {
     let done: Result<(), Box<dyn std::error::Error>> = match Line::parse().verb {
         Verb::Run(line) => run(&line).map_err(Into::into),
         Verb::Sweep { axis, out, most } => sweeps(&axis, &out, most).map_err(Into::into),
         Verb::Fit { out } => fits(&out).map_err(Into::into),
+        Verb::Change {
+            gateways,
+            prompters,
+            routes,
+            services,
+            tenants,
+            gateway_link,
+            prompter_link,
+            modify,
+            seed,
+        } => {
+            let bytes = if modify {
+                text::change(2, 1, services.max(1)).len()
+            } else {
+                text::whole(2, routes, services.max(1), tenants, Some(1)).len()
+            };
+            let plan = Plan { gateways, prompters, bytes, gateway_link, prompter_link, seed };
+            println!("{plan:?}");
+            println!("{:#?}", change::play(plan));
+            Ok(())
+        }
+        Verb::Table { seed, most } => tables(seed, most).map_err(Into::into),
+        Verb::Beats { seconds, program } => beats(seconds, program),
         Verb::Path { routes, rate, seconds, seed, program } => path(routes, rate, seconds, seed, program),
     };
     match done {
--- a/crates/extras/src/path.rs
+++ b/crates/extras/src/path.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use company::Part;
+use cpu_time::ProcessTime;
 use hdrhistogram::Histogram;
 use hyper::Method;
 use playhouse::demo::client::{Ask, Line, Platform};
@@ -32,6 +33,8 @@
     pub failed: usize,
     /// Processor time that a request takes at the foyer, and that the foyer takes without any, a second.
     pub request_cpu: Duration,
+    /// The same to what this process takes for one, as client and instance: told apart from how busy a machine is.
+    pub cpu_ratio: f64,
     pub idle_share: f64,
     /// Of the foyer's process.
     pub resident_mb: f64,
@@ -122,6 +125,7 @@
         through: Histogram::new(3)?,
         failed: 0,
         request_cpu: Duration::ZERO,
+        cpu_ratio: 0.0,
         idle_share: 0.0,
         resident_mb: 0.0,
         peak_mb: 0.0,
@@ -131,8 +135,9 @@
     let began = (Instant::now(), cpu(pid).ok_or("no account of the foyer")?);
     tokio::time::sleep(span / 4).await;
     found.idle_share = (cpu(pid).unwrap_or(0.0) - began.1) / began.0.elapsed().as_secs_f64();
-    let served = pressed(pid, ends.1, routes, span / 4).await?;
-    found.request_cpu = served;
+    let (foyer, own) = pressed(pid, ends.1, routes, span / 2).await?;
+    found.request_cpu = foyer;
+    found.cpu_ratio = foyer.as_secs_f64() / own.as_secs_f64().max(1e-9);
     found.resident_mb = memory(pid, "VmRSS").unwrap_or(0.0);
     found.peak_mb = memory(pid, "VmHWM").unwrap_or(0.0);
     Ok(found)
@@ -173,10 +178,11 @@
     Ok(())
 }
 
-/// As many as it bears from `PRESSED` clients: the foyer's processor time for one.
+/// As many as it bears from `PRESSED` clients: the foyer's processor time for one, and this process's.
 async fn pressed(
     pid: u32, to: std::net::SocketAddrV4, routes: usize, span: Duration,
-) -> Result<Duration, Error> {
+) -> Result<(Duration, Duration), Error> {
+    let own = ProcessTime::now();
     let before = cpu(pid).ok_or("no account of the foyer")?;
     let began = Instant::now();
     let mut clients = tokio::task::JoinSet::new();
@@ -203,5 +209,65 @@
     if served == 0 {
         return Err("nothing was served while the foyer was pressed".into());
     }
-    Ok(Duration::from_secs_f64((spent / served as f64).max(0.0)))
+    let each = |all: f64| Duration::from_secs_f64((all / served as f64).max(0.0));
+    Ok((each(spent), each(own.elapsed().as_secs_f64())))
+}
+
+/// Processor time of one beat at a prompter, on a connection that is kept and on a new one each.
+pub fn beats(program: PathBuf, span: Duration) -> Result<[Duration; 2], Error> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    runtime.block_on(async {
+        let plan = stage::Plan { program, prompters: 1, foyers: 1, folder: None, log: "error".to_owned() };
+        let mut stage = Stage::set(plan)?;
+        stage.start_all()?;
+        let prompter = stage.nodes(Part::Prompter)[0];
+        let pid = stage.pid(prompter).ok_or("the prompter does not run")?;
+        let operator = Operator::new(stage.controls());
+        until("a leader", || operator.leader()).await?;
+        let to = stage.control(prompter);
+        Ok([beaten(pid, to, false, span).await?, beaten(pid, to, true, span).await?])
+    })
+}
+
+fn beat(client: usize, sequence: u64) -> Ask {
+    let body = format!(
+        "{{\"Address\":\"127.9.0.{}:8080\",\"NodeInfo\":{{\"TargetService\":\"service-000\",\"ConfigVersion\":\"v1\",\
+         \"Zone\":\"zone-0\",\"CapacitySlots\":3}},\"Status\":{{\"State\":\"in_service\",\"CallSequence\":{sequence},\
+         \"WarmupLeftS\":0}}}}",
+        client + 1
+    );
+    Ask::new(Method::POST, &format!("/api/Instances.Heartbeat/i-beat-{client}")).json(body)
+}
+
+async fn beaten(pid: u32, to: std::net::SocketAddrV4, anew: bool, span: Duration) -> Result<Duration, Error> {
+    let before = cpu(pid).ok_or("no account of the prompter")?;
+    let began = Instant::now();
+    let mut clients = tokio::task::JoinSet::new();
+    for client in 0..PRESSED {
+        clients.spawn(async move {
+            let mut taken = 0u64;
+            let Ok(mut line) = Line::open(to).await else { return taken };
+            let sequence = u64::from(anew) << 40;
+            while began.elapsed() < span {
+                match line.ask(&beat(client, sequence + taken + 1)).await {
+                    Ok(answer) if answer.status.is_success() => taken += 1,
+                    Ok(_) => {}
+                    Err(_) => break,
+                }
+                if anew {
+                    let Ok(next) = Line::open(to).await else { break };
+                    line = next;
+                }
+            }
+            taken
+        });
+    }
+    let mut taken = 0;
+    while let Some(one) = clients.join_next().await {
+        taken += one?;
+    }
+    if taken == 0 {
+        return Err("no beat was taken".into());
+    }
+    Ok(Duration::from_secs_f64(((cpu(pid).unwrap_or(before) - before) / taken as f64).max(0.0)))
 }
--- a/crates/extras/src/world.rs
+++ b/crates/extras/src/world.rs
@@ -94,6 +94,7 @@
     chance: Rand64,
     heap: BinaryHeap<Slot>,
     made: u64,
+    steps: u64,
     nodes: Vec<Node>,
     by_place: HashMap<Place, usize>,
     settings: Rc<Settings>,
@@ -111,6 +112,9 @@
     rows: Vec<PhaseRow>,
     began: Micros,
     wall: ThreadTime,
+    /// A configuration that is read now and then, and what that took: how fast this machine is just then.
+    yard: Vec<u8>,
+    yards: Vec<u64>,
     /// Processor time after which a day is given up.
     most: Duration,
     pub given_up: bool,
@@ -128,7 +132,8 @@
     Settings::of(&table).expect("the world's own settings hold")
 }
 
-fn region(zone: usize) -> usize {
+/// The region of a zone.
+pub fn region(zone: usize) -> usize {
     zone * REGIONS / ZONES
 }
 
@@ -159,6 +164,7 @@
             chance: Rand64::new(u128::from(size.seed)),
             heap: BinaryHeap::new(),
             made: 0,
+            steps: 0,
             nodes: Vec::new(),
             by_place: HashMap::new(),
             settings: Rc::new(settings()),
@@ -174,6 +180,8 @@
             rows: Vec::new(),
             began: 0,
             wall: ThreadTime::now(),
+            yard: crate::text::whole(1, 100, 10, 0, None),
+            yards: Vec::new(),
             most,
             given_up: false,
             phases,
@@ -206,6 +214,10 @@
         if self.phase >= self.phases.len() {
             return false;
         }
+        if self.steps.is_multiple_of(2_048) {
+            self.take_yard();
+        }
+        self.steps += 1;
         if self.made.is_multiple_of(4_096) && self.wall.elapsed() > self.most {
             self.given_up = true;
             self.end_phase();
@@ -229,6 +241,17 @@
         true
     }
 
+    /// Reads a configuration of 100 routes: the unit that processor times are told in beside seconds, since this
+    /// machine may be slow or busy.
+    fn take_yard(&mut self) {
+        let clock = ThreadTime::now();
+        let read = bill::Bill::read(&self.yard);
+        let nanos = clock.elapsed().as_nanos() as u64;
+        if read.is_ok() {
+            self.yards.push(nanos);
+        }
+    }
+
     /// Where in the day it is, from 0 to 1.
     pub fn done(&self) -> f64 {
         let end = self.phases.last().map_or(1, |(_, end)| *end);
--- a/crates/extras/src/world/report.rs
+++ b/crates/extras/src/world/report.rs
@@ -38,6 +38,8 @@
     pub core_share: f64,
     pub busiest_core_share: f64,
     pub worst_step_ms: f64,
+    /// What a configuration of 100 routes took to read in this phase, in the middle.
+    pub yard_us: f64,
     pub held_mb: f64,
     pub peak_mb: f64,
     pub beats_s: f64,
@@ -97,6 +99,12 @@
         let whole_cast =
             (0..self.nodes.len()).filter(|at| cast(*at).is_some_and(|n| n >= size.instances)).count();
         let ready = self.nodes.iter().filter(|node| node.floor().is_some_and(|floor| floor.ready())).count();
+        for _ in 0..3 {
+            self.take_yard();
+        }
+        let mut yards = std::mem::take(&mut self.yards);
+        yards.sort_unstable();
+        let yard_us = yards.get(yards.len() / 2).map_or(f64::NAN, |nanos| *nanos as f64 / 1e3);
         let calls = self.calls[phase as usize];
         for role in Role::ALL {
             let members: Vec<usize> = (0..self.nodes.len()).filter(|at| self.role(*at) == role).collect();
@@ -134,6 +142,7 @@
                 core_share: per(spent().map(|one| one.nanos).sum()) / 1e9,
                 busiest_core_share: most(|one| one.nanos) / seconds / 1e9,
                 worst_step_ms: most(|one| one.worst) / 1e6,
+                yard_us,
                 held_mb: mean(|node| node.held),
                 peak_mb: peak.unwrap_or(0) as f64 / 1e6,
                 beats_s: calls.beats as f64 * hubs,
--- a/crates/garnetdoor-lab/src/prove/mod.rs
+++ b/crates/garnetdoor-lab/src/prove/mod.rs
@@ -1,6 +1,7 @@
 //! Proofs: each starts what it needs, plays its direction's hard cases, checks the rules on what the stand-ins
 //! saw, and ends with figures beside their limits.
 
+pub mod capacity;
 pub mod fleet;
 pub mod measure;
 pub mod rehearsal;
@@ -111,6 +112,11 @@
 
 /// All proofs.
 pub const ALL: &[Entry] = &[
+    (
+        "capacity",
+        "what a hollow fleet of the system's cores and a request's path cost, beside what docs/CAPACITY.md says",
+        capacity::prove,
+    ),
     (
         "fleet",
         "1, 3, 100 and 300 gateways in one emulated world: the rules, calls, connections, loads and verdicts",
