--- a/crates/garnetdoor-lab/src/prove/mod.rs
+++ b/crates/garnetdoor-lab/src/prove/mod.rs
@@ -1,6 +1,7 @@
 //! Proofs: each starts what it needs, plays its direction's hard cases, checks the rules on what the stand-ins
 //! saw, and ends with figures beside their limits.
 
+pub mod capacity;
 pub mod control;
 pub mod fleet;
 pub mod measure;
@@ -112,6 +113,11 @@
 
 /// All proofs.
 pub const ALL: &[Entry] = &[
+    (
+        "capacity",
+        "what a hollow fleet of the system's cores and a request's path cost, beside what docs/CAPACITY.md says",
+        capacity::prove,
+    ),
     (
         "control",
         "the worst days of control in simulated time: cuts, repeats, losses, restarts, wrong callers, and faults found",
