--- a/crates/script/src/lib.rs
+++ b/crates/script/src/lib.rs
@@ -449,8 +449,13 @@
             Change::Base { service, version } => self.rollout(service, now).found(version),
             Change::Agreed { form } => {
                 if !second {
-                    // The ordered clock begins here.
+                    // The ordered clock begins here. Form 1 knew of orders by what became of the last one of each
+                    // service: whatever that was, its repeats may still come.
                     self.clock = Clock::at(now, 0, self.index);
+                    for rollout in self.rollouts.values().filter(|rollout| rollout.state.is_some()) {
+                        let digest = Digest::of_order(&rollout.service, &rollout.target, rollout.period);
+                        self.orders.note(digest, when.at, when.guard);
+                    }
                 }
                 self.agreed = form;
             }
--- a/crates/script/tests/repeats.rs
+++ b/crates/script/tests/repeats.rs
@@ -206,6 +206,19 @@
     }
 }
 
+#[test]
+fn an_order_taken_and_reverted_before_the_form_is_raised_is_known_after_it() {
+    let mut script = Script::new();
+    let agree = Command::Agree { form: Form::SECOND };
+    for command in [replace(0, 1, 1), seen("v1"), order("box", "v2"), verdict(2, false), agree] {
+        assert_eq!(lead(&mut script, SECOND, &command), 200);
+    }
+    assert_eq!(lead(&mut script, 10 * SECOND, &order("box", "v2")), 200);
+    assert_eq!(script.rollouts["box"].number, 2, "a repeat");
+    assert_eq!(lead(&mut script, 12 * SECOND, &order("box", "v2")), 200);
+    assert_eq!(script.rollouts["box"].number, 3, "a new wish");
+}
+
 /// A change that somebody wants, sent as it is until there is a clear answer, and at times after that.
 struct Call {
     command: Command,
