--- a/crates/garnetdoor-lab/src/lib.rs
+++ b/crates/garnetdoor-lab/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod attempt;
 pub mod daemon;
+pub mod days;
 pub mod demo;
 pub mod emulate;
 pub mod fleet;
--- a/crates/garnetdoor-lab/src/main.rs
+++ b/crates/garnetdoor-lab/src/main.rs
@@ -1,15 +1,16 @@
 //! `garnetdoor-lab`: the proofs, and the demonstration.
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 use bpaf::{OptionParser, Parser, construct, long, positional};
 use garnetdoor_lab::attempt::{self, Size};
-use garnetdoor_lab::{demo, prove};
+use garnetdoor_lab::{days, demo, prove};
 
 #[derive(Clone)]
 enum Command {
     List,
+    Days { point: u8, seed: u64, days: u64, site: PathBuf, out: PathBuf },
     Prove { seed: u64, json: bool, name: String },
     Demo { seed: u64 },
     Try { size: Size, out: PathBuf, name: String },
@@ -36,6 +37,16 @@
         .descr("Runs a design against its baselines in the emulator, over sizes and seeds.")
         .command("try")
         .help("Compare designs in the emulator");
+    let point =
+        long("point").help("The point of control that the days bring about: 1 to 5").argument::<u8>("N");
+    let count = long("days").help("Days to draw").argument("N").fallback(25).display_fallback();
+    let site = long("site").help("The operators' file of the site").argument::<PathBuf>("FILE");
+    let out = long("out").help("The folder for the days").argument::<PathBuf>("DIR");
+    let days = construct!(Command::Days { point, seed(seed()), days(count), site, out })
+        .to_options()
+        .descr("Draws days of our own for the operators' bench, a TOML file each.")
+        .command("days")
+        .help("Draw days that bring about one of control's points");
     let seed = seed();
     let json = long("json").help("The last line of standard output is one JSON object").switch();
     let name = positional::<String>("NAME").help("The proof's name");
@@ -45,7 +56,7 @@
         .descr("Starts a proof's stand-ins and the release build's daemon, plays its hard cases and checks the rules.")
         .command("prove")
         .help("Show that a subsystem works");
-    construct!([demo, prove, attempt])
+    construct!([demo, prove, attempt, days])
         .to_options()
         .descr("Stand-ins and proofs for garnetdoor. All servers are simulated.")
 }
@@ -61,12 +72,32 @@
     }
 }
 
+fn write_days(point: u8, seed: u64, count: u64, site: &Path, out: &Path) -> Result<(), String> {
+    let at = |path: &Path, error: std::io::Error| format!("{}: {error}", path.display());
+    let text = std::fs::read_to_string(site).map_err(|error| at(site, error))?;
+    let days =
+        days::draw(&text, point, seed, count).map_err(|error| format!("{}: {error}", site.display()))?;
+    std::fs::create_dir_all(out).map_err(|error| at(out, error))?;
+    for (name, day) in days {
+        let path = out.join(name).with_extension("toml");
+        std::fs::write(&path, day).map_err(|error| at(&path, error))?;
+    }
+    Ok(())
+}
+
 fn main() -> ExitCode {
     match commands().run() {
         Command::List => {
             prove::ALL.iter().for_each(|(name, shows, _)| println!("{name}  {shows}"));
             ExitCode::SUCCESS
         }
+        Command::Days { point, seed, days, site, out } => match write_days(point, seed, days, &site, &out) {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(error) => {
+                eprintln!("garnetdoor-lab: days: {error}");
+                ExitCode::FAILURE
+            }
+        },
         Command::Demo { seed } => ended("demo", demo::run(seed, &mut std::io::stdout())),
         Command::Try { size, out, name } if name == "websocket" => {
             ended("try", attempt::websocket(size, &out).map(|table| println!("{table}")).map(|()| true))
