--- a/src/balance/evidence.rs
+++ b/src/balance/evidence.rs
@@ -19,7 +19,7 @@
     /// build still answers beside the one on trial: with none left to compare with, a slowdown or broken
     /// links that all share would send a good released build back. A build that turns slow after its release,
     /// which this lets through, `Worse` is there for. Nor are they judged after a stall, or across zones,
-    /// where they tell as much of the link.
+    /// where they tell as much of the link. The host hears of times all the same: it compares for all gateways.
     pub(super) fn judge(&mut self, on: &Trip, profile: ProfileId, took: Micros, ending: Ending) {
         let (build, late, finished) =
             (on.build, took > self.terms.class(profile).on_time, ending == Ending::Finished);
@@ -43,11 +43,11 @@
                 self.tell(news.build, profile, judged, failed);
             }
         }
+        let failed = errs || (on.near && late);
         if compared || errs || finished {
-            let failed = errs || (on.near && late && compared);
-            self.weigh(build, Sign::Failed(profile), f64::from(u8::from(failed)), 1.0);
-            self.host.judged(build, profile, failed);
+            self.weigh(build, Sign::Failed(profile), f64::from(u8::from(failed && (errs || compared))), 1.0);
         }
+        self.host.judged(build, profile, failed);
         // The present against the seconds before the trial began, whichever build answered.
         let before = self.seen.before.get(&profile).filter(|_| on.near && !errs);
         if let (Some(tail), Some(news)) = (before, self.seen.news) {
--- a/tests/fake/mod.rs
+++ b/tests/fake/mod.rs
@@ -25,6 +25,8 @@
     /// Each message: to whom, and what.
     pub told: Vec<(usize, Vec<u8>)>,
     pub notes: Vec<String>,
+    /// Each outcome that the host heard of: build, and whether it failed.
+    pub judged: Vec<(u32, bool)>,
     /// Builds on which nothing more may be left standing.
     pub full: Vec<u32>,
 }
@@ -68,6 +70,9 @@
         self.0.borrow_mut().follows += 1;
     }
     fn close_idle(&mut self, _server: ServerId) {}
+    fn judged(&mut self, build: BuildNo, _profile: ProfileId, failed: bool) {
+        self.0.borrow_mut().judged.push((build.0, failed));
+    }
     fn note(&mut self, text: &str) {
         self.0.borrow_mut().notes.push(text.to_owned());
     }
--- a/tests/system/mod.rs
+++ b/tests/system/mod.rs
@@ -209,3 +209,31 @@
     assert_eq!(alarms("false"), 0, "what is young is not judged");
     assert!(alarms("true") > 0, "its errors are");
 }
+
+/// With a ticket a second the earlier build never has ten outcomes in three seconds, so that no gateway judges times
+/// by itself; who counts for all compares, and must not be told that late answers are good ones.
+#[test]
+fn late_answers_of_a_trial_are_told_as_failures_where_tickets_are_few() {
+    let mut story = Story::new(&[ORDER[0], ("domain.free", "1000")], fleet(4));
+    story.run(10, 0, &[], 50 * MS, Ending::Finished);
+    story.gate.list_changed((100..130).map(|id| server(id, 2)).collect());
+    story.gate.news_came(news(2, 1, Phase::OnTrial, 1.0));
+    let mut on_trial = 0;
+    for _ in 0..60 {
+        story.pass(S);
+        let ticket = story.ticket(0);
+        let Some(sent) = story.trips(ticket).first().copied() else { continue };
+        let slow = sent >= 100;
+        on_trial += usize::from(slow);
+        let took = if slow { S } else { 50 * MS };
+        story.pass(took);
+        story.ends(ticket, 0, took, Ending::Finished);
+    }
+    let told =
+        |build, failed| story.read(|book| book.judged.iter().filter(|one| **one == (build, failed)).count());
+    assert!(on_trial >= 10, "{on_trial}");
+    // Those that could only be late are turned back at, which is a failure too.
+    assert!(told(2, true) >= on_trial, "{} of {on_trial}", told(2, true));
+    assert_eq!(told(2, false), 0);
+    assert_eq!(told(1, true), 0, "those of the earlier build were in time");
+}
