--- a/crates/promptbook/src/book.rs
+++ b/crates/promptbook/src/book.rs
@@ -6,7 +6,7 @@
 
 use crate::disk::Disk;
 use crate::follow::Coming;
-use crate::lead::Leading;
+use crate::lead::{Leading, NOBODY};
 use crate::log::Log;
 use crate::mark::Marks;
 use crate::stand::Votes;
@@ -55,6 +55,10 @@
     pub(crate) role: Role,
     pub(crate) leader: Option<Seat>,
     pub(crate) heard_leader: Option<Micros>,
+    /// When a majority was last known to follow a leader, and in which term.
+    pub(crate) proved: Option<(Term, Micros)>,
+    /// What is heard before this may have lain in the sockets of a process that stood still.
+    pub(crate) thaw: Micros,
     /// When a follower looks for another leader.
     pub(crate) deadline: Micros,
     /// Entries up to this one are as in the log of this term's leader.
@@ -102,6 +106,8 @@
             role: Role::Following,
             leader: None,
             heard_leader: None,
+            proved: None,
+            thaw: now,
             deadline: 0,
             verified: committed,
             owes_vote: false,
@@ -138,6 +144,7 @@
 
     /// Takes one event at `now` (steady clock, microseconds) and tells what is to be done, in order.
     pub fn step(&mut self, now: Micros, event: Event) -> Vec<Effect> {
+        self.notice_stall(now);
         self.now = self.now.max(now);
         // Before anything else: it may have been frozen since the last event.
         self.check_lead();
@@ -164,6 +171,7 @@
                 self.places = places;
             }
             Event::Kept { index, data } => self.kept(index, data),
+            Event::Prove => self.want_proof(),
             Event::Leave => self.leaving = true,
         }
         self.finish()
@@ -231,6 +239,8 @@
             role,
             leader,
             heard_leader,
+            proved: _,
+            thaw: _,
             deadline,
             verified,
             owes_vote,
@@ -279,6 +289,15 @@
         self.term
     }
 
+    /// What entries and snapshots take in memory here, those on their way to and from others with them, in bytes.
+    pub fn bytes(&self) -> usize {
+        let led = match &self.role {
+            Role::Leading(lead) => lead.snapshots(&self.log),
+            _ => 0,
+        };
+        self.log.bytes() + led + self.coming.as_ref().map_or(0, Coming::bytes)
+    }
+
     /// True if the newest members here have the own seat.
     pub fn is_member(&self) -> bool {
         self.votes_in(self.own)
@@ -321,7 +340,6 @@
             self.term = term;
             self.voted = None;
             self.owes_vote = false;
-            self.coming = None;
             self.owes_round = None;
             // All that is committed is in the log of every later leader.
             self.verified = self.commit;
@@ -334,6 +352,7 @@
         if let Role::Leading(lead) = mem::replace(&mut self.role, Role::Following) {
             self.verified = self.commit;
             lead.close(leader.map(|seat| seat.place), &mut self.out);
+            self.log.trim(NOBODY);
             self.arm();
         }
     }
@@ -437,6 +456,8 @@
             let term = self.log.term_at(index).expect("what comes after the snapshot is in memory");
             let members = self.log.members_at(index).clone();
             self.log.replace(crate::Snapshot { index, term, members, data });
+            self.log.trim(self.needed());
+            self.share_snapshots();
         }
     }
 
@@ -461,6 +482,7 @@
         }
         self.apply();
         if self.leads() {
+            self.answer_proof();
             self.answer_reads();
             self.pump();
             if self.leaving {
