--- a/crates/extras/src/kind.rs
+++ b/crates/extras/src/kind.rs
@@ -3,7 +3,7 @@
 use playhouse::house::Word;
 
 /// Every kind, by its number: words as `room.variant`, then work that no word brings.
-pub const NAMES: [&str; 45] = [
+pub const NAMES: [&str; 49] = [
     "company.join",
     "company.news",
     "company.probe",
@@ -49,6 +49,10 @@
     "work.start",
     "work.request",
     "work.answer",
+    "board.prove",
+    "board.proof",
+    "book.leaving",
+    "book.released",
 ];
 
 pub const TICK: usize = 38;
@@ -78,6 +82,8 @@
             callboard::Message::Have { .. } => 10,
             callboard::Message::Want { .. } => 11,
             callboard::Message::Whole { .. } => 12,
+            callboard::Message::Prove => 45,
+            callboard::Message::Proof { .. } => 46,
         },
         Word::Cast(message) => match message {
             cast::Message::News { .. } => 13,
@@ -114,6 +120,8 @@
             Word::Taken { .. } => 32,
             Word::Late => 33,
             Word::Go { .. } => 34,
+            Word::Leaving { .. } => 47,
+            Word::Released { .. } => 48,
         },
     }
 }
