--- a/crates/promptbook/src/book.rs
+++ b/crates/promptbook/src/book.rs
@@ -289,7 +289,7 @@
             }
             Role::Leading(lead) => {
                 marks.put(3u8);
-                lead.mark(&mut marks, timing);
+                lead.mark(&mut marks, timing, log.is_long());
             }
         }
         marks.sum()
--- a/crates/promptbook/src/lead.rs
+++ b/crates/promptbook/src/lead.rs
@@ -118,7 +118,7 @@
     }
 
     /// `silence`: the longest that anything is told apart by, in microseconds.
-    fn mark(&self, marks: &mut Marks, timing: &Timing, silence: Micros) {
+    fn mark(&self, marks: &mut Marks, timing: &Timing, silence: Micros, long: bool) {
         let Peer { seat, since, heard, matched, next, mode, asked, asked_round, round, told, .. } = self;
         let Peer { sent_bytes, tries, again, moved, rounds, leaving, .. } = self;
         let patience = self.patience(2 * timing.beat);
@@ -130,13 +130,15 @@
         }
         marks.put((seat, heard.is_some(), marks.ago(heard.unwrap_or(*since), silence), matched, next));
         marks.put((marks.ago(*asked, patience), asked_round, round, told));
-        marks.put((sent_bytes, tries, again, marks.ago(*moved, silence)));
+        marks.put((sent_bytes.saturating_sub(LIGHT), tries, again));
+        // It decides only what is held of a long log.
+        marks.put(long.then(|| marks.ago(*moved, silence.max(HOLD_ELECTIONS * timing.election))));
         match mode {
             Mode::Probe { bare, sent } => marks.put((0u8, bare, sent)),
             Mode::Flow { flight } => {
                 marks.put((1u8, flight.len()));
                 for Flying { upto, since, bytes } in flight {
-                    marks.put((upto, marks.ago(*since, patience), bytes));
+                    marks.put((upto, marks.ago(*since, patience), bytes.saturating_sub(LIGHT)));
                 }
             }
             Mode::Pieces { snapshot, at, sent, mute } => {
@@ -152,20 +154,26 @@
         }
     }
 
+    fn on_its_way(&self) -> usize {
+        match &self.mode {
+            Mode::Flow { flight } => flight.iter().map(|flying| flying.bytes).sum(),
+            Mode::Probe { .. } | Mode::Pieces { .. } => self.sent_bytes,
+        }
+    }
+
     /// How long to wait for an answer: `least`, and what the bytes on their way take on a slow link. Guards against
     /// sending a second time what is only on its way, which makes the link slower still.
     fn patience(&self, least: Micros) -> Micros {
-        let bytes = match &self.mode {
-            Mode::Flow { flight } => flight.iter().map(|flying| flying.bytes).sum(),
-            Mode::Probe { .. } | Mode::Pieces { .. } => self.sent_bytes,
-        };
+        let bytes = self.on_its_way();
         least + ((bytes.saturating_sub(LIGHT) as Micros * BYTE) << self.tries)
     }
 
     /// Much was sent, and not answered in time.
-    fn lost(&mut self) {
-        self.tries = (self.tries + 1).min(MOST_TRIES);
-        self.again = true;
+    fn lost(&mut self, bytes: usize) {
+        if bytes > LIGHT {
+            self.tries = (self.tries + 1).min(MOST_TRIES);
+            self.again = true;
+        }
     }
 
     /// It has more than before. What was sent twice tells nothing of the link, so that the patience stays (Karn and
@@ -282,20 +290,20 @@
 
     /// Once a beat: a sign of life, and again what was not answered.
     fn beat(&mut self, peer: &mut Peer, beat: Micros) {
-        let patience = peer.patience(beat);
+        let (patience, bytes) = (peer.patience(beat), peer.on_its_way());
         let late = |at: Micros| self.now - at >= patience;
         match &mut peer.mode {
             Mode::Probe { bare, sent } if late(peer.asked) => {
                 (*bare, *sent) = (true, false);
-                peer.lost();
+                peer.lost(bytes);
             }
             Mode::Flow { flight } if flight.front().is_some_and(|first| late(first.since)) => {
                 peer.probe(Index(peer.matched.0 + 1), true);
-                peer.lost();
+                peer.lost(bytes);
             }
             Mode::Pieces { sent, mute, .. } if sent.is_some_and(|at| late(at + beat)) => {
                 (*sent, *mute) = (None, true);
-                peer.lost();
+                peer.lost(bytes);
             }
             _ => {}
         }
@@ -332,7 +340,8 @@
         out.extend(self.reads.into_iter().map(|(_, ask)| Effect::Refused { ask, leader, lost: false }));
     }
 
-    pub(crate) fn mark(&self, marks: &mut Marks, timing: &Timing) {
+    /// `long`: the log is longer than the tail that is kept in any case.
+    pub(crate) fn mark(&self, marks: &mut Marks, timing: &Timing, long: bool) {
         let Leading { since, first, peers, next_beat, asks, reads, round, open, wish, proof } = self;
         marks.put((
             marks.ago(*since, timing.election),
@@ -347,7 +356,7 @@
         proof.mark(marks);
         let silence = timing.dismiss.max(timing.succeed).max(LEARNER_ELECTIONS * timing.election);
         for peer in peers {
-            peer.mark(marks, timing, silence);
+            peer.mark(marks, timing, silence, long);
         }
     }
 
--- a/crates/promptbook/src/log.rs
+++ b/crates/promptbook/src/log.rs
@@ -170,6 +170,11 @@
         known
     }
 
+    /// True if it is longer than the tail that is kept in any case.
+    pub(crate) fn is_long(&self) -> bool {
+        self.weight_after(self.base) > TAIL
+    }
+
     /// True if `trim` may let go of more once less is needed.
     pub(crate) fn holds(&self) -> bool {
         self.holds
