--- a/crates/promptbook/src/lib.rs
+++ b/crates/promptbook/src/lib.rs
@@ -12,6 +12,7 @@
 mod leave;
 mod log;
 mod mark;
+mod proof;
 mod seats;
 mod stand;
 
@@ -212,6 +213,8 @@
         index: Index,
         data: Vec<u8>,
     },
+    /// A leader's next beat is to prove that it leads, for `Promptbook::proved`; nothing at others.
+    Prove,
     /// The process is about to end in order: it never stands again, hands over if it leads, and asks whether others
     /// have on disk what it has: `Promptbook::release` tells. It goes on answering and voting until it ends, and
     /// acknowledges no new entries.
