--- a/crates/cue/src/lib.rs
+++ b/crates/cue/src/lib.rs
@@ -2,6 +2,7 @@
 //! known of the fleet, in the words of `garnetdoor`'s settings. No I/O. Each value that is chosen here stands
 //! with its reason; the others follow from the settings file or the configuration.
 
+mod load;
 mod part;
 
 use bill::{Bill, Kind};
@@ -9,6 +10,7 @@
 use indexmap::IndexMap;
 use props::{MS, SECOND};
 
+pub use load::tried;
 pub use part::Share;
 
 /// Clients heed a time to come back up to a third of what they have left; longer ones are cut there, and this
--- a/crates/cue/src/part.rs
+++ b/crates/cue/src/part.rs
@@ -36,17 +36,20 @@
 }
 
 /// Where FNV-1a begins.
-const START: u64 = 0xcbf2_9ce4_8422_2325;
+pub(crate) const START: u64 = 0xcbf2_9ce4_8422_2325;
 
 /// FNV-1a.
-fn fold(hash: u64, bytes: &[u8]) -> u64 {
+pub(crate) fn fold(hash: u64, bytes: &[u8]) -> u64 {
     bytes.iter().fold(hash, |hash, byte| (hash ^ u64::from(*byte)).wrapping_mul(0x0100_0000_01b3))
 }
 
-/// FNV-1a over both names, `named` that of the instance, with a last stir so that near addresses differ in all
-/// bits.
+/// FNV-1a over both names, `named` that of the instance.
 fn mix(named: u64, place: Place) -> u64 {
-    let hash = fold(named, &place.0.octets());
+    stir(fold(named, &place.0.octets()))
+}
+
+/// A last stir, so that near names and addresses differ in all bits.
+pub(crate) fn stir(hash: u64) -> u64 {
     let hash = (hash ^ (hash >> 33)).wrapping_mul(0xff51_afd7_ed55_8ccd);
     hash ^ (hash >> 29)
 }
--- a/crates/playhouse/src/floor/desk.rs
+++ b/crates/playhouse/src/floor/desk.rs
@@ -47,11 +47,22 @@
 /// How much may go to each instance from here.
 #[derive(Default)]
 struct Room {
-    /// By the instances' numbers: whether this foyer may use it, and trips that are out there.
-    at: Vec<(bool, usize)>,
+    /// By the instances' numbers.
+    at: Vec<Reach>,
     connections: usize,
 }
 
+/// How much may go to one of them.
+#[derive(Clone, Copy, Default)]
+struct Reach {
+    /// Whether this foyer may use it.
+    mine: bool,
+    /// Of the version on trial, and not among those that are loaded.
+    spared: bool,
+    /// Trips that are out there.
+    out: usize,
+}
+
 impl Hand {
     fn ask(&self, what: Do) {
         self.asked.borrow_mut().push_back(what);
@@ -88,7 +99,8 @@
     fn close_idle(&mut self, _server: ServerId) {}
     fn has_room(&self, _ticket: TicketId, server: ServerId, _build: BuildNo) -> bool {
         let room = self.room.borrow();
-        room.at.get(server.0 as usize).is_some_and(|(mine, out)| *mine && *out < room.connections)
+        let may = |at: &Reach| at.mine && !at.spared && at.out < room.connections;
+        room.at.get(server.0 as usize).is_some_and(may)
     }
     fn may_go_further(&self) -> bool {
         self.purse.borrow_mut().may_known(self.now.get(), &self.service)
@@ -110,6 +122,13 @@
     pub address: SocketAddrV4,
 }
 
+/// A trial that is under way: its build, since when it is known here, and its part of the requests at most.
+struct Trial {
+    number: u32,
+    since: Micros,
+    cap: f64,
+}
+
 /// Routes told of in one vote.
 const ROUTES_MOST: usize = 16;
 
@@ -127,8 +146,8 @@
     profiles: Profiles,
     bounds: Bounds,
     told: Option<(u32, Phase)>,
-    /// The trial that is known, since when, and the last vote on it, with its moment.
-    trial: Option<(u32, Micros)>,
+    /// The trial that is known, and the last vote on it, with its moment.
+    trial: Option<Trial>,
     voted: Option<(u32, Vote, Micros)>,
     /// Outcomes that were judged, by build and profile: how many, and how many failed.
     judged: Rc<RefCell<Judged>>,
@@ -206,6 +225,24 @@
             known.filter_map(|(known, mine)| self.instance(known, rollout, mine)).collect();
         if !news.is_empty() {
             self.balance.list_changed(news);
+            self.load_trial();
+        }
+    }
+
+    /// Keeps to which of the trial's instances its requests go; with none under way, none is spared.
+    fn load_trial(&mut self) {
+        let mut room = self.room.borrow_mut();
+        room.at.iter_mut().for_each(|at| at.spared = false);
+        let Some(trial) = &self.trial else { return };
+        let of = |at: &usize| {
+            let listing = &self.listed[*at];
+            listing.build.0 == trial.number && listing.condition == Condition::Healthy
+        };
+        let numbers: Vec<usize> = (0..self.listed.len()).filter(of).collect();
+        let names: Vec<&str> = numbers.iter().map(|at| &*self.servers[*at].id.0).collect();
+        let tried = cue::tried(trial.cap, &names);
+        for (number, tried) in numbers.into_iter().zip(tried) {
+            room.at[number].spared = !tried;
         }
     }
 
@@ -225,8 +262,8 @@
         {
             let mut room = self.room.borrow_mut();
             let most = room.at.len().max(number + 1);
-            room.at.resize(most, (false, 0));
-            room.at[number].0 = mine;
+            room.at.resize(most, Reach::default());
+            room.at[number].mine = mine;
         }
         let zone = self.zones.iter().position(|zone| *zone == known.zone).unwrap_or(self.zones.len());
         let listing = Listing {
@@ -254,8 +291,8 @@
 
     /// A trip goes out to an instance, or has ended there.
     pub fn out(&mut self, server: ServerId, more: bool) {
-        if let Some((_, out)) = self.room.borrow_mut().at.get_mut(server.0 as usize) {
-            *out = if more { *out + 1 } else { out.saturating_sub(1) };
+        if let Some(at) = self.room.borrow_mut().at.get_mut(server.0 as usize) {
+            at.out = if more { at.out + 1 } else { at.out.saturating_sub(1) };
         }
     }
 
@@ -267,7 +304,9 @@
             Some(script::State::Completed) => Phase::Released,
             Some(script::State::Reverted) => Phase::Withdrawn,
         };
-        self.trial = rollout.in_progress().then_some((rollout.number, rollout.since));
+        let (number, since) = (rollout.number, rollout.since);
+        self.trial = rollout.in_progress().then_some(Trial { number, since, cap });
+        self.load_trial();
         if self.told != Some((rollout.number, phase)) {
             // Older builds than the last say nothing of any to come.
             self.judged.borrow_mut().retain(|(build, _), _| build.0 + 2 >= rollout.number);
@@ -291,7 +330,7 @@
 
     /// This foyer's word on the trial of the service, if there is one.
     pub fn vote(&self, now: Micros) -> Option<script::Vote> {
-        let (number, since) = self.trial?;
+        let Trial { number, since, .. } = *self.trial.as_ref()?;
         let back = self
             .voted
             .is_some_and(|(build, vote, at)| build == number && vote == Vote::Back && now - at <= VOTE_LIFE);
