--- a/crates/cast/src/drains.rs
+++ b/crates/cast/src/drains.rs
@@ -7,9 +7,8 @@
 /// Most drains in flight at once, and callers that wait for one.
 pub(crate) const MOST_ROUNDS: usize = 1024;
 const MOST_ASKS: usize = 16;
-/// Between sendings to those that have not answered: while someone waits, and after.
+/// Between sendings to those that have not answered while someone waits; after that it is `Timing::tell_again`.
 const RETRY: Micros = 100 * MS;
-const SLOW_RETRY: Micros = 300 * MS;
 /// How long those that don't answer are told again.
 const LASTS: Micros = 2 * SECOND;
 /// How long the answers of all foyers are waited for.
@@ -37,10 +36,9 @@
 /// Who has to know before a drain is acknowledged.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Need<'a> {
-    /// Other hubs that are up.
-    pub hubs: &'a [Place],
-    /// Whether one that never knew of another node may acknowledge by itself.
-    pub alone: bool,
+    /// The ordered voters, this hub among them where it is one.
+    pub voters: &'a [Place],
+    pub own: Place,
 }
 
 impl Round {
@@ -61,17 +59,19 @@
         room
     }
 
+    /// `hubs`: those who are told.
     pub fn heard(&mut self, from: Place, hubs: &[Place]) {
         if !self.heard.contains(&from) && (hubs.contains(&from) || self.foyers.contains(&from)) {
             self.heard.push(from);
         }
     }
 
-    /// Whether a majority of the hubs, this one counted, and at least one other node know.
+    /// Whether a majority of the ordered voters, and at least one other node in any case, know. Never of those that
+    /// this node holds up: one that is cut off for long holds up nobody else, and would be its own majority.
     fn enough(&self, need: Need) -> bool {
-        let hubs = self.heard.iter().filter(|place| need.hubs.contains(place)).count();
-        let majority = 2 * (hubs + 1) > need.hubs.len() + 1;
-        majority && (!self.heard.is_empty() || need.alone)
+        let knows = |place: &&Place| **place == need.own || self.heard.contains(place);
+        let voters = need.voters.iter().filter(knows).count();
+        2 * voters > need.voters.len() && !self.heard.is_empty()
     }
 
     /// Callers that get their acknowledgement now. The first time, `confirmed` is to be kept with the life.
@@ -92,11 +92,11 @@
     }
 
     /// Those to be told now: all at first, later those that have not answered.
-    pub fn take_send(&mut self, now: Micros, hubs: &[Place]) -> Vec<Place> {
+    pub fn take_send(&mut self, now: Micros, hubs: &[Place], later: Micros) -> Vec<Place> {
         if now < self.next_send {
             return Vec::new();
         }
-        self.next_send = now + if self.asks.is_empty() { SLOW_RETRY } else { RETRY };
+        self.next_send = now + if self.asks.is_empty() { later } else { RETRY };
         hubs.iter().chain(&self.foyers).filter(|place| !self.heard.contains(place)).copied().collect()
     }
 
--- a/crates/garnetdoor-lab/src/prove/mod.rs
+++ b/crates/garnetdoor-lab/src/prove/mod.rs
@@ -2,6 +2,7 @@
 //! saw, and ends with figures beside their limits.
 
 pub mod capacity;
+pub mod control;
 pub mod fleet;
 pub mod measure;
 pub mod rehearsal;
@@ -117,6 +118,11 @@
         "what a hollow fleet of the system's cores and a request's path cost, beside what docs/CAPACITY.md says",
         capacity::prove,
     ),
+    (
+        "control",
+        "the worst days of control in simulated time: cuts, repeats, losses, restarts, wrong callers, and faults found",
+        control::prove,
+    ),
     (
         "fleet",
         "1, 3, 100 and 300 gateways in one emulated world: the rules, calls, connections, loads and verdicts",
--- a/crates/promptbook/src/book.rs
+++ b/crates/promptbook/src/book.rs
@@ -2,18 +2,17 @@
 
 use std::mem;
 
-use props::{Index, MS, Micros, Place, SECOND, Seat, Term};
+use props::{Index, MS, Micros, Place, Seat, Term};
 
 use crate::disk::Disk;
 use crate::follow::Coming;
-use crate::lead::Leading;
+use crate::lead::{Leading, NOBODY};
+use crate::leave::Leaving;
 use crate::log::Log;
 use crate::mark::Marks;
 use crate::stand::Votes;
 use crate::{Effect, Entry, Event, Members, Message, Saved, Timing, What, Word};
 
-/// How often a seat that is not let in knocks.
-const KNOCK_EVERY: Micros = SECOND;
 /// Most places that are remembered to knock at.
 const MOST_PEERS: usize = 64;
 /// A write that hangs for so many election spans costs leadership.
@@ -55,6 +54,10 @@
     pub(crate) role: Role,
     pub(crate) leader: Option<Seat>,
     pub(crate) heard_leader: Option<Micros>,
+    /// When a majority was last known to follow a leader, and in which term.
+    pub(crate) proved: Option<(Term, Micros)>,
+    /// What is heard before this may have lain in the sockets of a process that stood still.
+    pub(crate) thaw: Micros,
     /// When a follower looks for another leader.
     pub(crate) deadline: Micros,
     /// Entries up to this one are as in the log of this term's leader.
@@ -69,7 +72,7 @@
     /// Started again, and has neither heard a leader nor stood yet: its first try doesn't wait long.
     pub(crate) hasty: bool,
     /// The process is about to end: it takes no proposals and stands for nothing.
-    pub(crate) leaving: bool,
+    pub(crate) leaving: Option<Leaving>,
     /// What the last `Effect::Leader` said.
     told: (Option<Seat>, Term),
     pub(crate) out: Vec<Effect>,
@@ -102,6 +105,8 @@
             role: Role::Following,
             leader: None,
             heard_leader: None,
+            proved: None,
+            thaw: now,
             deadline: 0,
             verified: committed,
             owes_vote: false,
@@ -110,7 +115,7 @@
             places: Vec::new(),
             next_knock: now,
             hasty: false,
-            leaving: false,
+            leaving: None,
             told: (None, Term(0)),
             out: Vec::new(),
         };
@@ -121,7 +126,7 @@
         }
         book.told.1 = book.term;
         if book.is_member() {
-            book.next_knock = now + KNOCK_EVERY;
+            book.next_knock = now + timing.knock;
         }
         book.arm();
         if !empty {
@@ -138,6 +143,7 @@
 
     /// Takes one event at `now` (steady clock, microseconds) and tells what is to be done, in order.
     pub fn step(&mut self, now: Micros, event: Event) -> Vec<Effect> {
+        self.notice_stall(now);
         self.now = self.now.max(now);
         // Before anything else: it may have been frozen since the last event.
         self.check_lead();
@@ -164,7 +170,8 @@
                 self.places = places;
             }
             Event::Kept { index, data } => self.kept(index, data),
-            Event::Leave => self.leaving = true,
+            Event::Prove => self.want_proof(),
+            Event::Leave => self.leaving = self.leaving.take().or_else(|| Some(Leaving::default())),
         }
         self.finish()
     }
@@ -182,6 +189,9 @@
         } else if !self.is_member() {
             due = due.min(self.deadline);
         }
+        if let Some(ask) = self.release_due() {
+            due = due.min(ask);
+        }
         self.disk.due().map_or(due, |write| due.min(write))
     }
 
@@ -204,6 +214,11 @@
         self.commit
     }
 
+    /// The end of the own log.
+    pub fn last(&self) -> Index {
+        self.log.last()
+    }
+
     /// The entry at an index, where it is in memory.
     pub fn entry(&self, index: Index) -> Option<&Entry> {
         self.log.get(index)
@@ -231,6 +246,8 @@
             role,
             leader,
             heard_leader,
+            proved: _,
+            thaw: _,
             deadline,
             verified,
             owes_vote,
@@ -244,7 +261,10 @@
             out: _,
         } = self;
         marks.put((own, term, voted, log, commit, applied, leader, verified));
-        marks.put((owes_vote, owes_round, coming, places, hasty, leaving));
+        marks.put((owes_vote, owes_round, coming, places, hasty, leaving.is_some()));
+        if let Some(leaving) = leaving {
+            leaving.mark(&mut marks);
+        }
         disk.mark(&mut marks, HUNG_ELECTIONS * timing.election);
         if leader.is_none() {
             // Where there is a leader, the next knock is set anew when it is gone.
@@ -279,6 +299,15 @@
         self.term
     }
 
+    /// What entries and snapshots take in memory here, those on their way to and from others with them, in bytes.
+    pub fn bytes(&self) -> usize {
+        let led = match &self.role {
+            Role::Leading(lead) => lead.snapshots(&self.log),
+            _ => 0,
+        };
+        self.log.bytes() + led + self.coming.as_ref().map_or(0, Coming::bytes)
+    }
+
     /// True if the newest members here have the own seat.
     pub fn is_member(&self) -> bool {
         self.votes_in(self.own)
@@ -321,19 +350,19 @@
             self.term = term;
             self.voted = None;
             self.owes_vote = false;
-            self.coming = None;
             self.owes_round = None;
             // All that is committed is in the log of every later leader.
             self.verified = self.commit;
         }
         if self.leader.is_some() && leader.is_none() {
-            self.next_knock = self.now + KNOCK_EVERY;
+            self.next_knock = self.now + self.timing.knock;
         }
         self.leader = leader;
         self.hasty &= leader.is_none();
         if let Role::Leading(lead) = mem::replace(&mut self.role, Role::Following) {
             self.verified = self.commit;
             lead.close(leader.map(|seat| seat.place), &mut self.out);
+            self.log.trim(NOBODY);
             self.arm();
         }
     }
@@ -356,7 +385,7 @@
         }
         if self.now >= self.deadline {
             self.arm();
-            if self.is_member() && self.disk_well() && !self.leaving {
+            if self.is_member() && self.disk_well() && !self.leaves() {
                 self.ask_to_stand();
             } else if !matches!(self.role, Role::Following) || self.leader.is_some() {
                 self.follow(self.term, None);
@@ -370,7 +399,7 @@
     }
 
     fn knock(&mut self) {
-        self.next_knock = self.now + KNOCK_EVERY;
+        self.next_knock = self.now + self.timing.knock;
         let mut places = self.places.clone();
         places.extend(self.log.members().0.iter().map(|seat| seat.place));
         places.sort_unstable();
@@ -429,6 +458,8 @@
             Word::Gap { prev, hint, round } => self.gap(from, prev, hint, round),
             Word::Taken { index, upto, round } => self.taken(from, index, upto, round),
             Word::Go { next } => self.handed(from, next),
+            Word::Leaving { last } => self.asked_release(from, last),
+            Word::Released { upto } => self.released(from, upto),
         }
     }
 
@@ -437,6 +468,8 @@
             let term = self.log.term_at(index).expect("what comes after the snapshot is in memory");
             let members = self.log.members_at(index).clone();
             self.log.replace(crate::Snapshot { index, term, members, data });
+            self.log.trim(self.needed());
+            self.share_snapshots();
         }
     }
 
@@ -451,7 +484,7 @@
     fn finish(&mut self) -> Vec<Effect> {
         if self.leads() {
             self.commit_more();
-            if !self.leaving {
+            if !self.leaves() {
                 self.tend_members();
                 self.commit_more();
             }
@@ -461,12 +494,14 @@
         }
         self.apply();
         if self.leads() {
+            self.answer_proof();
             self.answer_reads();
             self.pump();
-            if self.leaving {
+            if self.leaves() {
                 self.hand_over();
             }
         }
+        self.ask_release();
         if let Some(write) = self.disk.issue(self.now, self.term, self.voted, &self.log, self.commit) {
             self.out.push(Effect::Write(write));
         }
