--- a/crates/playhouse/src/control.rs
+++ b/crates/playhouse/src/control.rs
@@ -7,8 +7,8 @@
 use cast::{Beat, InstanceId};
 use company::{Part, Standing};
 use intent::{Inspector, inspector};
-use promptbook::{Effect, Event, Members, Message, Promptbook, Release, Saved, Write, WriteNo};
-use props::{Ask, Form, MS, Micros, Place, SECOND, Seat};
+use promptbook::{Effect, Entry, Event, Members, Message, Promptbook, Release, Saved, What, Write, WriteNo};
+use props::{Ask, Form, Index, MS, Micros, Place, SECOND, Seat};
 use script::{Command, Count, Outcome};
 
 use crate::house::{Happened, House, Letter, Word};
@@ -270,6 +270,11 @@
         match self.house.script.check_at(now, &command) {
             Ok(()) => {
                 self.wait(now, ask, false, None);
+                // Guards against a first configuration that comes before a leader's next look: all would be written in
+                // the old form for `AGREE_AFTER` then.
+                if self.book.leads() && self.house.script.bill().is_none() {
+                    self.agree(now);
+                }
                 self.log(now, Event::Propose { ask, data: self.written(now, &command) });
             }
             Err(_) => {
@@ -454,11 +459,8 @@
     /// Has a newer form agreed once every voter and every node known reads it, and has for a while. Before the first
     /// configuration there is nothing that an older program could go on with: then it is agreed at once.
     fn agree(&mut self, now: Micros) {
-        let script = &self.house.script;
-        let agreed = script.agreed();
-        // Once an entry of its own term is committed, a leader has applied all that was acknowledged before.
-        let last = self.book.entry(self.book.committed());
-        let new = script.bill().is_none() && last.is_some_and(|last| last.term == self.book.term());
+        let agreed = self.house.script.agreed();
+        let new = self.house.script.bill().is_none() && !self.commands_wait();
         let Some(form) = self.read_by_all().filter(|form| *form > agreed) else {
             self.may_agree = None;
             return;
@@ -478,6 +480,14 @@
         self.propose(now, &Command::Agree { form });
     }
 
+    /// Whether commands of this leader's log are not applied yet. Where none are, it has applied all that anybody ever
+    /// acknowledged: all of that is in its log.
+    fn commands_wait(&self) -> bool {
+        let (applied, last) = (self.book.committed().0, self.book.counted().0);
+        let command = |entry: &Entry| matches!(entry.what, What::Command(_));
+        (applied + 1..=last).any(|index| self.book.entry(Index(index)).is_none_or(command))
+    }
+
     /// The newest form that all read; none where a voter's forms are not known. One that ended in order counts
     /// while it is a voter, as it may come back; else no more.
     fn read_by_all(&self) -> Option<Form> {
