--- a/crates/cast/tests/earlier_life.rs
+++ b/crates/cast/tests/earlier_life.rs
@@ -16,6 +16,7 @@
 fn hub(seed: u64, now: Micros) -> Cast {
     let mut cast = Cast::start(place(1), timing(), seed, now);
     cast.step(now, Event::Peers { hubs: vec![place(1), place(2), place(3)], others: vec![place(9)] });
+    cast.step(now, Event::Voters { places: vec![place(1), place(2), place(3)] });
     cast
 }
 
