--- a/crates/playhouse/src/control.rs
+++ b/crates/playhouse/src/control.rs
@@ -354,8 +354,8 @@
             self.count_due = now + COUNT_EVERY;
             self.tell_standing(now);
             if self.book.leads() {
-                self.lead(now);
                 self.agree(now);
+                self.lead(now);
             } else {
                 self.may_agree = None;
             }
@@ -480,11 +480,14 @@
         self.propose(now, &Command::Agree { form });
     }
 
-    /// Whether commands of this leader's log are not applied yet. Where none are, it has applied all that anybody ever
-    /// acknowledged: all of that is in its log.
+    /// Whether commands of this leader's log are not applied yet, but for what leaders tell of instances. Where none are,
+    /// it has applied all that anybody ever acknowledged: all of that is in its log.
     fn commands_wait(&self) -> bool {
         let (applied, last) = (self.book.committed().0, self.book.counted().0);
-        let command = |entry: &Entry| matches!(entry.what, What::Command(_));
+        let command = |entry: &Entry| match &entry.what {
+            What::Command(data) => !matches!(Command::from_bytes(data), Some(Command::Seen { .. })),
+            What::Nothing | What::Members(_) => false,
+        };
         (applied + 1..=last).any(|index| self.book.entry(Index(index)).is_none_or(command))
     }
 
