--- a/crates/callboard/src/lib.rs
+++ b/crates/callboard/src/lib.rs
@@ -116,6 +116,11 @@
     Stands {
         standing: Standing,
     },
+    /// The leader that this source follows, if that is another node which reads `Message::Prove`; told at least every
+    /// 200 ms. It is asked whether it hears this source.
+    Follows {
+        leader: Option<Place>,
+    },
 }
 
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/callboard/src/node.rs
+++ b/crates/callboard/src/node.rs
@@ -3,7 +3,7 @@
 use oorandom::Rand64;
 use props::{Index, MS, Micros, Place, SECOND};
 
-use crate::proof::Proofs;
+use crate::proof::{Contact, Proofs};
 use crate::ring::{Early, Ring};
 use crate::{Effect, Event, Message, Mode, PEERS_MAX, Piece, RING_BYTES_MAX, SMALL_BYTES, Standing};
 
@@ -96,10 +96,15 @@
     changed: Micros,
     next_digest: Micros,
     digest_hub: bool,
+    /// Hubs that are to hear what is held here, the next one last: each in its turn, so that none is left out for long
+    /// by chance.
+    turn: Vec<Place>,
     /// At a follower: whether what is held is known to be new.
     proofs: Proofs,
     /// At a source: how it stands, and as of when.
     stands: (Standing, Micros),
+    /// At a source: when the leader that it follows was last known to hear it.
+    contact: Contact,
     now: Micros,
 }
 
@@ -132,8 +137,10 @@
             changed: now,
             next_digest,
             digest_hub: true,
+            turn: Vec::new(),
             proofs: Proofs::default(),
             stands: (Standing::Unproved, now),
+            contact: Contact::default(),
             now,
         }
     }
@@ -150,6 +157,7 @@
             Event::Restored { index } => self.restored(index),
             Event::Peers { hubs, others } => self.peers(hubs, others, &mut out),
             Event::Stands { standing } => self.stands = (standing, self.now),
+            Event::Follows { leader } => self.contact.follows(self.now, leader, &mut out),
         }
         self.timers(&mut out);
         self.proofs.holds(self.index);
@@ -171,6 +179,12 @@
         self.proofs.done()
     }
 
+    /// At a source: the last moment of the own clock for which the leader that it follows, or followed, is known to have
+    /// heard it since, by an answer to its ask.
+    pub fn contact(&self) -> Option<Micros> {
+        self.contact.at()
+    }
+
     /// All commands up to here are applied (or, at a source, committed).
     pub fn index(&self) -> Index {
         self.index
@@ -200,8 +214,8 @@
         }
     }
 
-    /// Tells what is held to some at random: a follower to a hub and to another follower, in turn when it is calm
-    /// and both at once after news; a hub to a follower.
+    /// Tells what is held: a follower to a hub, each in its turn, and to another follower by chance, one after the other
+    /// when it is calm and both at once after news; a hub to a follower by chance.
     fn digest(&mut self, out: &mut Vec<Effect>) {
         let calm = self.now - self.changed > CALM_AFTER && self.index >= self.known;
         self.next_digest = self.now + if calm { DIGEST_CALM } else { DIGEST_SOON };
@@ -210,13 +224,22 @@
             Mode::Source => (false, true),
             Mode::Follower => (self.digest_hub || !calm, !self.digest_hub || !calm),
         };
-        let hub = if hub { pick(&mut self.rand, &self.hubs) } else { None };
+        let hub = if hub { self.next_hub() } else { None };
         let other = if other || hub.is_none() { pick(&mut self.rand, &self.others) } else { None };
         for to in hub.into_iter().chain(other) {
             self.tell(to, false, out);
         }
     }
 
+    /// Each hub that is up once, in an order by chance; then a new order.
+    fn next_hub(&mut self) -> Option<Place> {
+        if self.turn.is_empty() {
+            self.turn.clone_from(&self.hubs);
+            shuffle(&mut self.rand, &mut self.turn);
+        }
+        self.turn.pop()
+    }
+
     // ---- peers ----
 
     fn peers(&mut self, hubs: Vec<Place>, others: Vec<Place>, out: &mut Vec<Effect>) {
@@ -231,6 +254,9 @@
         let (hubs, others) = (sorted(hubs), sorted(others));
         let new: Vec<Place> = hubs.iter().copied().filter(|hub| !self.hubs.contains(hub)).collect();
         (self.hubs, self.others) = (hubs, others);
+        self.turn.retain(|hub| self.hubs.contains(hub));
+        self.turn.extend(&new);
+        shuffle(&mut self.rand, &mut self.turn);
         self.tellers.retain(|(place, _)| self.hubs.contains(place) || self.others.contains(place));
         if let Some(asked) = &mut self.asked
             && !self.hubs.contains(&asked.from)
@@ -348,7 +374,9 @@
 
     /// A source that holds more than is here is asked for it at once, as if it had told by a digest.
     fn proof(&mut self, from: Place, index: Index, standing: Standing, out: &mut Vec<Effect>) {
-        if self.mode == Mode::Follower {
+        if self.mode == Mode::Source {
+            self.contact.answered(from);
+        } else {
             self.proofs.answered(self.now, from, index, standing);
             if index > self.index {
                 self.have(from, index, 0, false, out);
--- a/crates/callboard/src/proof.rs
+++ b/crates/callboard/src/proof.rs
@@ -1,5 +1,6 @@
-//! Proof of age at a follower: a node that has just started takes what it holds for new enough once a source proves
-//! it. Asked for until then, and never again in this life.
+//! Proof of age. At a follower: a node that has just started takes what it holds for new enough once a source proves
+//! it. Asked for until then, and never again in this life. At a source: contact both ways with the leader that it
+//! follows, as hearing a leader says nothing of being heard.
 
 use std::collections::BTreeMap;
 
@@ -17,6 +18,45 @@
 /// Answers are counted for so long.
 const COUNTS_FOR: Micros = 1_500 * MS;
 
+/// A leader is asked this often whether it hears a source that follows it.
+const CONTACT_EVERY: Micros = 400 * MS;
+
+/// When the leader that a source follows was last known to hear it.
+#[derive(Debug, Default)]
+pub(crate) struct Contact {
+    leader: Option<Place>,
+    /// When it was asked last, and when it was first asked of the asks that it has not answered.
+    asked: Option<Micros>,
+    open: Option<Micros>,
+    at: Option<Micros>,
+}
+
+impl Contact {
+    pub fn at(&self) -> Option<Micros> {
+        self.at
+    }
+
+    /// Asks the leader, where it is time to. An ask of another leader is void.
+    pub fn follows(&mut self, now: Micros, leader: Option<Place>, out: &mut Vec<Effect>) {
+        if leader != self.leader {
+            (self.leader, self.asked, self.open) = (leader, None, None);
+        }
+        let Some(to) = leader else { return };
+        if self.asked.is_none_or(|at| now - at >= CONTACT_EVERY) {
+            self.asked = Some(now);
+            self.open.get_or_insert(now);
+            out.push(Effect::Send { to, message: Message::Prove });
+        }
+    }
+
+    /// An answer may be to any of the asks that are open: it counts as one to the first.
+    pub fn answered(&mut self, from: Place) {
+        if self.leader == Some(from) {
+            self.at = self.at.max(self.open.take());
+        }
+    }
+}
+
 /// What the sources have answered.
 #[derive(Debug, Default)]
 pub(crate) struct Proofs {
--- a/crates/playhouse/src/control.rs
+++ b/crates/playhouse/src/control.rs
@@ -130,6 +130,7 @@
         now: Micros,
     ) -> (Control, Vec<Out>) {
         house.cast.spread_within(spans.drain);
+        house.script.repeated_for(spans.ack);
         let (book, effects) = Promptbook::start(seat, first, saved, spans.book, seed, now);
         let mut control = Control {
             house,
@@ -339,7 +340,8 @@
             }
             None => callboard::Standing::Unproved,
         };
-        self.house.stands(now, standing, proved.map(|(_, at)| at));
+        let leader = self.book.leader().map(|seat| seat.place);
+        self.house.stands(now, standing, proved.map(|(_, at)| at), leader);
         if self.book.leads() {
             self.log(now, Event::Prove);
         }
--- a/crates/playhouse/src/house.rs
+++ b/crates/playhouse/src/house.rs
@@ -155,6 +155,9 @@
     /// When the state changed last, and what a prompter heard that others hold, with its moment.
     applied_at: Micros,
     holds: BTreeMap<Place, (Index, Micros)>,
+    /// At a prompter that leads or knows who does: when a majority was last in touch by what was heard, and whether the
+    /// leader is asked if it hears this node.
+    touch: Option<(Micros, bool)>,
     happened: VecDeque<Happened>,
     out: Vec<(Place, Word)>,
 }
@@ -183,6 +186,7 @@
             told: BTreeSet::new(),
             applied_at: now,
             holds: BTreeMap::new(),
+            touch: None,
             happened: VecDeque::new(),
             out: Vec::new(),
         };
@@ -350,11 +354,28 @@
         self.cast_did(effects);
     }
 
-    /// How this prompter stands to a majority, and when it was last in touch with one.
-    pub fn stands(&mut self, now: Micros, standing: callboard::Standing, proved: Option<Micros>) {
+    /// How this prompter stands to a majority, when it was last in touch with one by what it heard, and who leads. A
+    /// leader that reads form 2 is asked whether it hears this node.
+    pub fn stands(
+        &mut self, now: Micros, standing: callboard::Standing, proved: Option<Micros>, leader: Option<Place>,
+    ) {
         let effects = self.board.step(now, callboard::Event::Stands { standing });
         self.board_did(now, effects);
-        if let Some(at) = proved {
+        let asked = leader.filter(|place| {
+            *place != self.own.place && self.shared(*place) >= callboard::Message::Prove.since()
+        });
+        let effects = self.board.step(now, callboard::Event::Follows { leader: asked });
+        self.board_did(now, effects);
+        // One that leads knows it by answers; with an older leader nothing better is to be had.
+        self.touch = proved.filter(|_| leader.is_some()).map(|at| (at, asked.is_some()));
+        self.tell_touch(now);
+    }
+
+    /// Whoever hears a leader and is not heard by it is not in touch.
+    fn tell_touch(&mut self, now: Micros) {
+        let Some((proved, asked)) = self.touch else { return };
+        let at = if asked { self.board.contact().map(|heard| heard.min(proved)) } else { Some(proved) };
+        if let Some(at) = at {
             let effects = self.cast.step(now, cast::Event::Proved { at });
             self.cast_did(effects);
         }
@@ -415,8 +436,12 @@
             }
             Word::Board(message) => {
                 self.heard_that_it_holds(now, from, &message);
+                let before = self.board.contact();
                 let effects = self.board.step(now, callboard::Event::Received { from, message });
                 self.board_did(now, effects);
+                if self.board.contact() != before {
+                    self.tell_touch(now);
+                }
             }
             Word::Cast(message) => {
                 let effects = self.cast.step(now, cast::Event::Received { from, message });
--- a/crates/playhouse/src/prompter.rs
+++ b/crates/playhouse/src/prompter.rs
@@ -90,7 +90,6 @@
     // one may come back with the same disk.
     let member = settings.member(Part::Prompter, Life(chance()));
     let mut house = House::start(member, settings.seeds(), micros(settings.heartbeat_s), chance(), now);
-    house.script.repeated_for(micros(settings.timer_bounds.ack_s));
     if let Some(bytes) = remembered {
         house.remember(now, &bytes);
     }
--- a/crates/playhouse/src/settings.rs
+++ b/crates/playhouse/src/settings.rs
@@ -150,6 +150,8 @@
     pub count: script::CountSettings,
     /// `DrainS`.
     pub drain: Micros,
+    /// `AckS`.
+    pub ack: Micros,
     /// What a control machine that is told to end has for handing over.
     pub hand_over: Micros,
 }
@@ -191,7 +193,7 @@
             ..usual
         };
         let hand_over = within(micros(bounds.grace_s) * 2 / 3, 0, 5 * SECOND);
-        Spans { book, count, drain: micros(bounds.drain_s), hand_over }
+        Spans { book, count, drain: micros(bounds.drain_s), ack: micros(bounds.ack_s), hand_over }
     }
 }
 
