--- a/crates/extras/src/lib.rs
+++ b/crates/extras/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod kind;
 pub mod path;
 pub mod size;
+pub mod sockets;
 pub mod sweep;
 pub mod table;
 pub mod tally;
--- a/crates/extras/src/main.rs
+++ b/crates/extras/src/main.rs
@@ -9,6 +9,7 @@
 use extras::fit::{self, At, COSTS};
 use extras::path;
 use extras::size::Size;
+use extras::sockets::{self, Part, Plan as SocketsPlan, SocketsError};
 use extras::sweep::{self, AXES, Found, SweepError};
 use extras::table;
 use extras::tally::Phase;
@@ -98,6 +99,11 @@
         #[arg(long)]
         program: Option<PathBuf>,
     },
+    /// A hollow fleet of real processes on loopback.
+    Sockets(SocketsPlan),
+    /// One process of it.
+    #[command(hide = true)]
+    SocketsPart(Part),
     /// Slopes from what `sweep` wrote, and what they come to at the size to design for.
     Fit {
         #[arg(long)]
@@ -132,6 +138,9 @@
     steady: f64,
     #[arg(long, default_value_t = 6.0)]
     change: f64,
+    /// Seconds with a version on trial.
+    #[arg(long, default_value_t = 0.0)]
+    trial: f64,
     #[arg(long, default_value_t = 10.0)]
     herd: f64,
     /// Requests a second at each of the first `--drawn` gateways.
@@ -175,6 +184,7 @@
         start: micros(line.start),
         steady: micros(line.steady),
         change: micros(line.change),
+        trial: micros(line.trial),
         herd: micros(line.herd),
         requests: line.requests,
         drawn: line.drawn,
@@ -329,7 +339,7 @@
 ) -> Result<(), Box<dyn std::error::Error>> {
     let missing = "the system's program is not built: cargo build --release -p playhouse";
     let program = program.or_else(path::program).ok_or(missing)?;
-    let found = path::measure(program, routes, rate, Duration::from_secs(seconds), seed)?;
+    let found = path::measure(program, routes, rate, Duration::from_secs(seconds), seed, true)?;
     println!(
         "{routes} routes, {rate} requests a second each way, {} each, {} failed",
         found.through.len(),
@@ -353,10 +363,17 @@
         found.resident_mb,
         found.peak_mb
     );
-    for share in [0.1, 0.2, 1.0] {
+    for at in &found.loaded {
         println!(
-            "estimate: a machine of {share} of a core bears {:.0} requests a second",
-            found.borne(share)
+            "at {:.0} a second, what {} of a core bears by that: {} answered, p50 {:.3} ms straight and {:.3} added, p99 \
+             {:.3} and {:.3}, on a whole core",
+            at.rate,
+            at.share,
+            at.through.len(),
+            at.straight.value_at_quantile(0.5) as f64 / 1e3,
+            at.added_ms(0.5),
+            at.straight.value_at_quantile(0.99) as f64 / 1e3,
+            at.added_ms(0.99),
         );
     }
     Ok(())
@@ -402,6 +419,52 @@
     Ok(())
 }
 
+fn over_sockets(plan: &SocketsPlan) -> Result<(), SocketsError> {
+    let rows = sockets::run(plan)?;
+    println!("{plan:?}");
+    println!(
+        "{:8} {:9} {:>5} {:>9} {:>9} {:>8} {:>7} {:>7} {:>7} {:>6} {:>8} {:>6} {:>8} {:>8}  in force",
+        "phase",
+        "role",
+        "nodes",
+        "B/s",
+        "busiest",
+        "words/s",
+        "core %",
+        "MB",
+        "peak",
+        "ready",
+        "all nodes",
+        "all i.",
+        "beats/s",
+        "refused"
+    );
+    for row in rows {
+        let role = if row.gateways { "gateway" } else { "prompter" };
+        let in_force = row.in_force.map_or(String::new(), |(middle, last, count)| {
+            format!("{count} after {middle:.3} s in the middle, {last:.3} s at the last")
+        });
+        println!(
+            "{:8} {:9} {:5} {:9.0} {:9.0} {:8.1} {:7.3} {:7.2} {:7.2} {:6} {:8} {:6} {:8.0} {:8.1}  {in_force}",
+            row.phase,
+            role,
+            row.nodes,
+            row.bytes_s,
+            row.busiest_bytes_s,
+            row.words_s,
+            row.core_share * 100.0,
+            row.resident_mb,
+            row.peak_mb,
+            row.ready,
+            row.whole_company,
+            row.whole_cast,
+            row.beats_s,
+            row.refused_s,
+        );
+    }
+    Ok(())
+}
+
 fn main() -> ExitCode {
     let done: Result<(), Box<dyn std::error::Error>> = match Line::parse().verb {
         Verb::Run(line) => run(&line).map_err(Into::into),
@@ -428,6 +491,8 @@
             println!("{:#?}", change::play(plan));
             Ok(())
         }
+        Verb::Sockets(plan) => over_sockets(&plan).map_err(Into::into),
+        Verb::SocketsPart(part) => sockets::play(&part).map_err(Into::into),
         Verb::Table { seed, most } => tables(seed, most).map_err(Into::into),
         Verb::Beats { seconds, program } => beats(seconds, program),
         Verb::Path { routes, rate, seconds, seed, program } => path(routes, rate, seconds, seed, program),
--- a/crates/extras/src/path.rs
+++ b/crates/extras/src/path.rs
@@ -24,6 +24,33 @@
 /// A tick of the kernel's accounts of processes.
 const TICK: f64 = 0.01;
 
+/// Requests are drawn for so many clients, each at its own pace, at the most that a machine bears.
+const LOADING: usize = 64;
+/// Machines' shares of a core, and what part of what they are estimated to bear is asked of the foyer: at all of it a
+/// queue grows without an end.
+pub const SHARES: [f64; 3] = [0.1, 0.2, 1.0];
+const LOADED_TO: f64 = 0.9;
+
+/// Whole exchanges at one rate, counted from when each was due, in microseconds.
+#[derive(Debug)]
+pub struct Loaded {
+    pub share: f64,
+    pub rate: f64,
+    pub straight: Histogram<u64>,
+    pub through: Histogram<u64>,
+}
+
+impl Loaded {
+    pub fn added_ms(&self, quantile: f64) -> f64 {
+        added_ms(&self.straight, &self.through, quantile)
+    }
+}
+
+fn added_ms(straight: &Histogram<u64>, through: &Histogram<u64>, quantile: f64) -> f64 {
+    let at = |of: &Histogram<u64>| of.value_at_quantile(quantile) as f64 / 1e3;
+    at(through) - at(straight)
+}
+
 /// What was found.
 #[derive(Debug)]
 pub struct Found {
@@ -39,12 +66,13 @@
     /// Of the foyer's process.
     pub resident_mb: f64,
     pub peak_mb: f64,
+    /// At the most that machines of these shares bear; only where it is asked for.
+    pub loaded: Vec<Loaded>,
 }
 
 impl Found {
     pub fn added_ms(&self, quantile: f64) -> f64 {
-        let at = |of: &Histogram<u64>| of.value_at_quantile(quantile) as f64 / 1e3;
-        at(&self.through) - at(&self.straight)
+        added_ms(&self.straight, &self.through, quantile)
     }
 
     /// Requests a second that a share of a core bears: an estimate from the processor time of one.
@@ -86,16 +114,17 @@
     if target.is_empty() { ask } else { ask.with("Target-Instance", target) }
 }
 
-/// Measures at `rate` requests a second each way for `span`, before a configuration of so many routes.
+/// Measures at `rate` requests a second each way for `span`, before a configuration of so many routes; with `loads` also
+/// at the most that machines bear.
 pub fn measure(
-    program: PathBuf, routes: usize, rate: f64, span: Duration, seed: u64,
+    program: PathBuf, routes: usize, rate: f64, span: Duration, seed: u64, loads: bool,
 ) -> Result<Found, Error> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    runtime.block_on(measured(program, routes, rate, span, seed))
+    runtime.block_on(measured(program, routes, rate, span, seed, loads))
 }
 
 async fn measured(
-    program: PathBuf, routes: usize, rate: f64, span: Duration, seed: u64,
+    program: PathBuf, routes: usize, rate: f64, span: Duration, seed: u64, loads: bool,
 ) -> Result<Found, Error> {
     let plan = stage::Plan { program, prompters: 1, foyers: 1, folder: None, log: "warn".to_owned() };
     let mut stage = Stage::set(plan)?;
@@ -129,6 +158,7 @@
         idle_share: 0.0,
         resident_mb: 0.0,
         peak_mb: 0.0,
+        loaded: Vec::new(),
     };
     let ends = (instance.address(), stage.frontend(foyer));
     in_turn(&mut found, ends, instance.id(), routes, rate, span, seed).await?;
@@ -140,9 +170,54 @@
     found.cpu_ratio = foyer.as_secs_f64() / own.as_secs_f64().max(1e-9);
     found.resident_mb = memory(pid, "VmRSS").unwrap_or(0.0);
     found.peak_mb = memory(pid, "VmHWM").unwrap_or(0.0);
+    for share in SHARES.into_iter().filter(|_| loads) {
+        let rate = found.borne(share) * LOADED_TO;
+        let straight = at_rate(ends.0, instance.id(), routes, rate, span / 2).await?;
+        let through = at_rate(ends.1, "", routes, rate, span / 2).await?;
+        found.loaded.push(Loaded { share, rate, straight, through });
+    }
     Ok(found)
 }
 
+/// Requests at a rate that does not wait for answers, as long as `LOADING` are enough to keep it.
+async fn at_rate(
+    to: std::net::SocketAddrV4, target: &str, routes: usize, rate: f64, span: Duration,
+) -> Result<Histogram<u64>, Error> {
+    let between = Duration::from_secs_f64(LOADING as f64 / rate.max(1.0));
+    let began = Instant::now();
+    let mut clients = tokio::task::JoinSet::new();
+    for client in 0..LOADING {
+        let target = target.to_owned();
+        clients.spawn(async move {
+            let mut took = Vec::new();
+            let Ok(mut line) = Line::open(to).await else { return took };
+            let first = began + between.mul_f64(client as f64 / LOADING as f64);
+            for number in 0u32.. {
+                let due = first + between * number;
+                if due > began + span {
+                    break;
+                }
+                tokio::time::sleep_until(due.into()).await;
+                let id = (client as u64 + 1) << 40 | u64::from(number);
+                match line.ask(&ask((number as usize * 7 + client) % routes, id, &target)).await {
+                    // The first opens connections on its way.
+                    Ok(answer) if answer.status.is_success() && number > 0 => took.push(due.elapsed()),
+                    Ok(_) => {}
+                    Err(_) => break,
+                }
+            }
+            took
+        });
+    }
+    let mut all = Histogram::new(3)?;
+    while let Some(one) = clients.join_next().await {
+        for took in one? {
+            all.record((took.as_micros() as u64).max(1))?;
+        }
+    }
+    Ok(all)
+}
+
 /// Each way in turn, one request at a time, spaced as `rate` has it.
 async fn in_turn(
     found: &mut Found, ends: (std::net::SocketAddrV4, std::net::SocketAddrV4), id: &str, routes: usize,
--- a/crates/extras/src/size.rs
+++ b/crates/extras/src/size.rs
@@ -25,6 +25,8 @@
     pub start: Micros,
     pub steady: Micros,
     pub change: Micros,
+    /// A version of the first service is on trial meanwhile, and all requests that are drawn are for that service.
+    pub trial: Micros,
     pub herd: Micros,
 }
 
@@ -51,6 +53,7 @@
             start: 15 * SECOND,
             steady: 10 * SECOND,
             change: 6 * SECOND,
+            trial: 0,
             herd: 10 * SECOND,
         }
     }
--- a/crates/extras/src/world/callers.rs
+++ b/crates/extras/src/world/callers.rs
@@ -57,7 +57,7 @@
     waiting: usize,
 }
 
-fn beat(number: usize, life: u32, services: usize) -> Beat {
+pub(crate) fn beat(number: usize, life: u32, services: usize) -> Beat {
     let (high, low) = (number / 250, number % 250);
     Beat {
         id: InstanceId(format!("i-{life:02x}{number:06x}")),
@@ -204,6 +204,35 @@
         self.ask_leader();
     }
 
+    /// As many new instances as the first service has come up with another version, and that is to take over.
+    pub(super) fn begin_trial(&mut self) {
+        let services = self.size.services;
+        let first: Vec<usize> = (0..self.instances.len()).step_by(services).collect();
+        for number in first {
+            let mut beat = beat(number, u32::from(u8::MAX), services);
+            beat.version = "v2".to_owned();
+            beat.address.set_port(8081);
+            let bytes = body(&beat);
+            let added = self.instances.len();
+            self.instances.push(Instance {
+                beat,
+                bytes,
+                life: 0,
+                hub: None,
+                pause: FIRST_PAUSE,
+                waits: false,
+            });
+            let after = self.span(0, SECOND);
+            self.later(after, Event::Beat { instance: added, life: 0 });
+        }
+        let command =
+            Command::Rollout { service: text::service(0), target: "v2".to_owned(), period: 60 * SECOND };
+        let (version, since, left) = (self.version, self.now, vec![false; self.nodes.len()]);
+        self.order =
+            Some(Order { version, command, since, ask: 0, at: 0, acknowledged: None, left, waiting: 0 });
+        self.ask_leader();
+    }
+
     fn wants(&mut self, version: u32, command: Command) {
         let up: Vec<bool> =
             (0..self.nodes.len()).map(|at| at >= self.size.prompters && self.nodes[at].runs()).collect();
@@ -273,6 +302,9 @@
         let route = self.chance.rand_range(0..self.size.routes as u64) as usize;
         // Unsafe routes have another number; every third is one.
         let route = if route.is_multiple_of(3) { (route + 1).min(self.size.routes - 1) } else { route };
+        let services = self.size.services;
+        let route =
+            if self.phases[self.phase].0 == Phase::Trial { route / services * services } else { route };
         self.nodes[at].next_ticket += 1;
         let ticket = TicketId(self.nodes[at].next_ticket);
         let (service, name) = (text::service(route % self.size.services), text::route(route));
--- a/crates/extras/src/world/node.rs
+++ b/crates/extras/src/world/node.rs
@@ -18,13 +18,13 @@
 /// Prompters that vote from the first start on.
 const FIRST_VOTERS: usize = 3;
 
-pub(super) enum Process {
+pub(crate) enum Process {
     Prompter(Box<Control>),
     Gateway(Box<Floor>),
 }
 
 /// What a node asks of the world; words as they go over the wire.
-pub(super) enum Did {
+pub(crate) enum Did {
     Send { to: Place, kind: usize, bytes: Vec<u8> },
     Write(Box<Write>),
     Tell { ask: Ask, told: Told },
@@ -50,7 +50,7 @@
     }
 }
 
-pub(super) struct Node {
+pub(crate) struct Node {
     pub place: Place,
     pub zone: usize,
     prompter: bool,
--- a/crates/garnetdoor-lab/src/prove/mod.rs
+++ b/crates/garnetdoor-lab/src/prove/mod.rs
@@ -4,6 +4,7 @@
 pub mod capacity;
 pub mod control;
 pub mod fleet;
+mod hunts;
 pub mod measure;
 pub mod rehearsal;
 pub mod websocket;
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod plant;
 pub mod play;
 pub mod plot;
+pub mod queue;
 pub mod rules;
 pub mod scenario;
 pub mod search;
