--- a/src/balance.rs
+++ b/src/balance.rs
@@ -51,7 +51,7 @@
         balance.settings_changed(settings);
         balance.woke(Wake::Beat);
         if balance.terms.follows_list {
-            let first = balance.host.now() + balance.between(0, balance.in_turn(LIST_EACH));
+            let first = balance.host.now() + balance.between(0, balance.in_turn());
             balance.host.wake_at(first, Wake::List);
         }
         balance
@@ -75,9 +75,9 @@
         self.speak();
     }
 
-    /// Asked again after a while that differs between gateways: a service that fails fails all at once.
+    /// Asked again at a moment that differs between gateways, and soon: what it missed counts as told after 6 s.
     pub fn list_failed(&mut self) {
-        let at = self.host.now() + self.between(400 * MS, 1600 * MS + self.in_turn(LIST_EACH));
+        let at = self.host.now() + self.between(400 * MS, (1600 * MS + self.in_turn()).min(2500 * MS));
         self.host.wake_at(at, Wake::List);
     }
 
@@ -199,9 +199,9 @@
         many.map_or(FRESH_MOST, |at| self.host.now() - self.seen.taken.0[at].0).clamp(FRESH, FRESH_MOST)
     }
 
-    /// Room for every gateway in turn, at this much for each; 5 s at most, as a list must be asked for.
-    fn in_turn(&self, each: Micros) -> Micros {
-        (each * self.terms.fleet() as Micros).min(5 * SECOND)
+    /// Room for every gateway to ask for the list in turn; at most half the time in which it has to ask.
+    fn in_turn(&self) -> Micros {
+        (LIST_EACH * self.terms.fleet() as Micros).min(self.terms.must_ask_in / 2)
     }
 
     fn between(&mut self, least: Micros, most: Micros) -> Micros {
