--- a/crates/cast/src/cast.rs
+++ b/crates/cast/src/cast.rs
@@ -14,10 +14,8 @@
 const GATHER: Micros = 50 * MS;
 /// The same for drains that are passed on.
 const GATHER_LEAVING: Micros = 15 * MS;
-/// How many others get a drain from each node that hears of it for the first time; in a large fleet, where
-/// fewer are told directly, more.
-const PASSED_TO: usize = 2;
-const PASSED_TO_IN_LARGE: usize = 3;
+/// How many others get a drain from each node that hears of it for the first time.
+const PASSED_TO: usize = 3;
 /// A drain that is found by comparing copies is passed on while it is younger.
 const FRESH: Micros = 3 * SECOND;
 /// Between two comparisons by chance up to so many thousandths of `Timing::compare` more.
@@ -379,9 +377,11 @@
         }
     }
 
-    /// What came from another node: hubs relay it to their share, drains go on to a few from everywhere.
+    /// What came from another node: drains go on to a few from everywhere; hubs relay what they are asked to, and drains
+    /// whichever way they came, to their share. Guards against a share that is told by nobody, where its hub heard of the
+    /// drain from one of the few first and learnt nothing more from the hub that began it.
     fn pass_on(&mut self, now: Micros, learnt: Learnt, relay: bool, out: &mut Vec<Effect>) {
-        let relay = relay && self.hub && !self.small();
+        let relays = self.hub && !self.small();
         for (id, leaves) in learnt.news {
             let young = |entry: &crate::list::Entry| now - entry.known.since < FRESH;
             let leaves = leaves && self.list.get(&id).is_some_and(young);
@@ -389,7 +389,7 @@
                 self.few.push(id.clone());
                 self.flush_at = self.flush_at.min(now + GATHER_LEAVING);
             }
-            if relay {
+            if relays && (relay || leaves) {
                 self.share.push((id, leaves));
                 self.flush_at = self.flush_at.min(now + if leaves { GATHER_LEAVING } else { GATHER });
             }
@@ -536,7 +536,7 @@
             tell(&second, &pieces(self.list.records(now, &leaving)), false, out);
         }
         if !few.is_empty() {
-            let to = self.some_others(if small { PASSED_TO } else { PASSED_TO_IN_LARGE });
+            let to = self.some_others(PASSED_TO);
             tell(&to, &pieces(self.list.records(now, &few)), false, out);
         }
     }
--- a/crates/cast/tests/cast.rs
+++ b/crates/cast/tests/cast.rs
@@ -68,6 +68,59 @@
     }
 }
 
+/// In a large fleet each hub tells its share of the foyers of a drain, also where it heard of it from one of the few that
+/// pass it on, or from a comparison, and the word of the hub that began it only repeats that.
+#[test]
+fn a_hub_relays_a_drain_to_its_share_whichever_way_it_came() {
+    let foyers: Vec<Place> = (100..130).map(world::place).collect();
+    let hubs: Vec<Place> = (0..5).map(world::place).collect();
+    let record = |state| Record {
+        id: InstanceId("i-leaves".into()),
+        service: "huvo0a".into(),
+        address: "10.128.0.9:8000".parse().expect("an address"),
+        zone: "hala-a".into(),
+        version: "v1".into(),
+        slots: 3,
+        state,
+        sequence: 7,
+        age: 9 * SECOND,
+        warmup_left: 0,
+        state_age: 0,
+        keeper: hubs[4],
+    };
+    let told_of = |first: Message| {
+        let mut cast = Cast::start(hubs[0], Timing::of_heartbeat(BEAT), 3, 0);
+        cast.step(0, Event::Peers { hubs: hubs.clone(), others: foyers.clone() });
+        cast.step(
+            0,
+            Event::Received {
+                from: hubs[4],
+                message: Message::Give { records: vec![record(State::InService)] },
+            },
+        );
+        let mut out = cast.step(SECOND, Event::Received { from: foyers[3], message: first });
+        let leaving = Message::Leaving { round: 1, record: record(State::Draining) };
+        out.extend(cast.step(SECOND + MS, Event::Received { from: hubs[4], message: leaving }));
+        out.extend(cast.step(SECOND + 100 * MS, Event::Tick));
+        let told = |place: &&Place| {
+            let news = |effect: &Effect| match effect {
+                Effect::Send { to, message: Message::News { records, .. } } => {
+                    to == *place && records.iter().any(|one| one.state == State::Draining)
+                }
+                _ => false,
+            };
+            out.iter().any(news)
+        };
+        // Two hubs tell each foyer: two fifths of them are this one's.
+        foyers.iter().filter(|place| told(place)).count()
+    };
+    let news = |relay| Message::News { relay, records: vec![record(State::Draining)] };
+    for first in [news(true), news(false), Message::Give { records: vec![record(State::Draining)] }] {
+        let what = format!("{first:?}");
+        assert!(told_of(first) >= 12, "{what}");
+    }
+}
+
 #[test]
 fn a_hub_without_a_majority_or_without_any_other_node_acknowledges_no_drain() {
     let mut world = World::new(3, 3, 4, 6);
