--- a/crates/playhouse/src/foyer/trip.rs
+++ b/crates/playhouse/src/foyer/trip.rs
@@ -253,7 +253,7 @@
         }
         strip(&mut head.headers);
         let ending = match status {
-            StatusCode::MISDIRECTED_REQUEST => Ending::NeverSent,
+            StatusCode::MISDIRECTED_REQUEST => Ending::Misdirected,
             // The request itself is wrong (it has no id), wherever it goes.
             StatusCode::BAD_REQUEST => Ending::Finished,
             _ if not_run => Ending::Full,
@@ -287,7 +287,7 @@
                 if whole {
                     held.keep = (!closes).then_some(rest);
                 }
-                if matches!(ending, Ending::NeverSent | Ending::Full) {
+                if matches!(ending, Ending::Misdirected | Ending::Full) {
                     return Outcome::Failed(ending);
                 }
                 if unproven {
--- a/crates/rehearsal/src/world/instances.rs
+++ b/crates/rehearsal/src/world/instances.rs
@@ -304,7 +304,7 @@
         let wrong = self.instances[at].id != self.trips[trip].target;
         if wrong && self.planted != Some(Planted::NoTarget) {
             self.saw(What::TurnedAway { request: self.trips[trip].request, asked_for });
-            return self.back(trip, Ending::NeverSent, false);
+            return self.back(trip, Ending::Misdirected, false);
         }
         let one = &self.instances[at];
         let (request, foyer, service) = (self.trips[trip].request, self.trips[trip].foyer, one.service);
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -107,7 +107,7 @@
         let on = *trip;
         let (profile, key) = (ticket.arrival.profile, ticket.arrival.key);
         let landed = self.seen.landed(&on, ending, now);
-        if let Some((zone, silent)) = landed.filter(|_| ending != Ending::NeverSent && !self.stood_still()) {
+        if let Some((zone, silent)) = landed.filter(|_| ending.tells_of_server() && !self.stood_still()) {
             let usual = self.seen.usual(profile, now - self.span());
             let stretch = took as f64 / usual.unwrap_or(took).max(1) as f64;
             let sample = Sample { at: now, ending, took, zone, silent, stretch, beside: on.beside };
--- a/src/host.rs
+++ b/src/host.rs
@@ -78,6 +78,15 @@
     Reset,
     Stopped,
     NeverSent,
+    /// Another server has the address by now, and told so (421): it arrived there, and has not run.
+    Misdirected,
+}
+
+impl Ending {
+    /// Whether it tells anything of the server that the trip was for.
+    pub fn tells_of_server(self) -> bool {
+        !matches!(self, Ending::NeverSent | Ending::Misdirected)
+    }
 }
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
--- a/src/seen.rs
+++ b/src/seen.rs
@@ -61,7 +61,8 @@
 
     /// Whether it may have run, or may still.
     pub fn may_have_run(&self) -> bool {
-        !matches!(self.ended, Some(Ending::Full | Ending::ConnectFailed | Ending::NeverSent))
+        use Ending::{ConnectFailed, Full, Misdirected, NeverSent};
+        !matches!(self.ended, Some(Full | ConnectFailed | NeverSent | Misdirected))
     }
 }
 
