--- a/src/balance.rs
+++ b/src/balance.rs
@@ -33,7 +33,7 @@
 const FAILURE: f64 = 8.0; // a failed trip weighs like an answer that takes so many usual times
 const LONG_OUT: f64 = 0.5; // of the agreed time: a trip out for so long tells of a jam before it ends
 const RETRY_OVER: Micros = 10 * SECOND; // tickets are counted over this long, so that few suffice
-const LIST_EACH: Micros = 10 * MS; // of the list service's time, for each gateway that may ask at once
+const LIST_EACH: Micros = 4 * MS; // of the list service's time, for each gateway that may ask at once
 const BEAT: Micros = 100 * MS; // a wake-up this often; one late by half shows that the gateway stood still
 
 pub struct Balance<H: Host> {
