--- a/crates/garnetdoor-gateway/src/memory/servers.rs
+++ b/crates/garnetdoor-gateway/src/memory/servers.rs
@@ -10,9 +10,8 @@
 use crate::event::{ConnId, Effect, Reason};
 use crate::wire::discovery::List;
 
-/// The list service says something every 2 s, and what it has to tell counts as told 6 s after it fell silent: it is
-/// asked again within 2.5 s more, and an answer takes some of the rest.
-const LIST_SILENT: Micros = 3_000 * MS;
+/// The list service says something every 2 s, and what it has to tell counts as told after 6 s.
+const LIST_SILENT: Micros = 4_500 * MS;
 
 impl Desk {
     /// Has a server asked for a trip or a probe; the decisions hear of one that could not be sent.
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -33,7 +33,7 @@
 const FAILURE: f64 = 8.0; // a failed trip weighs like an answer that takes so many usual times
 const LONG_OUT: f64 = 0.5; // of the agreed time: a trip out for so long tells of a jam before it ends
 const RETRY_OVER: Micros = 10 * SECOND; // tickets are counted over this long, so that few suffice
-const LIST_EACH: Micros = 4 * MS; // of the list service's time, for each gateway that may ask at once
+const LIST_EACH: Micros = 10 * MS; // of the list service's time, for each gateway that may ask at once
 const BEAT: Micros = 100 * MS; // a wake-up this often; one late by half shows that the gateway stood still
 
 pub struct Balance<H: Host> {
@@ -51,7 +51,7 @@
         balance.settings_changed(settings);
         balance.woke(Wake::Beat);
         if balance.terms.follows_list {
-            let first = balance.host.now() + balance.between(0, balance.in_turn());
+            let first = balance.host.now() + balance.between(0, balance.in_turn(LIST_EACH));
             balance.host.wake_at(first, Wake::List);
         }
         balance
@@ -75,9 +75,9 @@
         self.speak();
     }
 
-    /// Asked again at a moment that differs between gateways, and soon: what it missed counts as told after 6 s.
+    /// Asked again after a while that differs between gateways: a service that fails fails all at once.
     pub fn list_failed(&mut self) {
-        let at = self.host.now() + self.between(400 * MS, (1600 * MS + self.in_turn()).min(2500 * MS));
+        let at = self.host.now() + self.between(400 * MS, 1600 * MS + self.in_turn(LIST_EACH));
         self.host.wake_at(at, Wake::List);
     }
 
@@ -199,9 +199,9 @@
         many.map_or(FRESH_MOST, |at| self.host.now() - self.seen.taken.0[at].0).clamp(FRESH, FRESH_MOST)
     }
 
-    /// Room for every gateway to ask for the list in turn; at most half the time in which it has to ask.
-    fn in_turn(&self) -> Micros {
-        (LIST_EACH * self.terms.fleet() as Micros).min(self.terms.must_ask_in / 2)
+    /// Room for every gateway in turn, at this much for each; 5 s at most, as a list must be asked for.
+    fn in_turn(&self, each: Micros) -> Micros {
+        (each * self.terms.fleet() as Micros).min(5 * SECOND)
     }
 
     fn between(&mut self, least: Micros, most: Micros) -> Micros {
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -92,8 +92,6 @@
     pub index: Option<f64>,
     pub fleet_size: Option<f64>,
     pub follows_list: bool,
-    /// Without a watch for so long a gateway is held to what the list service had to tell.
-    pub must_ask_in: Micros,
     pub price_peer: f64,
     pub price_crossing: f64,
     pub cold: Micros,
@@ -157,7 +155,6 @@
             index: number("index"),
             fleet_size: number("fleet_size"),
             follows_list: is("discovery", "subscribe"),
-            must_ask_in: time("safety.must_ask_in").unwrap_or(10 * SECOND),
             price_peer: number("prices.peer").unwrap_or(0.0),
             price_crossing: number("prices.cross_zone").unwrap_or(0.0),
             cold: time("safety.cold").unwrap_or(0),
