--- a/crates/cast/src/cast.rs
+++ b/crates/cast/src/cast.rs
@@ -8,18 +8,26 @@
 use crate::list::{Heard, Learnt, List};
 use crate::{Beat, Effect, Event, InstanceId, Key, Known, Message, Record, State, Timing};
 
-/// Up to this many other nodes, news goes to each directly; beyond, each hub tells its share of the foyers.
+/// Up to this many other nodes, news goes to each directly; beyond, each hub tells the foyers that watch it.
 const SMALL: usize = 24;
 /// Changes are gathered for this long, so that many at once travel together.
 const GATHER: Micros = 50 * MS;
 /// The same for drains that are passed on.
 const GATHER_LEAVING: Micros = 15 * MS;
+/// Hubs that tell each foyer which can't choose its own: for news, and for drains, as the one may die.
+const OWNERS: usize = 1;
+const DRAIN_OWNERS: usize = 2;
 /// How many others get a drain from each node that hears of it for the first time.
 const PASSED_TO: usize = 3;
 /// A drain that is found by comparing copies is passed on while it is younger.
 const FRESH: Micros = 3 * SECOND;
 /// Between two comparisons by chance up to so many thousandths of `Timing::compare` more.
 const COMPARE_SPREAD: u32 = 667;
+/// A hub answers a foyer's comparison, and gives what is asked for after it, within this by datagram; else it is compared
+/// with by stream, for which there is more time. Guards against a foyer at a full link that takes silence for a copy that is
+/// alike.
+const ANSWER_WITHIN: Micros = 250 * MS;
+const ANSWER_BY_STREAM: Micros = 500 * MS;
 /// One that starts with nothing asks this often, so many times.
 const FIRST_ASK: Micros = 250 * MS;
 const FIRST_ASKS: u32 = 12;
@@ -32,8 +40,9 @@
 /// What was remembered and has not beaten so long after the start is silent: before any machine counts as in
 /// touch again, and long enough for a beat, even a late one, to come.
 const REMEMBERED: Micros = 2_500 * MS;
-/// Which is told a second time then, as a word may be lost.
-const TOLD_AGAIN: Micros = 200 * MS;
+/// Which is told so many times more, so far apart, as words may be lost.
+const TOLD_AGAIN: u32 = 2;
+const TOLD_AGAIN_EVERY: Micros = 150 * MS;
 /// An instance is sent to another hub at most this often.
 const MOVES: Micros = 30 * SECOND;
 /// Records in a message, in bytes.
@@ -42,6 +51,20 @@
 const KEYS: usize = 40;
 const HASHES: usize = 90;
 
+/// A comparison that a hub has not answered yet.
+#[derive(Debug)]
+struct Comparison {
+    with: Place,
+    until: Micros,
+    /// It was silent the time before, so that this one goes by stream.
+    again: bool,
+    /// It gives what it has newer, maybe in several messages.
+    gives: bool,
+}
+
+/// The answer to a comparison of copies that are alike.
+const ALIKE: Message = Message::Keys { whole: 0, keys: Vec::new() };
+
 /// Which instances there are, as one node knows it.
 #[derive(Debug)]
 pub struct Cast {
@@ -52,6 +75,9 @@
     /// Other nodes that are up, in order.
     hubs: Vec<Place>,
     others: Vec<Place>,
+    /// Foyers that watch this hub, in order; and those that watch none, once that is known.
+    watched_by: Vec<Place>,
+    unwatching: Option<Vec<Place>>,
     /// Whether this node takes beats.
     hub: bool,
     /// The ordered voters, in order; a majority of them has to know of a drain.
@@ -77,13 +103,16 @@
     flush_at: Micros,
     sweep_at: Micros,
     compare_at: Micros,
+    /// At a foyer.
+    comparison: Option<Comparison>,
     /// How often one that starts with nothing will still ask for everything.
     first_asks: u32,
     /// Another hub that is to get the next instance, for balance.
     shed_to: Option<Place>,
-    /// When what was remembered and has not been heard of is silent; those to be told of a second time.
+    /// When what was remembered and has not been heard of is silent; those to be told of again, and how often.
     remembered_until: Micros,
     stale: Vec<InstanceId>,
+    stale_tellings: u32,
     /// Datagrams to or from this node seem to be lost.
     strained: bool,
 }
@@ -101,6 +130,8 @@
             list: List::default(),
             hubs: Vec::new(),
             others: Vec::new(),
+            watched_by: Vec::new(),
+            unwatching: None,
             hub: false,
             voters: Vec::new(),
             proved: now,
@@ -117,10 +148,12 @@
             flush_at: Micros::MAX,
             sweep_at: now + SWEEP,
             compare_at: now,
+            comparison: None,
             first_asks: FIRST_ASKS,
             shed_to: None,
             remembered_until: Micros::MAX,
             stale: Vec::new(),
+            stale_tellings: 0,
             strained: false,
         }
     }
@@ -167,6 +200,7 @@
             Event::Beat { ask, beat } => self.beat(now, ask, beat, &mut out),
             Event::Detach { ask, id } => self.detach(now, ask, id, &mut out),
             Event::Peers { hubs, others } => self.peers(now, hubs, others),
+            Event::Watched { by, unwatching } => self.watched(by, unwatching),
             Event::Voters { places } => self.voters(now, places),
             Event::Strained { strained } => self.strained(now, strained),
             Event::Proved { at } => self.proved = self.proved.max(at),
@@ -178,7 +212,9 @@
     /// When `Event::Tick` is wanted next, at the latest.
     pub fn due(&self) -> Micros {
         let rounds = self.rounds.iter().map(Round::due).min().unwrap_or(Micros::MAX);
-        self.sweep_at.min(self.remembered_until).min(self.compare_at).min(self.flush_at).min(rounds)
+        let comparison = self.comparison.as_ref().map_or(Micros::MAX, |comparison| comparison.until);
+        let due = self.sweep_at.min(self.remembered_until).min(self.compare_at).min(self.flush_at);
+        due.min(rounds).min(comparison)
     }
 
     /// All that are known, those that are gone for a while too.
@@ -232,8 +268,21 @@
         }
         (self.hubs, self.others) = (hubs, others);
         self.count_voters(now);
-        let others = &self.others;
-        self.rounds.iter_mut().for_each(|round| round.keep_foyers(others));
+        self.keep_rounds();
+    }
+
+    fn watched(&mut self, mut by: Vec<Place>, mut unwatching: Vec<Place>) {
+        by.sort_unstable();
+        unwatching.sort_unstable();
+        (self.watched_by, self.unwatching) = (by, Some(unwatching));
+        self.keep_rounds();
+    }
+
+    /// Foyers that are neither up nor served from here are not told of drains any more.
+    fn keep_rounds(&mut self) {
+        let (others, watched_by) = (&self.others, &self.watched_by);
+        let told = |place: Place| others.contains(&place) || watched_by.contains(&place);
+        self.rounds.iter_mut().for_each(|round| round.keep_foyers(told));
     }
 
     fn strained(&mut self, now: Micros, strained: bool) {
@@ -336,7 +385,7 @@
             None => {
                 self.next_round += 1;
                 let all = self.small();
-                let foyers = if all { self.others.clone() } else { self.own_share(true) };
+                let foyers = if all { self.all_foyers() } else { self.served(DRAIN_OWNERS) };
                 self.rounds.push(Round::new(self.next_round, id.clone(), now, foyers, all));
                 self.rounds.len() - 1
             }
@@ -365,6 +414,7 @@
                     self.list.merge(now, self.own, record, &mut learnt);
                 }
                 self.pass_on(now, learnt, false, out);
+                self.given(now, from);
             }
         }
     }
@@ -434,6 +484,9 @@
             return give(from, all, out);
         }
         let unlike = self.list.keys_where_unlike(sums);
+        if unlike.is_empty() && !self.hubs.contains(&from) {
+            out.push(Effect::Send { to: from, message: ALIKE });
+        }
         let mut gathered: (u16, Vec<Key>) = (0, Vec::new());
         for (range, keys) in unlike {
             if keys.len() > KEYS {
@@ -464,12 +517,54 @@
             return;
         }
         let (records, want) = self.list.compare(now, whole, keys);
+        self.keys_came(now, from, !want.is_empty());
         give(from, records, out);
         for part in want.chunks(HASHES) {
             out.push(Effect::Send { to: from, message: Message::Want { hashes: part.to_vec() } });
         }
     }
 
+    /// A hub has answered a comparison with its keys: done, or what it has newer was asked for and is waited for.
+    fn keys_came(&mut self, now: Micros, from: Place, asked: bool) {
+        let Some(comparison) = self.comparison.as_mut().filter(|comparison| comparison.with == from) else {
+            return;
+        };
+        comparison.until = now + ANSWER_WITHIN;
+        if !asked {
+            self.comparison = None;
+        }
+    }
+
+    /// A hub gives what it has newer. As a part of it may be lost, it is compared with once more after that.
+    fn given(&mut self, now: Micros, from: Place) {
+        if let Some(comparison) = self.comparison.as_mut().filter(|comparison| comparison.with == from) {
+            (comparison.until, comparison.gives) = (now + GATHER, true);
+        }
+    }
+
+    /// After what was given; or no answer: the same hub once more, by stream, and then another one.
+    fn compare_again(&mut self, now: Micros, out: &mut Vec<Effect>) {
+        let Some(Comparison { with, again, gives, .. }) = self.comparison.take() else { return };
+        if gives {
+            return self.begin_comparison(now, with, false, out);
+        }
+        out.push(Effect::Insist { to: with });
+        if again || !self.hubs.contains(&with) {
+            self.compare_at = now;
+            return;
+        }
+        self.begin_comparison(now, with, true, out);
+    }
+
+    fn begin_comparison(&mut self, now: Micros, with: Place, again: bool, out: &mut Vec<Effect>) {
+        let within = if again { ANSWER_BY_STREAM } else { ANSWER_WITHIN };
+        self.comparison = Some(Comparison { with, until: now + within, again, gives: false });
+        out.push(Effect::Send {
+            to: with,
+            message: Message::Digest { sums: *self.list.sums(), empty: false },
+        });
+    }
+
     /// Does what is due at `now`.
     fn work(&mut self, now: Micros, out: &mut Vec<Effect>) {
         if now >= self.sweep_at {
@@ -485,6 +580,9 @@
         if !self.rounds.is_empty() {
             self.work_rounds(now, out);
         }
+        if self.comparison.as_ref().is_some_and(|comparison| now >= comparison.until) {
+            self.compare_again(now, out);
+        }
         if now >= self.compare_at {
             self.compare(now, out);
         }
@@ -535,18 +633,18 @@
         if !wide.is_empty() {
             let records = pieces(self.list.records(now, &wide));
             tell(&self.hubs, &records, !small, out);
-            let foyers = if small { self.others.clone() } else { self.own_share(false) };
+            let foyers = if small { self.all_foyers() } else { self.served(OWNERS) };
             tell(&foyers, &records, false, out);
         }
         if !share.is_empty() {
             let all: Vec<InstanceId> = share.iter().map(|(id, _)| id.clone()).collect();
             let leaving: Vec<InstanceId> =
                 share.into_iter().filter(|(_, leaves)| *leaves).map(|(id, _)| id).collect();
-            let mine = self.own_share(false);
+            let mine = self.served(OWNERS);
             tell(&mine, &pieces(self.list.records(now, &all)), false, out);
             // Two hubs tell each foyer of a drain, as the one may die.
             let second: Vec<Place> =
-                self.own_share(true).into_iter().filter(|place| !mine.contains(place)).collect();
+                self.served(DRAIN_OWNERS).into_iter().filter(|place| !mine.contains(place)).collect();
             tell(&second, &pieces(self.list.records(now, &leaving)), false, out);
         }
         if !few.is_empty() {
@@ -598,9 +696,11 @@
     /// hub judges: it remembers them itself.
     fn end_memory(&mut self, now: Micros, out: &mut Vec<Effect>) {
         self.remembered_until = Micros::MAX;
-        if !self.stale.is_empty() {
-            self.wide.append(&mut self.stale);
+        if self.stale_tellings > 0 {
+            self.stale_tellings -= 1;
+            self.wide.extend_from_slice(&self.stale);
             self.flush_at = now;
+            self.tell_stale_again(now);
             return;
         }
         let mine = |known: &Known| known.keeper == self.own || !self.hubs.contains(&known.keeper);
@@ -612,12 +712,20 @@
             self.list.quiet(now, self.own, id, &mut learnt);
         }
         if !stale.is_empty() {
-            self.stale = stale;
-            self.remembered_until = now + TOLD_AGAIN;
+            (self.stale, self.stale_tellings) = (stale, TOLD_AGAIN);
+            self.tell_stale_again(now);
         }
         self.spread(now, learnt, None, out);
     }
 
+    fn tell_stale_again(&mut self, now: Micros) {
+        if self.stale_tellings > 0 {
+            self.remembered_until = now + TOLD_AGAIN_EVERY;
+        } else {
+            self.stale.clear();
+        }
+    }
+
     /// How long a keeper has to be away before this hub speaks for it: hubs one after the other, and those
     /// that see fewer than half of the hubs there were last, as after a cut, much later.
     fn patience(&self) -> Micros {
@@ -653,7 +761,7 @@
         }
     }
 
-    /// Compares copies with one other node, mostly a hub; asks for everything where nothing is known yet.
+    /// Compares copies with a hub, or, as a hub, with one other node, mostly a hub; asks for everything where nothing is known yet.
     fn compare(&mut self, now: Micros, out: &mut Vec<Effect>) {
         let first = self.first_asks > 0;
         let wait = if first {
@@ -665,7 +773,7 @@
         // Foyers that begin at the same time know no more than this one.
         let begins = self.first_asks > FIRST_ASKS - 2;
         let hub = !self.hubs.is_empty()
-            && (begins || self.strained || self.others.is_empty() || self.chance(4) > 0);
+            && (!self.hub || begins || self.strained || self.others.is_empty() || self.chance(4) > 0);
         let from = if hub { &self.hubs } else { &self.others };
         if from.is_empty() {
             return;
@@ -673,6 +781,9 @@
         let to = from[self.rng.rand_range(0..from.len() as u32) as usize];
         self.first_asks = self.first_asks.saturating_sub(1);
         let empty = first && self.list.entries().next().is_none();
+        if hub && !self.hub && !empty {
+            return self.begin_comparison(now, to, false, out);
+        }
         out.push(Effect::Send { to, message: Message::Digest { sums: *self.list.sums(), empty } });
     }
 
@@ -680,13 +791,20 @@
         self.hubs.len() + self.others.len() < SMALL
     }
 
-    /// Foyers that this hub tells: each has one hub for all news, and with `second` another for drains.
-    fn own_share(&self, second: bool) -> Vec<Place> {
-        let rank = self.hubs.iter().filter(|place| **place < self.own).count();
-        let hubs = self.hubs.len() + 1;
-        let mine = |index: usize| index % hubs == rank || (second && (index + 1) % hubs == rank);
-        let foyers = self.others.iter().enumerate();
-        foyers.filter(|(index, _)| mine(*index)).map(|(_, place)| *place).collect()
+    /// Foyers that this hub tells: those that watch it, and its share of those that can't choose.
+    fn served(&self, owners: usize) -> Vec<Place> {
+        let unwatching = self.unwatching.as_ref().unwrap_or(&self.others);
+        let share = props::share(self.own, &self.hubs, unwatching, owners);
+        let mut served = self.watched_by.clone();
+        served.extend(share.into_iter().filter(|place| !self.watched_by.contains(place)));
+        served
+    }
+
+    /// Those that are up, and those that watch this hub though they are held dead here.
+    fn all_foyers(&self) -> Vec<Place> {
+        let mut foyers = self.others.clone();
+        foyers.extend(self.watched_by.iter().filter(|place| !self.others.contains(place)));
+        foyers
     }
 
     fn some_others(&mut self, count: usize) -> Vec<Place> {
--- a/crates/cast/src/drains.rs
+++ b/crates/cast/src/drains.rs
@@ -122,9 +122,9 @@
         self.sendings > BY_DATAGRAM && self.foyers.contains(&place)
     }
 
-    /// A node that is down is not told any more.
-    pub fn keep_foyers(&mut self, up: &[Place]) {
-        self.foyers.retain(|place| up.contains(place));
+    /// Others are not told any more.
+    pub fn keep_foyers(&mut self, told: impl Fn(Place) -> bool) {
+        self.foyers.retain(|place| told(*place));
     }
 
     /// Tells it all again: for a caller that came after the round had gone on for a while.
--- a/crates/cast/src/lib.rs
+++ b/crates/cast/src/lib.rs
@@ -218,6 +218,12 @@
         hubs: Vec<Place>,
         others: Vec<Place>,
     },
+    /// At a hub: the foyers that have chosen it to be served by it, whatever the membership holds of them, and those that
+    /// can't choose, as their programs are older. Until this is told, all foyers are taken for such.
+    Watched {
+        by: Vec<Place>,
+        unwatching: Vec<Place>,
+    },
     /// The ordered voters as they are now, in the log here; a hub that was told of none acknowledges no drain.
     Voters {
         places: Vec<Place>,
--- a/crates/props/src/lib.rs
+++ b/crates/props/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod carrier;
 mod form;
+mod share;
 
 use std::fmt;
 use std::net::Ipv4Addr;
@@ -10,6 +11,7 @@
 pub use form::{Edition, Form, Forms, Program};
 pub use garnetdoor::host::Micros;
 use serde::{Deserialize, Serialize};
+pub use share::share;
 
 /// A machine of the system, by its address; the ports are the same on all machines of a deployment.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
