--- a/crates/playhouse/src/house.rs
+++ b/crates/playhouse/src/house.rs
@@ -7,7 +7,7 @@
 
 use cast::Cast;
 use company::{Company, Member, Part, Standing};
-use props::{Ask, Carrier, Edition, Form, Index, MS, Micros, Place, SECOND, Seat};
+use props::{Ask, Carrier, Edition, Form, Index, MS, Micros, Place, Program, SECOND, Seat};
 use replication::Replicator;
 use script::{Broken, Outcome, Script};
 use serde::{Deserialize, Serialize};
@@ -46,9 +46,16 @@
 
 /// A gap in the ordered news that lasted so long is told of.
 const GAP_TOLD: Micros = SECOND;
+/// From this program on, foyers choose the prompters that serve them (`replication`, watches).
+const WATCHES_SINCE: Program = Program { major: 0, minor: 7, patch: 0 };
 /// Senders and forms of refused words that are told of at most; more are only counted.
 const MOST_TOLD: usize = 128;
 
+/// Whether foyers of an edition choose the prompters that serve them, which takes the word for it as well.
+fn watches(edition: Edition) -> bool {
+    edition.program >= WATCHES_SINCE && edition.forms.newest >= replication::Message::Prove.since()
+}
+
 /// A word with its head: the form that it is in, and the newest that its sender reads.
 #[derive(Debug)]
 pub struct Letter {
@@ -157,10 +164,13 @@
     pub cast: Cast,
     pub script: Script,
     unreadable: Option<Unreadable>,
-    /// By what words of the board and of the cast go; other words are for a datagram, or their length says it.
+    /// By what words of the board and of the cast and votes go; others are for a datagram, or their length says it.
     paths: Paths,
     /// What the board and the cast were told of this node's own link.
     strained: bool,
+    /// Foyers of older programs, and which of the board's watchers the cast was told of.
+    unwatching: Vec<Place>,
+    watchers_told: u64,
     /// When something came or was due last.
     now: Micros,
     /// The newest form that each known node reads, as the head of its last word said.
@@ -202,6 +212,8 @@
             unreadable: None,
             paths: Paths::default(),
             strained: false,
+            unwatching: Vec::new(),
+            watchers_told: 0,
             now,
             heard: BTreeMap::new(),
             refused: 0,
@@ -278,6 +290,21 @@
         self.declared_dead
     }
 
+    /// At a foyer: how old at most what is held here is, as a prompter proved it; none before the first proof.
+    pub fn news_age(&self) -> Option<Micros> {
+        self.board.watch_stats().current_as_of.map(|as_of| (self.now - as_of).max(0))
+    }
+
+    /// At a prompter: the foyers that watch it, and how many of these are held dead here or not known.
+    pub fn watchers(&self) -> usize {
+        self.board.watchers().count()
+    }
+
+    pub fn watchers_held_dead(&self) -> usize {
+        let up = self.up(Part::Foyer);
+        self.board.watchers().filter(|place| !up.contains(place)).count()
+    }
+
     /// The newest form that both this node and the one at a place read; the oldest while it was not heard.
     pub fn shared(&self, with: Place) -> Form {
         let forms = self.own.edition.forms;
@@ -289,7 +316,9 @@
     pub fn letter(&self, to: Place, word: Word) -> Option<Letter> {
         let form = self.shared(to);
         let carrier = match word {
-            Word::Board(_) | Word::Cast(_) => self.paths.carrier(self.now, to, self.is_hub(to)),
+            Word::Board(_) | Word::Cast(_) | Word::Vote(_) => {
+                self.paths.carrier(self.now, to, self.is_hub(to))
+            }
             _ => Carrier::Datagram,
         };
         let newest = self.own.edition.forms.newest;
@@ -627,19 +656,32 @@
             }
         }
         if changed {
-            let company = &self.company;
-            self.heard.retain(|place, _| company.member(*place).is_some());
-            self.holds.retain(|place, _| company.member(*place).is_some());
-            let (hubs, others) = (self.up(Part::Prompter), self.up(Part::Foyer));
-            let event = replication::Event::Peers { hubs: hubs.clone(), others: others.clone() };
+            self.tell_peers(now);
+        }
+    }
+
+    /// Tells the rooms who is up.
+    fn tell_peers(&mut self, now: Micros) {
+        let company = &self.company;
+        self.heard.retain(|place, _| company.member(*place).is_some());
+        self.holds.retain(|place, _| company.member(*place).is_some());
+        let (hubs, others) = (self.up(Part::Prompter), self.up(Part::Foyer));
+        let older = self.company.up(Part::Foyer).filter(|member| !watches(member.edition));
+        self.unwatching = older.map(|member| member.place).collect();
+        let unwatching = replication::Event::Unwatching { places: self.unwatching.clone() };
+        let peers = replication::Event::Peers { hubs: hubs.clone(), others: others.clone() };
+        for event in [unwatching, peers] {
             let effects = self.board.step(now, event);
             self.board_did(now, effects);
-            let own = (self.own.part == Part::Prompter).then_some(self.own.place);
-            let hubs = own.into_iter().chain(hubs).collect();
-            let effects = self.cast.step(now, cast::Event::Peers { hubs, others });
-            self.cast_did(effects);
-            self.happened.push_back(Happened::Peers);
         }
+        let own = (self.own.part == Part::Prompter).then_some(self.own.place);
+        let hubs = own.into_iter().chain(hubs).collect();
+        let effects = self.cast.step(now, cast::Event::Peers { hubs, others });
+        self.cast_did(effects);
+        if self.own.part == Part::Prompter {
+            self.tell_watchers(now);
+        }
+        self.happened.push_back(Happened::Peers);
     }
 
     fn board_did(&mut self, now: Micros, effects: Vec<replication::Effect>) {
@@ -663,6 +705,17 @@
                 }
             }
         }
+        if self.own.part == Part::Prompter && self.board.watchers_changes() != self.watchers_told {
+            self.tell_watchers(now);
+        }
+    }
+
+    /// The foyers that watch this prompter are told of instances by it as well.
+    fn tell_watchers(&mut self, now: Micros) {
+        self.watchers_told = self.board.watchers_changes();
+        let (by, unwatching) = (self.board.watchers().collect(), self.unwatching.clone());
+        let effects = self.cast.step(now, cast::Event::Watched { by, unwatching });
+        self.cast_did(effects);
     }
 
     fn cast_did(&mut self, effects: Vec<cast::Effect>) {
--- a/crates/playhouse/src/metrics.rs
+++ b/crates/playhouse/src/metrics.rs
@@ -40,6 +40,18 @@
         metrics.counter("news_asks", "Asks for missing commands", news.asks);
         metrics.counter("news_asks_unanswered", "Asks without an answer in time", news.asks_unanswered);
         metrics.gauge("news_longest_gap_micros", "Longest time behind", news.longest_gap.max(0) as u64);
+        let watches = house.board.watch_stats();
+        if let Some(age) = house.news_age() {
+            metrics.gauge("news_age_micros", "Age of what is held, as proved", age as u64);
+        }
+        metrics.counter(
+            "watches_left_silent",
+            "Control machines left as they were silent",
+            watches.left_silent,
+        );
+        metrics.counter("watches_left_old", "Control machines left as their news was old", watches.left_old);
+        metrics.gauge("watchers", "Gateways that watch this control machine", house.watchers() as u64);
+        metrics.gauge("watchers_held_dead", "Of these, held dead here", house.watchers_held_dead() as u64);
         metrics.counter("commands_not_taken", "Commands that changed nothing", house.not_taken());
         metrics.counter("words_refused", "Messages of forms not read here", house.refused());
         metrics.gauge("control_machines_up", "Others, as seen here", house.up(Part::Prompter).len() as u64);
--- a/crates/replication/src/lib.rs
+++ b/crates/replication/src/lib.rs
@@ -12,11 +12,14 @@
 mod proof;
 mod pushes;
 mod ring;
+mod watch;
+mod watchers;
 
 pub use gap::{Gap, Stats};
 pub use node::Replicator;
 use props::{Form, Index, Micros, Place, Term};
 use serde::{Deserialize, Serialize};
+pub use watch::WatchStats;
 
 /// Pieces up to this many bytes are sent unasked; of bigger ones the index is told, and they are asked for.
 pub const SMALL_BYTES: usize = 1_000;
@@ -58,7 +61,7 @@
         #[serde(with = "bytes")]
         data: Vec<u8>,
     },
-    /// Asks a source how old at most what it holds is. From form 2 on.
+    /// Asks a source how old at most what it holds is, and to be served by it for the next seconds. From form 2 on.
     Prove,
     /// A source's answer: all up to `index` is there. From form 2 on.
     Proof { index: Index, standing: Standing },
@@ -115,6 +118,10 @@
         hubs: Vec<Place>,
         others: Vec<Place>,
     },
+    /// Those of the others whose programs keep no watch (0.6 and older): sources push to shares of them.
+    Unwatching {
+        places: Vec<Place>,
+    },
     /// Probes of several members failed at once, which tells of this node's own link: it asks what is new more often.
     Strained {
         strained: bool,
--- a/crates/replication/src/node/asking.rs
+++ b/crates/replication/src/node/asking.rs
@@ -20,6 +20,16 @@
         }
     }
 
+    /// What a watched source has, and neither pushed nor told of, is asked of it, by stream.
+    pub(super) fn ask_for_missed(&mut self, out: &mut Vec<Effect>) {
+        if let Some(source) = self.watches.overdue(self.now)
+            && self.asked.is_none()
+        {
+            out.push(Effect::Insist { to: source });
+            self.ask(source, 0, false, out);
+        }
+    }
+
     /// After something came: done, or the rest is asked of whom it came from, at the end of its answer.
     pub(super) fn go_on(&mut self, from: Place, more: bool, progress: bool, out: &mut Vec<Effect>) {
         if self.index >= self.known {
--- a/crates/replication/src/node/mod.rs
+++ b/crates/replication/src/node/mod.rs
@@ -14,11 +14,12 @@
 use crate::proof::{Contact, Proofs};
 use crate::pushes::{Overdue, Pushes};
 use crate::ring::{Early, Ring};
-use crate::{Effect, Event, Message, Mode, PEERS_MAX, Piece, RING_BYTES_MAX, SMALL_BYTES, Standing};
+use crate::watch::Watches;
+use crate::watchers::Watchers;
+use crate::{
+    Effect, Event, Message, Mode, PEERS_MAX, Piece, RING_BYTES_MAX, SMALL_BYTES, Standing, WatchStats,
+};
 
-/// Where there are at most so many others, every command is pushed to each by two hubs; beyond, by one hub, and
-/// more is left to passing on.
-const FEW: usize = 16;
 /// How many a hub tells at once of a big command, and when the next so many of its share hear of it.
 const BIG_FANOUT: usize = 3;
 const TELL_LATER: Micros = 200 * MS;
@@ -91,6 +92,8 @@
     rand: Rand64,
     hubs: Vec<Place>,
     others: Vec<Place>,
+    /// Others that keep no watch, as their programs are older.
+    unwatching: Vec<Place>,
     ring: Ring,
     early: Early,
     /// Who told of more than is held here, latest last.
@@ -115,6 +118,10 @@
     turn: Vec<Place>,
     /// At a follower: whether what is held is known to be new.
     proofs: Proofs,
+    /// At a follower: the sources that are to serve it.
+    watches: Watches,
+    /// At a source: the followers that it serves.
+    watchers: Watchers,
     /// At a source: how it stands, and as of when.
     stands: (Standing, Micros),
     /// At a source: when the leader that it follows was last known to hear it.
@@ -143,6 +150,7 @@
             rand,
             hubs: Vec::new(),
             others: Vec::new(),
+            unwatching: Vec::new(),
             ring: Ring::default(),
             early: Early::default(),
             tellers: Vec::new(),
@@ -159,6 +167,8 @@
             digest_hub: true,
             turn: Vec::new(),
             proofs: Proofs::default(),
+            watches: Watches::of(own),
+            watchers: Watchers::default(),
             stands: (Standing::Unproved, now),
             contact: Contact::default(),
             gaps: Gaps::default(),
@@ -180,6 +190,7 @@
             Event::Kept { index, data } => self.whole_told(index, data, &mut out),
             Event::Restored { index } => self.restored(index),
             Event::Peers { hubs, others } => self.peers(hubs, others, &mut out),
+            Event::Unwatching { places } => self.unwatching(places),
             Event::Strained { strained } => self.strained(strained),
             Event::Stands { standing } => self.stands = (standing, self.now),
             Event::Follows { leader } => self.contact.follows(self.now, leader, &mut out),
@@ -188,6 +199,7 @@
         self.timers(&mut out);
         self.proofs.holds(self.index);
         if self.mode == Mode::Follower {
+            self.watches.holds(self.index);
             self.gaps.see(self.now, self.index, self.known);
         }
         out
@@ -198,7 +210,7 @@
         let asked = self.asked.as_ref().map_or(Micros::MAX, |asked| asked.until);
         let proofs = match self.mode {
             Mode::Source => Micros::MAX,
-            Mode::Follower => self.proofs.due(&self.hubs),
+            Mode::Follower => self.proofs.due(&self.hubs).min(self.watches.due()),
         };
         self.next_digest.min(asked).min(self.tell_later.0).min(proofs).min(self.unacknowledged.due())
     }
@@ -219,6 +231,20 @@
         self.gaps.stats(self.now, self.index, self.known)
     }
 
+    /// At a follower: of the sources that it watches.
+    pub fn watch_stats(&self) -> WatchStats {
+        self.watches.stats()
+    }
+
+    /// At a source: the followers that asked to be served, in order. `watchers_changes` rises whenever they are others.
+    pub fn watchers(&self) -> impl Iterator<Item = Place> {
+        self.watchers.places()
+    }
+
+    pub fn watchers_changes(&self) -> u64 {
+        self.watchers.changes()
+    }
+
     /// At a follower: the latest gap that has closed since this was asked last.
     pub fn closed_gap(&mut self) -> Option<Gap> {
         self.gaps.closed()
@@ -244,6 +270,7 @@
         if self.now >= self.tell_later.0 {
             self.tell_lot(out);
         }
+        self.watchers.expire(self.now);
         for overdue in self.unacknowledged.overdue(self.now) {
             self.push_again(overdue, out);
         }
@@ -252,6 +279,8 @@
         }
         if self.mode == Mode::Follower {
             self.proofs.ask(self.now, &self.hubs, out);
+            self.watches.tend(self.now, &self.hubs, out);
+            self.ask_for_missed(out);
         }
     }
 
@@ -291,7 +320,7 @@
 
     /// A hub has told of a command that was committed just now, and waits to hear that it is held here.
     fn pushed_by(&mut self, hub: Place, index: Index) {
-        if self.mode == Mode::Follower && self.hubs.contains(&hub) {
+        if self.mode == Mode::Follower && (self.hubs.contains(&hub) || self.watches.has(hub)) {
             let wanted = self.acknowledge.entry(hub).or_insert(index);
             *wanted = index.max(*wanted);
         }
@@ -318,8 +347,11 @@
         let (hubs, others) = (sorted(hubs), sorted(others));
         let new: Vec<Place> = hubs.iter().copied().filter(|hub| !self.hubs.contains(hub)).collect();
         (self.hubs, self.others) = (hubs, others);
-        self.unacknowledged.keep(&self.others);
-        self.acknowledge.retain(|hub, _| self.hubs.contains(hub));
+        let (watchers, others) = (&self.watchers, &self.others);
+        self.unacknowledged.keep(|place| watchers.has(place) || others.binary_search(&place).is_ok());
+        let (watches, hubs) = (&self.watches, &self.hubs);
+        self.acknowledge.retain(|hub, _| hubs.contains(hub) || watches.has(*hub));
+        self.watches.sources_changed();
         self.turn.retain(|hub| self.hubs.contains(hub));
         self.turn.extend(&new);
         shuffle(&mut self.rand, &mut self.turn);
@@ -339,6 +371,13 @@
         }
     }
 
+    fn unwatching(&mut self, mut places: Vec<Place>) {
+        places.sort_unstable();
+        places.dedup();
+        places.truncate(PEERS_MAX);
+        self.unwatching = places;
+    }
+
     fn received(&mut self, from: Place, message: Message, out: &mut Vec<Effect>) {
         if from == self.own {
             return;
@@ -353,13 +392,17 @@
         }
     }
 
-    /// A source that holds more than is here is asked for it at once, as if it had told by a digest.
+    /// A source that holds more than is here is asked for it at once by one that has just started, as if it had told by a
+    /// digest. Later it is expected to push it.
     fn proof(&mut self, from: Place, index: Index, standing: Standing, out: &mut Vec<Effect>) {
         if self.mode == Mode::Source {
             self.contact.answered(from);
         } else {
             self.proofs.answered(self.now, from, index, standing);
-            if index > self.index {
+            self.watches.answered(self.now, from, index, standing);
+            if index > self.index && self.proofs.done() {
+                self.watches.misses(self.now, from, index);
+            } else if index > self.index {
                 self.have(from, index, 0, false, out);
             }
         }
--- a/crates/replication/src/node/source.rs
+++ b/crates/replication/src/node/source.rs
@@ -1,19 +1,18 @@
-//! What a source does: it pushes committed commands to its share of the followers, waits for their acknowledgements, and
+//! What a source does: it pushes committed commands to the followers that watch it, waits for their acknowledgements, and
 //! tells how it stands.
 
 use super::*;
 
+/// Hubs that push to each follower of an older program.
+const OWNERS: usize = 2;
+
 impl Replicator {
-    /// The others that this hub pushes to: each belongs to one hub, and to the next one as well where others are
-    /// few. All hubs that know the same nodes come to the same shares.
-    pub(super) fn share(&self) -> Vec<Place> {
-        let mut hubs = self.hubs.clone();
-        hubs.push(self.own);
-        hubs.sort_unstable();
-        let own = hubs.iter().position(|hub| *hub == self.own).unwrap_or(0);
-        let copies = if self.others.len() <= FEW { 2 } else { 1 };
-        let mine = |at: usize| (0..copies).any(|copy| (at + copy) % hubs.len() == own);
-        self.others.iter().enumerate().filter(|(at, _)| mine(*at)).map(|(_, place)| *place).collect()
+    /// Whom this hub pushes to: the followers that watch it, and its share of those that can't watch anybody.
+    pub(super) fn served(&self) -> Vec<Place> {
+        let mut served: Vec<Place> = self.watchers.places().collect();
+        let share = props::share(self.own, &self.hubs, &self.unwatching, OWNERS);
+        served.extend(share.into_iter().filter(|place| !self.watchers.has(*place)));
+        served
     }
 
     pub(super) fn committed(&mut self, index: Index, data: Vec<u8>, out: &mut Vec<Effect>) {
@@ -28,22 +27,22 @@
         if !push {
             return;
         }
-        let mut share = self.share();
+        let mut served = self.served();
         if !self.may_push() {
             // Too many at once: they hear a little later of all together.
-            self.tell_later = (self.tell_later.0.min(self.now + TELL_LATER), share);
+            self.tell_later = (self.tell_later.0.min(self.now + TELL_LATER), served);
             return;
         }
         if piece.data.len() <= SMALL_BYTES {
-            for to in share {
+            for to in served {
                 self.unacknowledged.pushed(self.now, to, prev, index, 0);
                 let message = Message::Pieces { fresh: true, more: false, pieces: vec![piece.clone()] };
                 out.push(Effect::Send { to, message });
             }
             return;
         }
-        shuffle(&mut self.rand, &mut share);
-        self.tell_later.1 = share;
+        shuffle(&mut self.rand, &mut served);
+        self.tell_later.1 = served;
         self.tell_lot(out);
     }
 
@@ -94,6 +93,10 @@
         if self.mode == Mode::Follower {
             return;
         }
+        // Other hubs ask as well, whether they are heard; nothing is pushed to them.
+        if self.hubs.binary_search(&to).is_err() {
+            self.watchers.renewed(self.now, to);
+        }
         let (standing, at) = self.stands;
         let standing = match standing {
             Standing::Proved { term, age } => Standing::Proved { term, age: age + (self.now - at) },
--- a/crates/replication/src/pushes.rs
+++ b/crates/replication/src/pushes.rs
@@ -54,9 +54,9 @@
         }
     }
 
-    /// Those that are not up any more are not waited for.
-    pub fn keep(&mut self, up: &[Place]) {
-        self.0.retain(|place, _| up.binary_search(place).is_ok());
+    /// Others are not waited for any more.
+    pub fn keep(&mut self, served: impl Fn(Place) -> bool) {
+        self.0.retain(|place, _| served(*place));
     }
 
     /// Those that are to be told again now.
