--- a/crates/cue/src/lib.rs
+++ b/crates/cue/src/lib.rs
@@ -11,7 +11,7 @@
 use props::{MS, SECOND};
 
 pub use load::tried;
-pub use part::Share;
+pub use part::{Share, before};
 
 /// Clients heed a time to come back up to a third of what they have left; longer ones are cut there, and this
 /// is the longest where much is left: a few answers' time, so that those turned back come again spread.
--- a/crates/cue/src/part.rs
+++ b/crates/cue/src/part.rs
@@ -22,19 +22,29 @@
         Share { foyers: foyers.min(used), connections: (used / foyers).max(1) }
     }
 
-    /// Whether `own` is among the foyers that may use the instance: those that a hash of both names ranks first.
-    /// A foyer more or less moves only its own places.
-    pub fn mine(&self, own: Place, foyers: &[Place], instance: &str) -> bool {
-        if self.foyers >= foyers.len() {
-            return true;
+    /// Of a service's instances, those that a foyer may use, by how many foyers come before it at each: where it is among
+    /// the first. One that is so nowhere uses the one where the fewest come before it, within what instances accept beyond
+    /// `USED`. Guards against a foyer that no instance has a place for, where instances are few.
+    pub fn usable(&self, before: &[usize]) -> Vec<bool> {
+        let mut usable: Vec<bool> = before.iter().map(|before| *before < self.foyers).collect();
+        if !usable.contains(&true)
+            && let Some(nearest) = (0..before.len()).min_by_key(|at| before[*at])
+        {
+            usable[nearest] = true;
         }
-        let named = fold(START, instance.as_bytes());
-        let rank = |place: Place| (mix(named, place), place);
-        let first = rank(own);
-        foyers.iter().filter(|place| rank(**place) > first).count() < self.foyers
+        usable
     }
 }
 
+/// How many foyers come before `own` at an instance: those that a hash of both names ranks higher. A foyer more or less
+/// moves only its own places.
+pub fn before(own: Place, foyers: &[Place], instance: &str) -> usize {
+    let named = fold(START, instance.as_bytes());
+    let rank = |place: Place| (mix(named, place), place);
+    let first = rank(own);
+    foyers.iter().filter(|place| rank(**place) > first).count()
+}
+
 /// Where FNV-1a begins.
 pub(crate) const START: u64 = 0xcbf2_9ce4_8422_2325;
 
--- a/crates/playhouse/src/floor/desk.rs
+++ b/crates/playhouse/src/floor/desk.rs
@@ -9,7 +9,7 @@
 
 use bill::{Bill, Kind};
 use cast::{InstanceId, State};
-use cue::{Bounds, Fleet, Profiles, VOTE_LIFE};
+use cue::{Bounds, Fleet, Profiles, Share, VOTE_LIFE};
 use garnetdoor::balance::Balance;
 use garnetdoor::host::{
     BuildNo, CellId, Condition, GatewayId, Host, KindId, Listing, News, Phase, ProfileId, ServerId,
@@ -45,17 +45,17 @@
 }
 
 /// How much may go to each instance from here.
-#[derive(Default)]
 struct Room {
     /// By the instances' numbers.
     at: Vec<Reach>,
-    connections: usize,
+    share: Share,
 }
 
 /// How much may go to one of them.
 #[derive(Clone, Copy, Default)]
 struct Reach {
-    /// Whether this foyer may use it.
+    /// How many foyers come before this one at it, and whether this one may use it.
+    before: usize,
     mine: bool,
     /// Of the version on trial, and not among those that are loaded.
     spared: bool,
@@ -99,7 +99,7 @@
     fn close_idle(&mut self, _server: ServerId) {}
     fn has_room(&self, _ticket: TicketId, server: ServerId, _build: BuildNo) -> bool {
         let room = self.room.borrow();
-        let may = |at: &Reach| at.mine && !at.spared && at.out < room.connections;
+        let may = |at: &Reach| at.mine && !at.spared && at.out < room.share.connections;
         room.at.get(server.0 as usize).is_some_and(may)
     }
     fn may_go_further(&self) -> bool {
@@ -163,7 +163,9 @@
     ) -> Desk {
         let asked = Rc::new(RefCell::new(VecDeque::new()));
         let judged: Rc<RefCell<Judged>> = Rc::default();
-        let room: Rc<RefCell<Room>> = Rc::default();
+        // No connection to any instance before the share is told.
+        let share = Share { foyers: 0, connections: 0 };
+        let room = Rc::new(RefCell::new(Room { at: Vec::new(), share }));
         let hand = Hand {
             now: now.clone(),
             judged: judged.clone(),
@@ -216,19 +218,32 @@
         self.servers.get_index(server.0 as usize).map(|(_, seen)| seen)
     }
 
-    /// Tells the decisions of instances as they are known now, and whether this foyer may hold connections to
-    /// each: what they were told already is not told again.
+    /// Tells the decisions of instances as they are known now, and how many foyers come before this one at each: what they
+    /// were told already is not told again.
     pub fn instances<'a>(
-        &mut self, known: impl Iterator<Item = (&'a cast::Known, bool)>, rollout: Option<&Rollout>,
+        &mut self, known: impl Iterator<Item = (&'a cast::Known, usize)>, rollout: Option<&Rollout>,
     ) {
         let news: Vec<Listing> =
-            known.filter_map(|(known, mine)| self.instance(known, rollout, mine)).collect();
+            known.filter_map(|(known, before)| self.instance(known, rollout, before)).collect();
+        self.load_usable();
         if !news.is_empty() {
             self.balance.list_changed(news);
             self.load_trial();
         }
     }
 
+    /// Keeps which of the instances in service this foyer may use.
+    fn load_usable(&mut self) {
+        let mut room = self.room.borrow_mut();
+        let healthy = |at: &usize| self.listed[*at].condition == Condition::Healthy;
+        let numbers: Vec<usize> = (0..self.listed.len()).filter(healthy).collect();
+        let before: Vec<usize> = numbers.iter().map(|at| room.at[*at].before).collect();
+        let usable = room.share.usable(&before);
+        for (number, usable) in numbers.into_iter().zip(usable) {
+            room.at[number].mine = usable;
+        }
+    }
+
     /// Keeps to which of the trial's instances its requests go; with none under way, none is spared.
     fn load_trial(&mut self) {
         let mut room = self.room.borrow_mut();
@@ -247,7 +262,7 @@
     }
 
     /// One of them; `None`: it never may get tickets, or nothing is new.
-    fn instance(&mut self, known: &cast::Known, rollout: Option<&Rollout>, mine: bool) -> Option<Listing> {
+    fn instance(&mut self, known: &cast::Known, rollout: Option<&Rollout>, before: usize) -> Option<Listing> {
         let build = rollout.and_then(|rollout| rollout.build_of(&known.version));
         let condition = match (build, known.state) {
             (Some(_), State::InService) => Condition::Healthy,
@@ -263,7 +278,7 @@
             let mut room = self.room.borrow_mut();
             let most = room.at.len().max(number + 1);
             room.at.resize(most, Reach::default());
-            room.at[number].mine = mine;
+            room.at[number].before = before;
         }
         let zone = self.zones.iter().position(|zone| *zone == known.zone).unwrap_or(self.zones.len());
         let listing = Listing {
@@ -284,9 +299,9 @@
         (fresh || told != listing).then_some(listing)
     }
 
-    /// Connections that this foyer may hold to each instance that it may use.
-    pub fn connections(&mut self, connections: usize) {
-        self.room.borrow_mut().connections = connections;
+    /// How many foyers may use each instance, and how many connections each of them.
+    pub fn share(&mut self, share: Share) {
+        self.room.borrow_mut().share = share;
     }
 
     /// A trip goes out to an instance, or has ended there.
--- a/crates/playhouse/src/floor/mod.rs
+++ b/crates/playhouse/src/floor/mod.rs
@@ -394,10 +394,11 @@
             let settled = rollout.is_some_and(|rollout| rollout.since - self.began >= SETTLED);
             desk.bill_changed(&bill, &self.fleet, settled);
             let share = share(Some(&bill), &service, foyers.len());
-            desk.connections(share.connections);
+            desk.share(share);
             let known = self.house.cast.records().filter(|known| *known.service == *service);
             let own = self.house.own.place;
-            desk.instances(known.map(|known| (known, share.mine(own, &foyers, &known.id.0))), rollout);
+            let known = known.map(|known| (known, cue::before(own, &foyers, &known.id.0)));
+            desk.instances(known, rollout);
             if let Some(rollout) = rollout {
                 desk.rollout(now, cap, rollout);
             }
@@ -455,9 +456,8 @@
             self.fleet.warmup = warmup.min(60 * SECOND);
         }
         let Some(desk) = self.desks.get_mut(known.service.as_str()) else { return };
-        let share = share(self.bill.as_deref(), &known.service, self.foyers.len());
-        let mine = share.mine(self.house.own.place, &self.foyers, &known.id.0);
-        desk.instances([(known, mine)].into_iter(), self.house.script.rollouts.get(&known.service));
+        let before = cue::before(self.house.own.place, &self.foyers, &known.id.0);
+        desk.instances([(known, before)].into_iter(), self.house.script.rollouts.get(&known.service));
         let service = desk.service.clone();
         self.decide(&service, |_| {});
     }
