--- a/crates/playhouse/src/foyer/front.rs
+++ b/crates/playhouse/src/foyer/front.rs
@@ -159,28 +159,21 @@
     }
 }
 
+/// A platform's connection that asks nothing is closed after this.
+const READINESS_HEAD_WITHIN: Duration = Duration::from_secs(15);
+
 /// Answers the platform's question whether clients may be sent here.
 pub async fn readiness(listener: TcpListener, shared: Shared) {
-    loop {
-        let stream = crate::listen::accept(&listener).await;
-        let shared = shared.clone();
-        crate::tasks::spawn_local(async move {
-            let service = hyper::service::service_fn(|request: Request<Incoming>| {
-                let answer = match request.uri().path() {
-                    "/api/readiness" if shared.borrow().floor.ready() => plain(StatusCode::OK, "{}"),
-                    "/api/readiness" => plain(StatusCode::SERVICE_UNAVAILABLE, "{}"),
-                    "/api/status" => json(shared.borrow().floor.status().encode()),
-                    _ => plain(StatusCode::NOT_FOUND, "{}"),
-                };
-                async move { Ok::<_, std::convert::Infallible>(answer) }
-            });
-            let _ = hyper::server::conn::http1::Builder::new()
-                .timer(TokioTimer::new())
-                .header_read_timeout(Duration::from_secs(15))
-                .serve_connection(TokioIo::new(stream), service)
-                .await;
-        });
-    }
+    let answer = move |request: Request<Incoming>| {
+        let answer = match request.uri().path() {
+            "/api/readiness" if shared.borrow().floor.ready() => plain(StatusCode::OK, "{}"),
+            "/api/readiness" => plain(StatusCode::SERVICE_UNAVAILABLE, "{}"),
+            "/api/status" => json(shared.borrow().floor.status().encode()),
+            _ => plain(StatusCode::NOT_FOUND, "{}"),
+        };
+        std::future::ready(answer)
+    };
+    crate::listen::serve(listener, READINESS_HEAD_WITHIN, answer).await;
 }
 
 fn plain(status: StatusCode, text: &'static str) -> Response<Body> {
--- a/crates/playhouse/src/listen.rs
+++ b/crates/playhouse/src/listen.rs
@@ -1,7 +1,13 @@
 //! Listening sockets.
 
+use std::convert::Infallible;
+use std::error::Error;
 use std::net::SocketAddrV4;
+use std::time::Duration;
 
+use hyper::body::{Body, Incoming};
+use hyper::{Request, Response};
+use hyper_util::rt::{TokioIo, TokioTimer};
 use socket2::{Domain, Protocol, Socket, Type};
 use tokio::net::{TcpListener, TcpStream};
 
@@ -30,3 +36,32 @@
         }
     }
 }
+
+/// Serves each connection as HTTP/1.1 in a task of its own, without an end. A caller that sends no request within
+/// `head_within` is closed.
+pub async fn serve<A, F, B>(listener: TcpListener, head_within: Duration, answer: A)
+where
+    A: Fn(Request<Incoming>) -> F + Clone + 'static,
+    F: Future<Output = Response<B>> + 'static,
+    B: Body + 'static,
+    B::Error: Into<Box<dyn Error + Send + Sync>>,
+{
+    loop {
+        let stream = accept(&listener).await;
+        let answer = answer.clone();
+        crate::tasks::spawn_local(async move {
+            let service = hyper::service::service_fn(move |request| {
+                let answer = answer(request);
+                async move { Ok::<_, Infallible>(answer.await) }
+            });
+            let served = hyper::server::conn::http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(head_within)
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
+            if let Err(error) = served {
+                log::debug!("a connection ended: {error}");
+            }
+        });
+    }
+}
--- a/crates/playhouse/src/metrics.rs
+++ b/crates/playhouse/src/metrics.rs
@@ -2,7 +2,6 @@
 //! where they are kept at each request, so that nothing is spent on them in between.
 
 use std::cell::RefCell;
-use std::convert::Infallible;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::time::Duration;
@@ -12,7 +11,6 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode, header};
-use hyper_util::rt::{TokioIo, TokioTimer};
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::gauge::Gauge;
@@ -95,29 +93,16 @@
 /// Serves metrics at an address, if it can be had; a process without them goes on.
 pub fn spawn<T: Measured + 'static>(at: SocketAddrV4, measured: Rc<RefCell<T>>) {
     match crate::listen::bind(at, BACKLOG) {
-        Ok(listener) => drop(crate::tasks::spawn_local(serve(listener, measured))),
+        Ok(listener) => {
+            let answer = move |request: Request<Incoming>| {
+                std::future::ready(answer(request.uri().path(), &*measured))
+            };
+            drop(crate::tasks::spawn_local(crate::listen::serve(listener, HEAD_WITHIN, answer)));
+        }
         Err(error) => log::warn!("no metrics at {at}: {error}"),
     }
 }
 
-async fn serve<T: Measured + 'static>(listener: tokio::net::TcpListener, measured: Rc<RefCell<T>>) {
-    loop {
-        let stream = crate::listen::accept(&listener).await;
-        let measured = measured.clone();
-        crate::tasks::spawn_local(async move {
-            let service = hyper::service::service_fn(|request: Request<Incoming>| {
-                let answer = answer(request.uri().path(), &*measured);
-                async move { Ok::<_, Infallible>(answer) }
-            });
-            let _ = hyper::server::conn::http1::Builder::new()
-                .timer(TokioTimer::new())
-                .header_read_timeout(HEAD_WITHIN)
-                .serve_connection(TokioIo::new(stream), service)
-                .await;
-        });
-    }
-}
-
 fn answer<T: Measured>(path: &str, measured: &RefCell<T>) -> Response<Full<Bytes>> {
     if path != PATH {
         let mut answer = Response::new(Full::default());
--- a/crates/playhouse/src/paths.rs
+++ b/crates/playhouse/src/paths.rs
@@ -80,7 +80,7 @@
     /// A message goes to `place` by stream that would fit a datagram.
     pub fn wrote(&mut self, now: Micros, place: Place) {
         self.written.retain(|_, at| now - *at < STRAINED);
-        if self.written.len() < MOST {
+        if self.written.len() < MOST || self.written.contains_key(&place) {
             self.written.insert(place, now);
         }
     }
--- a/crates/playhouse/src/prompter.rs
+++ b/crates/playhouse/src/prompter.rs
@@ -13,7 +13,6 @@
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode, header};
-use hyper_util::rt::{TokioIo, TokioTimer};
 use ledger::{Ledger, LedgerError, Opened, StoreError};
 use promptbook::{Members, Saved};
 use props::{Ask, Life, Micros, Place, SECOND, Seat};
@@ -35,6 +34,8 @@
 
 /// Bytes of a call's body at most.
 const BODY_MOST: usize = 8 << 20;
+/// A caller that sends no request within this is closed.
+const HEAD_WITHIN: Duration = Duration::from_secs(10);
 /// Callers that wait at once; more are answered 503.
 const ASKS_MOST: usize = 4096;
 
@@ -300,24 +301,8 @@
 }
 
 async fn serve(listener: tokio::net::TcpListener, shared: Shared) {
-    loop {
-        let stream = crate::listen::accept(&listener).await;
-        let shared = shared.clone();
-        crate::tasks::spawn_local(async move {
-            let service = hyper::service::service_fn(move |request| {
-                let shared = shared.clone();
-                async move { Ok::<_, std::convert::Infallible>(answer(shared, request).await) }
-            });
-            let served = hyper::server::conn::http1::Builder::new()
-                .timer(TokioTimer::new())
-                .header_read_timeout(Duration::from_secs(10))
-                .serve_connection(TokioIo::new(stream), service)
-                .await;
-            if let Err(error) = served {
-                log::debug!("a control connection ended: {error}");
-            }
-        });
-    }
+    let answer = move |request| answer(shared.clone(), request);
+    crate::listen::serve(listener, HEAD_WITHIN, answer).await;
 }
 
 fn reply(status: StatusCode, body: impl Into<Bytes>) -> Answer {
--- a/crates/playhouse/tests/paths.rs
+++ b/crates/playhouse/tests/paths.rs
@@ -73,3 +73,14 @@
     paths.insist(6 * SECOND, place(255));
     assert_eq!(paths.carrier(6 * SECOND, place(255), false), Carrier::Stream);
 }
+
+#[test]
+fn who_is_written_to_by_stream_again_stays_so_where_many_are() {
+    let mut paths = Paths::default();
+    let place = |number: u8| Place(Ipv4Addr::new(10, 0, 1, number));
+    (0..=255).for_each(|number| paths.wrote(0, place(number)));
+    paths.wrote(1_900_000, place(0));
+    // Its word answers ours of just now, and is no sign of a strained link.
+    paths.heard(3 * SECOND, place(0), true, Carrier::Stream, 40);
+    assert!(!paths.strained(3 * SECOND));
+}
