--- a/crates/playhouse/tests/paths.rs
+++ b/crates/playhouse/tests/paths.rs
@@ -2,8 +2,10 @@
 
 use std::net::Ipv4Addr;
 
+use company::{Member, Part};
+use playhouse::house::{House, Word};
 use playhouse::paths::Paths;
-use props::{Carrier, DATAGRAM_BYTES, Place, SECOND};
+use props::{Carrier, DATAGRAM_BYTES, Edition, Life, Place, SECOND};
 
 const HUB: Place = Place(Ipv4Addr::new(10, 0, 0, 1));
 const PEER: Place = Place(Ipv4Addr::new(10, 0, 0, 2));
@@ -84,3 +86,61 @@
     paths.heard(3 * SECOND, place(0), true, Carrier::Stream, 40);
     assert!(!paths.strained(3 * SECOND));
 }
+
+fn house(place: Place, part: Part, seed: Place) -> House {
+    let own = Member {
+        place,
+        life: Life(7),
+        part,
+        zone: "hala-a".into(),
+        name: place.to_string(),
+        edition: Edition::OWN,
+    };
+    House::start(own, vec![seed], SECOND, 1, 0)
+}
+
+/// All that each has to say to the other, until both are silent; at one moment.
+fn talk(one: &mut House, other: &mut House) {
+    for _ in 0..8 {
+        for turn in 0..2 {
+            let (from, to) = if turn == 0 { (&mut *one, &mut *other) } else { (&mut *other, &mut *one) };
+            for (_, letter) in from.letters() {
+                let bytes = letter.to_bytes().expect("a word");
+                to.received(0, from.own.place, &bytes, letter.carrier());
+            }
+        }
+    }
+}
+
+#[test]
+fn votes_of_a_gateway_whose_link_is_strained_go_by_stream() {
+    let mut gateway = house(PEER, Part::Foyer, HUB);
+    let mut control = house(HUB, Part::Prompter, PEER);
+    talk(&mut gateway, &mut control);
+    let vote = || {
+        Word::Vote(script::Vote {
+            service: "proofs".into(),
+            number: 1,
+            voice: script::Voice::Back,
+            trial: 40,
+            failed: 20,
+            base: 400,
+            base_failed: 2,
+            age: SECOND,
+            routes: Vec::new(),
+        })
+    };
+    let carrier = |gateway: &mut House| {
+        gateway.send(HUB, vote());
+        let letters = gateway.letters();
+        let vote = letters.iter().find(|(_, letter)| matches!(**letter, Word::Vote(_)));
+        vote.expect("it votes").1.carrier()
+    };
+    assert_eq!(carrier(&mut gateway), Carrier::Datagram);
+    // A control machine speaks by stream unasked, as it missed an acknowledgement.
+    control.send(PEER, vote());
+    let (_, word) = control.letters().pop().expect("a word");
+    gateway.received(SECOND, HUB, &word.to_bytes().expect("a word"), Carrier::Stream);
+    gateway.letters();
+    assert_eq!(carrier(&mut gateway), Carrier::Stream);
+}
