--- a/crates/playhouse/src/demo/unrest.rs
+++ b/crates/playhouse/src/demo/unrest.rs
@@ -2,7 +2,7 @@
 //! reloaded, killed and started again, drawn from a seed. Clients keep using their open connections until the process is
 //! gone. It brings trouble about and tells what was seen; what is to hold, a test judges.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddrV4;
 use std::path::PathBuf;
 use std::time::{Duration, Instant};
@@ -65,6 +65,8 @@
     pub acknowledged: HashMap<u32, Instant>,
     /// When a control machine was disturbed last.
     pub core_disturbed: Instant,
+    /// Gateways that were killed at least once, by the address that their clients know.
+    pub killed: BTreeSet<SocketAddrV4>,
     operator: Operator,
     instances: Vec<Instance>,
     rand: Rand64,
@@ -89,6 +91,7 @@
             version: 1,
             acknowledged: HashMap::new(),
             core_disturbed: now,
+            killed: BTreeSet::new(),
             operator,
             instances: Vec::new(),
             rand: Rand64::new(u128::from(seed)),
@@ -179,6 +182,7 @@
             }
             6 if !ends => {
                 self.stage.kill(node)?;
+                self.killed.insert(self.gateways[at].to);
                 self.start_again(at)?;
             }
             7 => self.stage.reload(core)?,
