--- a/crates/cast/src/cast.rs
+++ b/crates/cast/src/cast.rs
@@ -420,7 +420,7 @@
     }
 
     /// What came from another node: drains go on to a few from everywhere; hubs relay what they are asked to, and drains
-    /// whichever way they came, to their share. Guards against a share that is told by nobody, where its hub heard of the
+    /// whichever way they came, to those that they serve. Guards against some that are told by nobody, where their hub heard of the
     /// drain from one of the few first and learnt nothing more from the hub that began it.
     fn pass_on(&mut self, now: Micros, learnt: Learnt, relay: bool, out: &mut Vec<Effect>) {
         let relays = self.hub && !self.small();
--- a/crates/cast/src/lib.rs
+++ b/crates/cast/src/lib.rs
@@ -146,7 +146,7 @@
 /// What nodes say to each other. Each takes at most about 1000 bytes by postcard.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Message {
-    /// What changed. A hub that is asked to `relay` hands what is new to it to its share of the foyers.
+    /// What changed. A hub that is asked to `relay` hands what is new to it to the foyers that it serves.
     News {
         relay: bool,
         records: Vec<Record>,
--- a/crates/replication/src/node/mod.rs
+++ b/crates/replication/src/node/mod.rs
@@ -20,7 +20,7 @@
     Effect, Event, Message, Mode, PEERS_MAX, Piece, RING_BYTES_MAX, SMALL_BYTES, Standing, WatchStats,
 };
 
-/// How many a hub tells at once of a big command, and when the next so many of its share hear of it.
+/// How many a hub tells at once of a big command, and when the next so many of those that it serves hear of it.
 const BIG_FANOUT: usize = 3;
 const TELL_LATER: Micros = 200 * MS;
 /// To how many others a node passes fresh commands on, and tells of big ones.
