--- a/crates/garnetdoor-gateway/src/memory/desk.rs
+++ b/crates/garnetdoor-gateway/src/memory/desk.rs
@@ -3,10 +3,11 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 
-use garnetdoor::host::{Ending, GatewayId, Micros, ServerId, Taken, TicketId, TripNo};
+use garnetdoor::host::{Ending, GatewayId, Micros, Refusal, ServerId, Taken, TicketId, TripNo};
 use garnetdoor::names::Names;
 
 use super::conns::{Conn, Kind};
+use super::refusals::{Refusals, SUMMARY_AFTER};
 use super::sessions::Room;
 use super::ticket::{Place, Ticket, Trip};
 use super::timers::{Timer, Timers};
@@ -66,6 +67,7 @@
     pub listening: bool,
     pub max_open: usize,
     pub(super) names: Names,
+    pub(super) refusals: Refusals,
     pub(super) version: u64,
     /// The decisions want the list followed.
     pub(super) follows: bool,
@@ -118,6 +120,7 @@
             listening: true,
             max_open: count("policy_limits.max_open"),
             names: Names::default(),
+            refusals: Refusals::default(),
             version: 0,
             follows: false,
             watch: None,
@@ -153,6 +156,25 @@
         self.effects.push(Effect::Log(text));
     }
 
+    /// Tells in the log why a request is refused.
+    pub(super) fn refused(&mut self, why: &Refusal) {
+        if self.refusals.is_empty() {
+            self.timers.set(self.now + SUMMARY_AFTER, Timer::Refusals);
+        }
+        let server = match why {
+            Refusal::TooLate { server, .. } => self.servers.get(server).map(|place| place.process.address),
+            _ => None,
+        };
+        if let Some(line) = self.refusals.add(why, server) {
+            self.log(line);
+        }
+    }
+
+    /// Tells in the log how many more requests were refused since the last summary.
+    pub(super) fn tell_refusals(&mut self) {
+        self.refusals.summary().into_iter().for_each(|line| self.log(line));
+    }
+
     // ---- clients and tickets ----
 
     /// Takes in a ticket under a number of its own.
--- a/crates/garnetdoor-gateway/src/memory/host.rs
+++ b/crates/garnetdoor-gateway/src/memory/host.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 
 use garnetdoor::host::{
-    BuildNo, Ending, GatewayId, Host, Micros, ServerId, StageNo, Taken, TicketId, TripNo, Vote, Wake,
+    BuildNo, Ending, GatewayId, Host, Micros, Refusal, ServerId, StageNo, Taken, TicketId, TripNo, Vote, Wake,
 };
 
 use super::conns::{Kind, Work};
@@ -130,6 +130,10 @@
         self.0.borrow_mut().close_all_idle(server, Reason::Asked);
     }
 
+    fn refused(&mut self, _: TicketId, why: Refusal) {
+        self.0.borrow_mut().refused(&why);
+    }
+
     fn note(&mut self, text: &str) {
         self.0.borrow_mut().log(text.to_owned());
     }
--- a/crates/garnetdoor-gateway/src/memory/mod.rs
+++ b/crates/garnetdoor-gateway/src/memory/mod.rs
@@ -5,6 +5,7 @@
 pub mod desk;
 pub mod host;
 pub mod reducer;
+mod refusals;
 pub mod servers;
 pub mod sessions;
 pub mod ticket;
--- a/crates/garnetdoor-gateway/src/memory/reducer.rs
+++ b/crates/garnetdoor-gateway/src/memory/reducer.rs
@@ -171,6 +171,7 @@
                 }
             }
             Timer::Notices => self.desk().ask_notices(),
+            Timer::Refusals => self.desk().tell_refusals(),
             Timer::Sessions => self.session_timer(),
             Timer::Glance => self.glance_timer(),
             Timer::StopListening => {
--- /dev/null
+++ b/crates/garnetdoor-gateway/src/memory/refusals.rs
@@ -0,0 +1,48 @@
+//! Refusals: requests that were answered without a server's answer, counted by cause, so that the log tells why in a
+//! bounded number of lines.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use garnetdoor::host::{Micros, Refusal};
+
+/// The first refusal of a cause is told at once; how many more there were, after so long.
+pub const SUMMARY_AFTER: Micros = 1_000_000;
+
+/// What has been refused since the last summary, by cause: how many beside the first.
+#[derive(Default)]
+pub struct Refusals(BTreeMap<&'static str, u64>);
+
+impl Refusals {
+    /// Whether none has been counted since the last summary: with the next one, another summary comes due.
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
+    /// Counts a refusal; the line that tells of it, if it is the first of its cause since the last summary.
+    /// `server`: the one that it is about, if it is known.
+    pub fn add(&mut self, why: &Refusal, server: Option<SocketAddr>) -> Option<String> {
+        let more = self.0.entry(why.cause()).and_modify(|more| *more += 1).or_insert(0);
+        (*more == 0).then(|| line(why, server))
+    }
+
+    /// The lines that tell how many more there were; counting begins anew.
+    pub fn summary(&mut self) -> Vec<String> {
+        let counted = std::mem::take(&mut self.0).into_iter().filter(|(_, more)| *more > 0);
+        counted.map(|(cause, more)| format!("refused for={cause} more={more}")).collect()
+    }
+}
+
+/// The log line of one refusal.
+fn line(why: &Refusal, server: Option<SocketAddr>) -> String {
+    let cause = why.cause();
+    match why {
+        Refusal::TooLate { expected, allowed, out, .. } => {
+            let server = server.map_or_else(|| "unlisted".to_owned(), |server| server.to_string());
+            format!(
+                "refused for={cause} server={server} expected_us={expected} allowed_us={allowed} out={out}"
+            )
+        }
+        _ => format!("refused for={cause}"),
+    }
+}
--- a/crates/garnetdoor-gateway/src/memory/timers.rs
+++ b/crates/garnetdoor-gateway/src/memory/timers.rs
@@ -20,6 +20,8 @@
     Sessions,
     /// The sessions' connections are looked at.
     Glance,
+    /// How many requests were refused is told.
+    Refusals,
     StopListening,
     /// What is held gets its answer before the end.
     AnswerAll,
--- a/crates/garnetdoor-gateway/tests/reducer.rs
+++ b/crates/garnetdoor-gateway/tests/reducer.rs
@@ -1018,3 +1018,22 @@
         assert_eq!(joins(&rig), [nothing], "split at {at}");
     }
 }
+
+#[test]
+fn refusals_are_told_by_cause_and_counted_for_a_second() {
+    let mut file = file();
+    file["known"] = list(5, true, &[]);
+    let mut rig = Rig::with(&file);
+    for _ in 0..3 {
+        let client = rig.client();
+        rig.views(client);
+    }
+    assert_eq!(rig.logged("refused for=no-server"), 1);
+    rig.wait(S);
+    assert_eq!(rig.logged("refused for=no-server more=2"), 1);
+    rig.wait(2 * S);
+    assert_eq!(rig.logged("refused"), 2, "nothing more to tell");
+    let client = rig.client();
+    rig.views(client);
+    assert_eq!(rig.logged("refused for=no-server"), 3);
+}
--- a/crates/playhouse/src/floor/desk.rs
+++ b/crates/playhouse/src/floor/desk.rs
@@ -12,7 +12,7 @@
 use cue::{Bounds, Fleet, Profiles, Share, VOTE_LIFE};
 use garnetdoor::balance::Balance;
 use garnetdoor::host::{
-    BuildNo, CellId, Condition, GatewayId, Host, KindId, Listing, News, Phase, ProfileId, ServerId,
+    BuildNo, CellId, Condition, GatewayId, Host, KindId, Listing, News, Phase, ProfileId, Refusal, ServerId,
     Settings as Given, StageNo, TicketId, TripNo, Vote, Wake, ZoneId,
 };
 use indexmap::IndexMap;
@@ -27,6 +27,7 @@
     Stop { ticket: TicketId, trip: TripNo },
     TurnBack { ticket: TicketId, wait: Option<Micros> },
     Forfeit { ticket: TicketId },
+    Refused { why: Refusal },
     Vote { build: BuildNo, vote: Vote },
     Wake { at: Micros, wake: Wake },
 }
@@ -110,6 +111,9 @@
         let entry = judged.entry((build, profile)).or_default();
         *entry = (entry.0.saturating_add(1), entry.1.saturating_add(u32::from(failed)));
     }
+    fn refused(&mut self, _ticket: TicketId, why: Refusal) {
+        self.ask(Do::Refused { why });
+    }
     fn note(&mut self, text: &str) {
         log::info!("{text}");
     }
--- a/crates/playhouse/src/floor/mod.rs
+++ b/crates/playhouse/src/floor/mod.rs
@@ -30,6 +30,8 @@
 /// the instances: where many go at once that is worked out a few times, not once for each. Well under the second or
 /// more in which they are found to be gone.
 const PEERS_GATHER: Micros = 200 * MS;
+/// The cause of a refusal where the service or route is not known here any more.
+const UNKNOWN_SERVICE: &str = "unknown-service";
 /// A foyer that has been up for less when a roll-out comes may have had an earlier life that served in it.
 const SETTLED: Micros = 5 * SECOND;
 
@@ -137,6 +139,8 @@
     /// Final answers of the decisions that were no instance's, since the start.
     turned_back: u64,
     forfeited: u64,
+    /// Requests refused since the start, by cause.
+    refusals: BTreeMap<&'static str, u64>,
     /// What it says of itself, and whom it looks at; none unless `check_intent` was called.
     usher: Option<Usher>,
     out: Vec<Out>,
@@ -180,6 +184,7 @@
             partly: None,
             turned_back: 0,
             forfeited: 0,
+            refusals: BTreeMap::new(),
             usher: None,
             out: Vec::new(),
         }
@@ -468,6 +473,7 @@
             self.desks.get(service).and_then(|desk| Some((desk.service.clone(), desk.profile(route, kind)?)));
         let Some((service, profile)) = found else {
             let wait = Some(cue::come_back(left));
+            self.count_refusal(UNKNOWN_SERVICE);
             return self.out.push(Out::TurnBack { ticket, wait });
         };
         self.open.insert(ticket, Open { service: service.clone(), out: Vec::new() });
@@ -536,6 +542,7 @@
                 self.forfeited += 1;
                 self.out.push(Out::Forfeit { ticket });
             }
+            Do::Refused { why } => self.count_refusal(why.cause()),
             Do::Vote { build, vote } => {
                 self.decide(service, |desk| {
                     desk.voted(build, vote);
@@ -553,6 +560,15 @@
         }
     }
 
+    fn count_refusal(&mut self, cause: &'static str) {
+        *self.refusals.entry(cause).or_default() += 1;
+    }
+
+    /// Requests refused since the start, by cause.
+    pub fn refusals(&self) -> &BTreeMap<&'static str, u64> {
+        &self.refusals
+    }
+
     fn send(&mut self, service: &Rc<str>, ticket: TicketId, server: ServerId, until: Option<Micros>) {
         let Some(desk) = self.desks.get_mut(service) else { return };
         let (Some(to), Some(open)) = (desk.server(server).cloned(), self.open.get_mut(&ticket)) else {
--- a/crates/playhouse/src/foyer/mod.rs
+++ b/crates/playhouse/src/foyer/mod.rs
@@ -170,6 +170,8 @@
         metrics.gauge("configuration_version", "Version requests are routed by", self.floor.version());
         metrics.gauge("ready", "Whether clients may be sent here", u64::from(self.floor.ready()));
         metrics.gauge("requests_in_hand", "Requests that are open", self.open.len() as u64);
+        let refused = self.floor.refusals().iter().map(|(cause, count)| (*cause, *count));
+        metrics.counter_by("requests_refused", "Requests without an instance's answer", "cause", refused);
         metrics
     }
 }
--- a/crates/playhouse/src/metrics.rs
+++ b/crates/playhouse/src/metrics.rs
@@ -13,6 +13,7 @@
 use hyper::{Request, Response, StatusCode, header};
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::Registry;
 use wings::PostStats;
@@ -77,6 +78,17 @@
         self.0.register(name, help, counter);
     }
 
+    /// A counter for each value of one label.
+    pub fn counter_by<'a>(
+        &mut self, name: &str, help: &str, label: &str, values: impl Iterator<Item = (&'a str, u64)>,
+    ) {
+        let family: Family<Vec<(String, String)>, Counter> = Family::default();
+        for (value, count) in values {
+            family.get_or_create(&vec![(label.to_owned(), value.to_owned())]).inc_by(count);
+        }
+        self.0.register(name, help, family);
+    }
+
     pub fn text(&self) -> String {
         let mut text = String::new();
         // Into memory, of plain numbers: there is nothing that could fail.
--- a/crates/playhouse/tests/metrics.rs
+++ b/crates/playhouse/tests/metrics.rs
@@ -60,3 +60,26 @@
     }
     assert!(level.ends_with("# EOF\n"));
 }
+
+#[test]
+fn requests_refused_are_told_by_cause() {
+    let control = Member {
+        place: place(1),
+        life: Life(1),
+        part: Part::Prompter,
+        zone: "z".into(),
+        name: "n".into(),
+        edition: Edition::OWN,
+    };
+    let house = House::start(control, vec![], SECOND, 1, 0);
+    let mut metrics = Metrics::of(&house, PostStats::default());
+    let refused = [("no-server", 3), ("too-late", 1)].into_iter();
+    metrics.counter_by("requests_refused", "Requests refused", "cause", refused);
+    let text = metrics.text();
+    for line in [
+        "garnetdoor_requests_refused_total{cause=\"no-server\"} 3",
+        "garnetdoor_requests_refused_total{cause=\"too-late\"} 1",
+    ] {
+        assert!(text.lines().any(|told| told == line), "{line} in\n{text}");
+    }
+}
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -8,7 +8,7 @@
 
 use crate::host::{
     Arrival, BuildNo, Condition, Ending, GatewayId, Host, Listing, MS, Micros, News, Phase, ProfileId,
-    SECOND, ServerId, Settings, Taken, Tally, TicketId, TripNo, Vote, Wake, ZoneId,
+    Refusal, SECOND, ServerId, Settings, Taken, Tally, TicketId, TripNo, Vote, Wake, ZoneId,
 };
 use crate::seen::{Record, Sample, Seen, Server, Sign, Ticket, Told, Trip, View, from, keep};
 use crate::terms::{Budget, Repeat, Scope, Terms};
@@ -85,8 +85,8 @@
         let came = self.host.now();
         self.seen.took(arrival.profile, came, came - self.kept);
         self.seen.tickets.insert(id, Ticket { arrival, came, trips: Vec::new(), over: false });
-        if !self.send(id) {
-            self.give_up(id);
+        if let Err(why) = self.send(id) {
+            self.give_up(id, why);
         }
     }
 
@@ -121,8 +121,11 @@
         }
         self.judge(&on, profile, took, ending);
         let ticket = &self.seen.tickets[&id];
-        if !ticket.over && ticket.none_out() && !self.send(id) {
-            self.give_up(id);
+        if !ticket.over
+            && ticket.none_out()
+            && let Err(why) = self.send(id)
+        {
+            self.give_up(id, why);
         }
         self.seen.close(id);
         self.speak();
@@ -135,7 +138,7 @@
     /// The gateway ends: every ticket still open gets its final answer now.
     pub fn stops(&mut self) {
         let open = self.seen.tickets.iter().filter(|(_, ticket)| !ticket.over).map(|(id, _)| *id);
-        open.collect::<Vec<_>>().into_iter().for_each(|id| self.give_up(id));
+        open.collect::<Vec<_>>().into_iter().for_each(|id| self.give_up(id, Refusal::Stopping));
     }
 
     pub fn news_came(&mut self, news: News) {
@@ -167,10 +170,7 @@
     pub fn woke(&mut self, wake: Wake) {
         match wake {
             Wake::Ticket(id) => self.overdue(id),
-            Wake::Vote => {
-                self.weigh_tallies();
-                self.speak();
-            }
+            Wake::Vote => self.weigh_tallies(),
             Wake::List => self.host.follow_list(true),
             Wake::Beat => {
                 let now = self.host.now();
--- a/src/balance/choice.rs
+++ b/src/balance/choice.rs
@@ -51,8 +51,8 @@
 
 impl<H: Host> Balance<H> {
     /// The ordinary path of a ticket, and of each further trip: which build, which server, whether it can
-    /// be in time, and off it goes. False if nothing was sent.
-    pub(super) fn send(&mut self, id: TicketId) -> bool {
+    /// be in time, and off it goes; or why nothing was sent.
+    pub(super) fn send(&mut self, id: TicketId) -> Result<(), Refusal> {
         let now = self.host.now();
         let ticket = &self.seen.tickets[&id];
         let profile = ticket.arrival.profile;
@@ -62,7 +62,7 @@
         let again = self.effect_allows(ticket, None) && (!draws || room());
         let most = self.terms.class(profile).try_limit.unwrap_or(self.terms.try_limit);
         if ticket.trips.len() >= most || !again {
-            return false;
+            return Err(Refusal::Spent);
         }
         // The build on trial by its share of the listed machines, cold ones by what they can do, and capped.
         let view = self.view();
@@ -84,19 +84,20 @@
         let aim = self.terms.class(profile).on_time;
         let counts = if further && self.terms.late_counts { Micros::MAX } else { aim };
         let left = (ticket.came + counts.min(ticket.arrival.left)) - now;
-        let most = left as f64 * self.patience(&view, profile);
+        let most = (left as f64 * self.patience(&view, profile)) as Micros;
         let pressure = self.pressure();
         let lately = view.zones.keys().filter_map(|z| Some((*z, pressure(*z)? * aim as f64)));
         let lately: BTreeMap<ZoneId, f64> = lately.collect();
-        let late =
-            |s: &Server| lately.get(&s.listing.zone).is_some_and(|usual| self.expected(s, *usual) > most);
+        let expected = |s: &Server| {
+            lately.get(&s.listing.zone).map_or(f64::NEG_INFINITY, |usual| self.expected(s, *usual))
+        };
         let mut chance = self.chance;
         let drawn = chance.rand_float() * all < trial;
         // The cheapest server of that build, first of those in time, since one that a heavy ticket made look
-        // slow, always chosen and then turned back at, never shows that it is not; else of others, at worst
-        // one that rests. Gateways that see no difference must not all choose the same one: each draws
-        // by size among them; what it does see, its own trips out and the strain, outweighs the draw.
-        // Its own part of the list spares handshakes; where a zone is jammed, an even load counts for more.
+        // slow never shows that it is not if all are turned back at it; else of others, at worst one that rests.
+        // Gateways that see no difference must not all choose the same one, so each draws by size; own trips
+        // out and strain outweigh the draw. Where a zone is jammed, an even load counts for more than the own
+        // part of the list, which spares handshakes.
         let jammed = lately.values().any(|usual| *usual >= LONG_OUT * aim as f64);
         let part = self.own_part(alike.values().map(|(count, _)| count).sum());
         let mut cheapest = None;
@@ -125,13 +126,14 @@
             let draw = (-(1.0 - chance.rand_float()).ln() / able).powf(1.0 / SHARP);
             let draw = if own || jammed { draw } else { APART * draw };
             let cost = view.strain(server) * (server.out.len() as f64 / able + draw);
-            let last = (view.rests(server), on_trial != drawn, late(server));
+            let expected = expected(server) as Micros;
+            let last = (view.rests(server), on_trial != drawn, expected > most);
             if cheapest.is_none_or(|(least, than, _)| (last, cost) < (least, than)) {
-                cheapest = Some((last, cost, *name));
+                cheapest = Some((last, cost, (*name, expected)));
             }
         }
         self.chance = chance;
-        let Some(((.., too_late), _, chosen)) = cheapest else { return false };
+        let Some(((.., too_late), _, (chosen, expected))) = cheapest else { return Err(Refusal::NoServer) };
         // A ticket that can't be in time only delays others. It is a failure of the build, else a slow one hides
         // behind turn-backs; once between two answers, where it answers and is not the build's only server.
         let server = &self.seen.servers[&chosen];
@@ -149,10 +151,10 @@
             if !further && own && several && !counted {
                 self.judge(&trip, profile, Micros::MAX, Ending::TimedOut);
             }
-            return false;
+            return Err(Refusal::TooLate { server: chosen, expected, allowed: most, out: beside as usize });
         }
         if further && left <= usual.unwrap_or(0) / 2 {
-            return false;
+            return Err(Refusal::NoTime);
         }
         if self.cap(build).is_some() {
             let since = (!self.terms.exposure_since_order).then_some(now - self.kept);
@@ -168,7 +170,7 @@
         self.host.send_trip(id, chosen, None);
         let wait = usual.map_or(aim / 2, |usual| (3 * usual).min(aim / 2));
         self.host.wake_at(now + wait, Wake::Ticket(id));
-        true
+        Ok(())
     }
 
     /// Where a gateway's own part of each zone's and build's servers begins, by its number, and how large it is:
@@ -182,10 +184,9 @@
         (index / fleet.max(1.0), (kept / servers as f64).max(SHARED / fleet.max(1.0)))
     }
 
-    /// A cold machine is not pushed over: within any window that counts it gets from this gateway at most
-    /// its part, by size and sure warmth, of what the fleet finished here, and half again. What is finished
-    /// never exceeds what the fleet can do, so all gateways stay under the least multiple of 2. Less than a
-    /// whole trip is left to chance, by how often a ticket would be drawn there: on a way back all would.
+    /// A cold machine is not pushed over: within any window that counts it gets from this gateway at most its
+    /// part, by size and sure warmth, of what the fleet finished here, and half again. Less than a whole trip
+    /// is left to chance, by how often a ticket would be drawn there: on a way back all would.
     fn cold_room(&self, server: &Server, part: f64, drawn: f64) -> f64 {
         let since = self.host.now() - self.terms.fall.unwrap_or(SECOND);
         let finished = self.seen.finished.count_since(since).max(1);
--- a/src/balance/evidence.rs
+++ b/src/balance/evidence.rs
@@ -36,14 +36,13 @@
         {
             return;
         }
+        let failed = errs || (on.near && late);
         if self.may_tell() && took < Micros::MAX {
-            let failed = errs || (on.near && late);
             self.count(build, profile, f64::from(u8::from(failed)), 1.0);
             if let Some(news) = self.seen.news.filter(|news| news.phase == Phase::OnTrial) {
                 self.tell(news.build, profile, judged, failed);
             }
         }
-        let failed = errs || (on.near && late);
         if compared || errs || finished {
             self.weigh(build, Sign::Failed(profile), f64::from(u8::from(failed && (errs || compared))), 1.0);
         }
@@ -118,9 +117,8 @@
         }
     }
 
-    /// A tally is a sample of all outcomes, this gateway's among them, so it has a sign of its own. Late
-    /// answers are not in it: their share follows from the mean as if times were exponential. The part from
-    /// machines too young to be judged is left out by their share of the build's machines.
+    /// A tally is a sample of all outcomes, so it has a sign of its own. Late answers are not in it: their share
+    /// follows from the mean as if times were exponential. Machines too young to be judged are left out.
     pub(super) fn weigh_tallies(&mut self) {
         let period = self.terms.sums_every;
         self.seen.tallies.sort_by_key(|tally| tally.build);
@@ -141,6 +139,7 @@
             let (trips, failed) = (tally.trips as f64, tally.failed.min(tally.trips) as f64);
             self.count(build, profile, (failed + (trips - failed) * late) * old, trips * old);
         }
+        self.speak();
     }
 
     /// Peers are told where settings allow it and the platform counts nothing itself.
--- a/src/balance/further.rs
+++ b/src/balance/further.rs
@@ -26,7 +26,7 @@
             return;
         }
         if self.terms.second_copies {
-            self.send(id);
+            let _ = self.send(id);
         } else if self.terms.cancelling && self.retry_room() {
             self.host.stop_trip(id, TripNo(number as u32));
         }
--- a/src/balance/scarcity.rs
+++ b/src/balance/scarcity.rs
@@ -9,9 +9,8 @@
 
 impl<H: Host> Balance<H> {
     /// What part of their agreed time the last trips in a zone took, or in all where that tells nothing, and
-    /// of all profiles: a gateway with little traffic has no more to go by. A trip that got no answer counts
-    /// as late, and one long out counts before it ends; but where answers are quick it is lost, not queued:
-    /// taken for a jam, a tenth of all answers lost would have most tickets turned back.
+    /// of all profiles, as a small gateway has no more to go by. A trip without an answer counts as late, and
+    /// one long out before it ends; but where answers are quick it is lost, not queued: a tenth lost is no jam.
     pub(super) fn pressure(&self) -> impl Fn(ZoneId) -> Option<f64> + use<H> {
         let (now, aim) = (self.host.now(), |profile| self.terms.class(profile).on_time as f64);
         let ended = self.seen.times.iter().flat_map(|(profile, kept)| {
@@ -76,7 +75,8 @@
 
     /// The final answer of a ticket that gets no further trip: turned back where that promises no lie, with a
     /// time to come back that its client will keep to.
-    pub(super) fn give_up(&mut self, id: TicketId) {
+    pub(super) fn give_up(&mut self, id: TicketId, why: Refusal) {
+        self.host.refused(id, why);
         let ticket = &self.seen.tickets[&id];
         let ran = ticket.trips.iter().any(Trip::may_have_run);
         let class = self.terms.class(ticket.arrival.profile);
--- a/src/host.rs
+++ b/src/host.rs
@@ -193,6 +193,41 @@
     Beat,
 }
 
+/// Why a request gets no further attempt.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Refusal {
+    /// No healthy server that may take it has room for it.
+    NoServer,
+    /// The best of those that may take it is expected to answer too late.
+    TooLate {
+        server: ServerId,
+        /// How long the attempt is expected to take, and how long it may.
+        expected: Micros,
+        allowed: Micros,
+        /// Attempts that this gateway has out at the server.
+        out: usize,
+    },
+    /// An attempt failed, and too little time is left for another one.
+    NoTime,
+    /// An attempt failed, and the kind of request, its number of attempts or the retry budget allows no other.
+    Spent,
+    /// The gateway ends.
+    Stopping,
+}
+
+impl Refusal {
+    /// The words for its cause in logs and metrics.
+    pub fn cause(&self) -> &'static str {
+        match self {
+            Refusal::NoServer => "no-server",
+            Refusal::TooLate { .. } => "too-late",
+            Refusal::NoTime => "no-time",
+            Refusal::Spent => "spent",
+            Refusal::Stopping => "stopping",
+        }
+    }
+}
+
 /// What the decisions ask of the gateway that hosts them.
 pub trait Host {
     /// The time; it never goes back.
@@ -230,6 +265,8 @@
     }
     /// An outcome has been judged as evidence on a build, for hosts that tell others of it.
     fn judged(&mut self, _build: BuildNo, _profile: ProfileId, _failed: bool) {}
+    /// A request is about to get its final answer without a server's, for this reason.
+    fn refused(&mut self, _ticket: TicketId, _why: Refusal) {}
     /// Writes a line to the log.
     fn note(&mut self, text: &str);
 }
--- a/tests/fake/mod.rs
+++ b/tests/fake/mod.rs
@@ -27,6 +27,8 @@
     pub notes: Vec<String>,
     /// Each outcome that the host heard of: build, and whether it failed.
     pub judged: Vec<(u32, bool)>,
+    /// Each request that was refused, and why.
+    pub refused: Vec<(u64, Refusal)>,
     /// Builds on which nothing more may be left standing.
     pub full: Vec<u32>,
 }
@@ -73,6 +75,9 @@
     fn judged(&mut self, build: BuildNo, _profile: ProfileId, failed: bool) {
         self.0.borrow_mut().judged.push((build.0, failed));
     }
+    fn refused(&mut self, ticket: TicketId, why: Refusal) {
+        self.0.borrow_mut().refused.push((ticket.0, why));
+    }
     fn note(&mut self, text: &str) {
         self.0.borrow_mut().notes.push(text.to_owned());
     }
@@ -194,6 +199,11 @@
         self.read(|book| book.answers.iter().filter(|(t, _)| *t == ticket).map(|(_, a)| *a).collect())
     }
 
+    /// Why a ticket was refused, if it was.
+    pub fn refusal(&self, ticket: u64) -> Option<Refusal> {
+        self.read(|book| book.refused.iter().find(|(t, _)| *t == ticket).map(|(_, why)| *why))
+    }
+
     /// `count` tickets, 20 ms apart; each trip at a server of `bad` ends as `ending`, the others in 50 ms.
     pub fn run(&mut self, count: usize, profile: usize, bad: &[u32], took: Micros, ending: Ending) {
         for _ in 0..count {
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -773,3 +773,25 @@
     let ticket = story.ticket(0);
     assert_eq!(story.answers(ticket), ["turned back"]);
 }
+
+#[test]
+fn a_refusal_tells_its_cause() {
+    let mut story = Story::new(&[], vec![]);
+    let nowhere = story.ticket(0);
+    assert_eq!(story.refusal(nowhere), Some(Refusal::NoServer));
+    let mut story = Story::new(&[], fleet(2, 0));
+    story.run(20, 0, &[0, 1], 900 * MS, Ending::Finished);
+    let late = story.ticket(0);
+    let why = story.refusal(late);
+    assert!(
+        matches!(why, Some(Refusal::TooLate { expected, allowed: 350_000, out: 0, .. }) if expected > 350_000)
+    );
+    story.pass(5 * S);
+    let failed = story.ticket(1);
+    story.ends(failed, 0, 20 * MS, Ending::Error);
+    assert_eq!(story.refusal(failed), Some(Refusal::Spent));
+    let open = story.ticket(0);
+    assert_eq!(story.refusal(open), None);
+    story.gate.stops();
+    assert_eq!(story.refusal(open), Some(Refusal::Stopping));
+}
