--- a/src/balance/evidence.rs
+++ b/src/balance/evidence.rs
@@ -172,17 +172,11 @@
         let Some(news) = news else { return };
         let peers = self.terms.fleet_size.unwrap_or(0.0);
         let known = peers > from.0 as f64 && self.terms.classes.len() > usize::from(told.profile);
-        let (last, mut times) =
-            self.seen.heard.get(&(from, told.judged)).copied().unwrap_or((told.number, [0; 2]));
-        let new = times == [0; 2] || told.number.wrapping_sub(last).wrapping_sub(1) < u16::MAX / 2;
-        let (here, failed) =
-            (self.terms.zone.unwrap_or(0) == usize::from(told.zone), usize::from(told.failed));
-        if known && here && new && times[failed] < HEARD_MOST[failed] {
-            times[failed] += 1;
-            self.seen.heard.insert((from, told.judged), (told.number, times));
+        let here = self.terms.zone.unwrap_or(0) == usize::from(told.zone);
+        if known && here && self.seen.hears(from, told, HEARD_MOST) {
             let of = BuildNo(news.build.0.saturating_sub(u32::from(!told.judged)));
-            self.count(of, ProfileId(told.profile.into()), failed as f64, 1.0);
-            if failed > 0 {
+            self.count(of, ProfileId(told.profile.into()), f64::from(u8::from(told.failed)), 1.0);
+            if told.failed {
                 self.speak();
             }
         }
--- a/src/seen.rs
+++ b/src/seen.rs
@@ -311,6 +311,21 @@
         (count >= 5).then(|| sum / count)
     }
 
+    /// Notes what a peer told, if it is newer than its last word and no more than `most` successes and failures of it
+    /// have been heard on the build; tells whether it was.
+    pub fn hears(&mut self, from: GatewayId, told: Told, most: [usize; 2]) -> bool {
+        let known = self.heard.get(&(from, told.judged)).copied();
+        let (last, mut times) = known.unwrap_or((told.number, [0; 2]));
+        let new = times == [0; 2] || told.number.wrapping_sub(last).wrapping_sub(1) < u16::MAX / 2;
+        let failed = usize::from(told.failed);
+        if !new || times[failed] >= most[failed] {
+            return false;
+        }
+        times[failed] += 1;
+        self.heard.insert((from, told.judged), (told.number, times));
+        true
+    }
+
     /// How many outcomes of the builds before this one failed, and how many there were.
     pub fn earlier(&self, build: BuildNo, sign: Sign, since: Micros) -> (f64, f64) {
         let records = self.records.range(..build).filter_map(|(_, records)| records.get(&sign));
