--- a/src/balance.rs
+++ b/src/balance.rs
@@ -28,6 +28,7 @@
 const KEYS_MOST: usize = 100_000; // keys whose build is remembered; the rest is forgotten rather than run out
 const SAMPLES: usize = 16; // trips remembered a server: enough to see a failing share, short enough to forget
 const NORMAL_KEPT: usize = 64; // answers a profile, for its usual time
+const PRIOR: f64 = 2.0; // usual answers that a zone's or server's slowness starts from
 const FRESH: Micros = 4 * SECOND; // older samples say nothing of a server's present
 const FRESH_MOST: Micros = 20 * SECOND; // unless trips are so few that this long must serve
 const FAILURE: f64 = 8.0; // a failed trip weighs like an answer that takes so many usual times
--- a/src/balance/choice.rs
+++ b/src/balance/choice.rs
@@ -2,7 +2,6 @@
 
 use super::*;
 
-const PRIOR: f64 = 2.0; // samples that a zone's or server's strain starts from
 const SHARP: f64 = 4.0; // how sharply the draw among servers follows their cost
 const USES: f64 = 8.0; // trips at each server of the own part while a connection may rest, for one to be there
 const SHARED: f64 = 16.0; // gateways that each server is of the own part of, at least, so that load stays even
--- a/src/balance/scarcity.rs
+++ b/src/balance/scarcity.rs
@@ -5,6 +5,8 @@
 const JAMMED: f64 = 1.5; // agreed times that a trip without an answer counts for in the pressure
 const RANKED: f64 = 2.0; // times as much is let wait where ranks decide
 const COME_BACK_SPARE: Micros = 20 * MS; // of the time left: an answer is on its way for a while
+const STEADY: f64 = 3.0; // trips beside those out here that a server's load is taken to have: other gateways'
+const SEEN_LOAD: f64 = 2.0; // times the most load that an answer came under, for which growth is foretold
 const LOST: f64 = 4.0; // of what many answers take, the most that a trip without one counts for as pressure
 
 impl<H: Host> Balance<H> {
@@ -44,13 +46,14 @@
     }
 
     /// The time that a trip should take at the server: as its last answers did beside what is usual, for more
-    /// or fewer trips out now than then. Without that part a queue that has gone would turn tickets back.
+    /// or fewer trips out now than then. Without that part a queue that has gone would turn tickets back. It
+    /// grows up to twice the load that an answer came under: beyond, nothing shows that load matters there.
     pub(super) fn expected(&self, server: &Server, usual: f64) -> f64 {
-        let answers = server.fresh_answers(self.host.now(), FRESH);
-        let (sum, then, n) =
-            answers.fold((2.0, 0.0, 0.0), |(sum, then, n), s| (sum + s.stretch, then + s.beside, n + 1.0));
-        let out = server.out.len() as f64;
-        usual * sum / (n + 2.0) * (out + 3.0) / (if n > 0.0 { then / n } else { out } + 3.0)
+        let Some(seen) = server.answered(self.host.now(), FRESH) else { return usual };
+        let slowness = (PRIOR + seen.stretch) / (PRIOR + seen.count);
+        let load = |out: f64| out + STEADY;
+        let out = load(server.out.len() as f64).min(SEEN_LOAD * load(seen.beside_most));
+        usual * slowness * out / load(seen.beside / seen.count)
     }
 
     /// The part of the time left that the expected time may fill before a ticket is turned back: most for the
--- a/src/seen.rs
+++ b/src/seen.rs
@@ -99,6 +99,17 @@
     }
 }
 
+/// Sums over a server's recent answers.
+#[derive(Clone, Copy, Default)]
+pub struct Answered {
+    pub count: f64,
+    /// Of their times over their profiles' usual times.
+    pub stretch: f64,
+    /// Of the trips that were out there beside them, and the most of these beside one of them.
+    pub beside: f64,
+    pub beside_most: f64,
+}
+
 #[derive(Default)]
 pub struct Server {
     pub listing: Listing,
@@ -120,6 +131,17 @@
     pub fn fresh_answers(&self, now: Micros, span: Micros) -> impl Iterator<Item = &Sample> {
         self.fresh(now, span).filter(|sample| sample.ending == Ending::Finished)
     }
+
+    /// What it answered within `span`, if it answered anything.
+    pub fn answered(&self, now: Micros, span: Micros) -> Option<Answered> {
+        let sums = self.fresh_answers(now, span).fold(Answered::default(), |sums, sample| Answered {
+            count: sums.count + 1.0,
+            stretch: sums.stretch + sample.stretch,
+            beside: sums.beside + sample.beside,
+            beside_most: sums.beside_most.max(sample.beside),
+        });
+        (sums.count > 0.0).then_some(sums)
+    }
 }
 
 /// What the statistic is kept on, for each build: the design page's failures of a profile, and our
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -827,3 +827,12 @@
     assert_eq!(refused_of_ten(&mut burst(52, &[104, 110])), 0, "two answers, with one other out at most");
     assert_eq!(refused_of_ten(&mut burst(46, &[141; 8])), 0, "as slow with none beside as with seven");
 }
+
+#[test]
+fn a_server_that_was_seen_to_slow_with_its_load_refuses_what_would_be_late() {
+    // One after the other, 100 ms each, so that one with ten others before it takes 1,100 ms of the 700 that it may.
+    let one_by_one: Vec<Micros> = (1..=6).map(|nth| 100 * nth).collect();
+    assert_eq!(refused_of_ten(&mut burst(16, &one_by_one)), 10);
+    // With none before it the first is answered in 100 ms, the seventh in 700.
+    assert_eq!(refused_of_ten(&mut burst(6, &one_by_one)), 3);
+}
