--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -836,3 +836,16 @@
     // With none before it the first is answered in 100 ms, the seventh in 700.
     assert_eq!(refused_of_ten(&mut burst(6, &one_by_one)), 3);
 }
+
+// A server's slowness was its last answers' times over what was usual when each came, and the expected time was the mean of
+// the same answers times that slowness: where all servers slow down together, a slowdown by three counted nearly squared.
+// One row of the traces of `many_clients_at_once_each_get_their_own_answer` shows it: sixteen answers of 147 ms in the mean,
+// the only ones that there were, stood for 872 ms at three times their load, which is twice what they give.
+#[test]
+fn a_slowdown_that_all_servers_share_counts_once() {
+    let mut story = Story::new(&[], fleet(1, 0));
+    story.run(20, 0, &[], 0, Ending::Finished);
+    // Each answer keeps the agreed 500 ms, and what may be filled of them: 350.
+    story.run(20, 0, &[0], 300 * MS, Ending::Finished);
+    assert_eq!(story.read(|book| book.refused.clone()), []);
+}
