--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -849,3 +849,15 @@
     story.run(20, 0, &[0], 300 * MS, Ending::Finished);
     assert_eq!(story.read(|book| book.refused.clone()), []);
 }
+
+// `many_clients_at_once_each_get_their_own_answer` names no agreed time for its requests, and its clients wait for 15 s. They
+// were refused for a time of 1 s that nobody had agreed on: `refused for=too-late ... allowed_us=700000` is 0.7 of it.
+// Where settings agree on no time, the client's own is what an answer may take.
+#[test]
+fn without_an_agreed_time_the_clients_own_counts() {
+    let more = [("classes.count", "4"), ("classes.3.repeat", "safe"), ("classes.3.worth", "1")];
+    let mut story = Story::new(&more, fleet(2, 0));
+    story.run(20, 3, &[0, 1], 900 * MS, Ending::Finished);
+    let ticket = story.ticket(3);
+    assert_eq!((story.refusal(ticket), story.trips(ticket).len()), (None, 1), "its client waits for 2 s");
+}
