--- a/src/balance/choice.rs
+++ b/src/balance/choice.rs
@@ -81,7 +81,8 @@
             }
         }
         let aim = self.terms.class(profile).on_time;
-        let counts = if further && self.terms.late_counts { Micros::MAX } else { aim };
+        let late_counts = (further && self.terms.late_counts) || !self.terms.class(profile).agreed;
+        let counts = if late_counts { Micros::MAX } else { aim };
         let left = (ticket.came + counts.min(ticket.arrival.left)) - now;
         let most = (left as f64 * self.patience(&view, profile)) as Micros;
         let pressure = self.pressure();
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -32,8 +32,9 @@
 pub struct Class {
     /// Settings name it; numbers of profiles that are gone stay unused.
     pub listed: bool,
-    /// The agreed time.
+    /// The agreed time, and whether settings agree on any.
     pub on_time: Micros,
+    pub agreed: bool,
     pub repeat: Repeat,
     pub scope: Scope,
     /// How long a key is remembered.
@@ -49,6 +50,7 @@
 const UNSAID: Class = Class {
     listed: false,
     on_time: SECOND,
+    agreed: false,
     repeat: Repeat::Never,
     scope: Scope::Server,
     window: 0,
@@ -206,6 +208,7 @@
     Class {
         listed: ["on_time", "repeat"].iter().any(|what| settings.text(&name(what)).is_some()),
         on_time: settings.micros(&name("on_time")).unwrap_or(UNSAID.on_time),
+        agreed: settings.micros(&name("on_time")).is_some(),
         repeat: match settings.text(&name("repeat")) {
             Some("safe") => Repeat::Safe,
             Some("keyed") => Repeat::Keyed,
