--- a/crates/garnetdoor-gateway/src/lifecycle/listen.rs
+++ b/crates/garnetdoor-gateway/src/lifecycle/listen.rs
@@ -10,6 +10,7 @@
 use may::net::{TcpListener, TcpStream, UdpSocket};
 
 use crate::event::Event;
+use crate::log;
 
 /// Connections that were taken and that the reducer's thread has not seen yet.
 pub type Arrived = Arc<Mutex<Vec<(TcpStream, SocketAddr)>>>;
@@ -34,9 +35,17 @@
     }
 }
 
-/// Binds the address where peers' datagrams arrive and reads them in a coroutine.
-pub fn peers(at: SocketAddr, events: Sender<Event>) -> io::Result<Arc<UdpSocket>> {
-    let socket = Arc::new(UdpSocket::bind(at)?);
+/// Binds the address that the configuration names under `key`. One that is in use is tried again for a while, so that a
+/// start does not fail for a process that is about to let go of it.
+pub fn bind<T>(key: &str, at: SocketAddr, bind: impl Fn(SocketAddr) -> io::Result<T>) -> io::Result<T> {
+    let waits = |error: &io::Error| log!("{key}: {error}; tried again for {:?}", garnetdoor_bind::WAIT_MOST);
+    garnetdoor_bind::when_free(at, || bind(at), waits)
+        .map_err(|error| io::Error::new(error.kind(), format!("{key}: {error}")))
+}
+
+/// Reads peers' datagrams in a coroutine.
+pub fn peers(socket: UdpSocket, events: Sender<Event>) -> Arc<UdpSocket> {
+    let socket = Arc::new(socket);
     let reader = socket.clone();
     // SAFETY: as above.
     unsafe {
@@ -54,5 +63,5 @@
             }
         })
     };
-    Ok(socket)
+    socket
 }
--- a/crates/garnetdoor-gateway/src/lifecycle/serve.rs
+++ b/crates/garnetdoor-gateway/src/lifecycle/serve.rs
@@ -64,14 +64,13 @@
 fn start(config: Config, operator: Operator, file: Option<String>, signals: Signals) -> io::Result<Driver> {
     let clock = Clock::start();
     let (events, inbox) = mpsc::channel();
-    let listener = TcpListener::bind(config.listen)
-        .map_err(|error| io::Error::new(error.kind(), format!("listen: {}: {error}", config.listen)))?;
+    let listener = listen::bind("listen", config.listen, |at| TcpListener::bind(at))?;
+    let served_at = listener.local_addr()?;
     socket::stamp(listener.inner());
     let peers = match config.peer_listen {
-        Some(at) => Some(
-            listen::peers(at, events.clone())
-                .map_err(|error| io::Error::new(error.kind(), format!("peer_listen: {at}: {error}")))?,
-        ),
+        Some(at) => {
+            Some(listen::peers(listen::bind("peer_listen", at, |at| UdpSocket::bind(at))?, events.clone()))
+        }
         None => None,
     };
     // An eighth: buffers grow by doubling, and what is held is copied on its way.
@@ -79,7 +78,7 @@
     let (reducer, effects) = Reducer::start(clock.now(), &config, &operator);
     let arrived = Arrived::default();
     let listener = Some(listen::listen(listener, arrived.clone(), events.clone()));
-    log!("{} serves at {}", config.name, config.listen);
+    log!("{} serves at {served_at}", config.name);
     reload::follow(signals, config, file, events.clone());
     let (links, relays) = (BTreeMap::new(), BTreeMap::new());
     let mut driver =
--- a/crates/playhouse/src/foyer/mod.rs
+++ b/crates/playhouse/src/foyer/mod.rs
@@ -111,11 +111,14 @@
         metrics::spawn(SocketAddrV4::new(settings.ip_address, port), shared.clone());
     }
     let (stop, stopping) = tokio::sync::watch::channel(false);
-    let listener = crate::listen::bind(frontend, 1024)?;
+    let listener = crate::listen::bind_when_free(frontend, 1024)?;
     let crowd: Rc<Crowd> = Rc::default();
     let clients =
         crate::tasks::spawn_local(front::serve(listener, shared.clone(), crowd.clone(), stopping.clone()));
-    crate::tasks::spawn_local(front::readiness(crate::listen::bind(readiness, 64)?, shared.clone()));
+    crate::tasks::spawn_local(front::readiness(
+        crate::listen::bind_when_free(readiness, 64)?,
+        shared.clone(),
+    ));
     let mut signals = Signals::start()?;
     let grace = Duration::from_micros(micros(settings.timer_bounds.grace_s) as u64);
     let mut ends: Option<tokio::time::Instant> = None;
--- a/crates/playhouse/src/prompter.rs
+++ b/crates/playhouse/src/prompter.rs
@@ -120,7 +120,7 @@
     if let Some(port) = metrics {
         metrics::spawn(SocketAddrV4::new(settings.ip_address, port), shared.clone());
     }
-    crate::tasks::spawn_local(serve(crate::listen::bind(at, 512)?, shared.clone()));
+    crate::tasks::spawn_local(serve(crate::listen::bind_when_free(at, 512)?, shared.clone()));
     let mut signals = Signals::start()?;
     log::info!("prompter {seat} at {at}");
     loop {
