--- a/crates/playhouse/src/foyer/mod.rs
+++ b/crates/playhouse/src/foyer/mod.rs
@@ -111,11 +111,14 @@
         metrics::spawn(SocketAddrV4::new(settings.ip_address, port), shared.clone());
     }
     let (stop, stopping) = tokio::sync::watch::channel(false);
-    let listener = crate::listen::bind(frontend, 1024)?;
+    let listener = crate::listen::bind_when_free(frontend, 1024)?;
     let crowd: Rc<Crowd> = Rc::default();
     let clients =
         crate::tasks::spawn_local(front::serve(listener, shared.clone(), crowd.clone(), stopping.clone()));
-    crate::tasks::spawn_local(front::readiness(crate::listen::bind(readiness, 64)?, shared.clone()));
+    crate::tasks::spawn_local(front::readiness(
+        crate::listen::bind_when_free(readiness, 64)?,
+        shared.clone(),
+    ));
     let mut signals = Signals::start()?;
     let grace = Duration::from_micros(micros(settings.timer_bounds.grace_s) as u64);
     let mut ends: Option<tokio::time::Instant> = None;
@@ -170,6 +173,8 @@
         metrics.gauge("configuration_version", "Version requests are routed by", self.floor.version());
         metrics.gauge("ready", "Whether clients may be sent here", u64::from(self.floor.ready()));
         metrics.gauge("requests_in_hand", "Requests that are open", self.open.len() as u64);
+        let refused = self.floor.refusals().iter().map(|(cause, count)| (*cause, *count));
+        metrics.counter_by("requests_refused", "Requests without an instance's answer", "cause", refused);
         metrics
     }
 }
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -8,7 +8,7 @@
 
 use crate::host::{
     Arrival, BuildNo, Condition, Ending, GatewayId, Host, Listing, MS, Micros, News, Phase, ProfileId,
-    SECOND, ServerId, Settings, Taken, Tally, TicketId, TripNo, Vote, Wake, ZoneId,
+    Refusal, SECOND, ServerId, Settings, Taken, Tally, TicketId, TripNo, Vote, Wake, ZoneId,
 };
 use crate::seen::{Record, Sample, Seen, Server, Sign, Ticket, Told, Trip, View, from, keep};
 use crate::terms::{Budget, Repeat, Scope, Terms};
@@ -28,6 +28,7 @@
 const KEYS_MOST: usize = 100_000; // keys whose build is remembered; the rest is forgotten rather than run out
 const SAMPLES: usize = 16; // trips remembered a server: enough to see a failing share, short enough to forget
 const NORMAL_KEPT: usize = 64; // answers a profile, for its usual time
+const PRIOR: f64 = 2.0; // usual answers that a zone's or server's slowness starts from
 const FRESH: Micros = 4 * SECOND; // older samples say nothing of a server's present
 const FRESH_MOST: Micros = 20 * SECOND; // unless trips are so few that this long must serve
 const FAILURE: f64 = 8.0; // a failed trip weighs like an answer that takes so many usual times
@@ -85,8 +86,8 @@
         let came = self.host.now();
         self.seen.took(arrival.profile, came, came - self.kept);
         self.seen.tickets.insert(id, Ticket { arrival, came, trips: Vec::new(), over: false });
-        if !self.send(id) {
-            self.give_up(id);
+        if let Err(why) = self.send(id) {
+            self.give_up(id, why);
         }
     }
 
@@ -121,8 +122,11 @@
         }
         self.judge(&on, profile, took, ending);
         let ticket = &self.seen.tickets[&id];
-        if !ticket.over && ticket.none_out() && !self.send(id) {
-            self.give_up(id);
+        if !ticket.over
+            && ticket.none_out()
+            && let Err(why) = self.send(id)
+        {
+            self.give_up(id, why);
         }
         self.seen.close(id);
         self.speak();
@@ -135,7 +139,7 @@
     /// The gateway ends: every ticket still open gets its final answer now.
     pub fn stops(&mut self) {
         let open = self.seen.tickets.iter().filter(|(_, ticket)| !ticket.over).map(|(id, _)| *id);
-        open.collect::<Vec<_>>().into_iter().for_each(|id| self.give_up(id));
+        open.collect::<Vec<_>>().into_iter().for_each(|id| self.give_up(id, Refusal::Stopping));
     }
 
     pub fn news_came(&mut self, news: News) {
@@ -167,10 +171,7 @@
     pub fn woke(&mut self, wake: Wake) {
         match wake {
             Wake::Ticket(id) => self.overdue(id),
-            Wake::Vote => {
-                self.weigh_tallies();
-                self.speak();
-            }
+            Wake::Vote => self.weigh_tallies(),
             Wake::List => self.host.follow_list(true),
             Wake::Beat => {
                 let now = self.host.now();
--- a/src/balance/evidence.rs
+++ b/src/balance/evidence.rs
@@ -36,14 +36,13 @@
         {
             return;
         }
+        let failed = errs || (on.near && late);
         if self.may_tell() && took < Micros::MAX {
-            let failed = errs || (on.near && late);
             self.count(build, profile, f64::from(u8::from(failed)), 1.0);
             if let Some(news) = self.seen.news.filter(|news| news.phase == Phase::OnTrial) {
                 self.tell(news.build, profile, judged, failed);
             }
         }
-        let failed = errs || (on.near && late);
         if compared || errs || finished {
             self.weigh(build, Sign::Failed(profile), f64::from(u8::from(failed && (errs || compared))), 1.0);
         }
@@ -118,9 +117,8 @@
         }
     }
 
-    /// A tally is a sample of all outcomes, this gateway's among them, so it has a sign of its own. Late
-    /// answers are not in it: their share follows from the mean as if times were exponential. The part from
-    /// machines too young to be judged is left out by their share of the build's machines.
+    /// A tally is a sample of all outcomes, so it has a sign of its own. Late answers are not in it: their share
+    /// follows from the mean as if times were exponential. Machines too young to be judged are left out.
     pub(super) fn weigh_tallies(&mut self) {
         let period = self.terms.sums_every;
         self.seen.tallies.sort_by_key(|tally| tally.build);
@@ -141,6 +139,7 @@
             let (trips, failed) = (tally.trips as f64, tally.failed.min(tally.trips) as f64);
             self.count(build, profile, (failed + (trips - failed) * late) * old, trips * old);
         }
+        self.speak();
     }
 
     /// Peers are told where settings allow it and the platform counts nothing itself.
@@ -173,17 +172,11 @@
         let Some(news) = news else { return };
         let peers = self.terms.fleet_size.unwrap_or(0.0);
         let known = peers > from.0 as f64 && self.terms.classes.len() > usize::from(told.profile);
-        let (last, mut times) =
-            self.seen.heard.get(&(from, told.judged)).copied().unwrap_or((told.number, [0; 2]));
-        let new = times == [0; 2] || told.number.wrapping_sub(last).wrapping_sub(1) < u16::MAX / 2;
-        let (here, failed) =
-            (self.terms.zone.unwrap_or(0) == usize::from(told.zone), usize::from(told.failed));
-        if known && here && new && times[failed] < HEARD_MOST[failed] {
-            times[failed] += 1;
-            self.seen.heard.insert((from, told.judged), (told.number, times));
+        let here = self.terms.zone.unwrap_or(0) == usize::from(told.zone);
+        if known && here && self.seen.hears(from, told, HEARD_MOST) {
             let of = BuildNo(news.build.0.saturating_sub(u32::from(!told.judged)));
-            self.count(of, ProfileId(told.profile.into()), failed as f64, 1.0);
-            if failed > 0 {
+            self.count(of, ProfileId(told.profile.into()), f64::from(u8::from(told.failed)), 1.0);
+            if told.failed {
                 self.speak();
             }
         }
--- a/src/seen.rs
+++ b/src/seen.rs
@@ -99,6 +99,17 @@
     }
 }
 
+/// Sums over a server's recent answers.
+#[derive(Clone, Copy, Default)]
+pub struct Answered {
+    pub count: f64,
+    /// Of their times over their profiles' usual times.
+    pub stretch: f64,
+    /// Of the trips that were out there beside them, and the most of these beside one of them.
+    pub beside: f64,
+    pub beside_most: f64,
+}
+
 #[derive(Default)]
 pub struct Server {
     pub listing: Listing,
@@ -120,6 +131,17 @@
     pub fn fresh_answers(&self, now: Micros, span: Micros) -> impl Iterator<Item = &Sample> {
         self.fresh(now, span).filter(|sample| sample.ending == Ending::Finished)
     }
+
+    /// What it answered within `span`, if it answered anything.
+    pub fn answered(&self, now: Micros, span: Micros) -> Option<Answered> {
+        let sums = self.fresh_answers(now, span).fold(Answered::default(), |sums, sample| Answered {
+            count: sums.count + 1.0,
+            stretch: sums.stretch + sample.stretch,
+            beside: sums.beside + sample.beside,
+            beside_most: sums.beside_most.max(sample.beside),
+        });
+        (sums.count > 0.0).then_some(sums)
+    }
 }
 
 /// What the statistic is kept on, for each build: the design page's failures of a profile, and our
@@ -311,6 +333,21 @@
         (count >= 5).then(|| sum / count)
     }
 
+    /// Notes what a peer told, if it is newer than its last word and no more than `most` successes and failures of it
+    /// have been heard on the build; tells whether it was.
+    pub fn hears(&mut self, from: GatewayId, told: Told, most: [usize; 2]) -> bool {
+        let known = self.heard.get(&(from, told.judged)).copied();
+        let (last, mut times) = known.unwrap_or((told.number, [0; 2]));
+        let new = times == [0; 2] || told.number.wrapping_sub(last).wrapping_sub(1) < u16::MAX / 2;
+        let failed = usize::from(told.failed);
+        if !new || times[failed] >= most[failed] {
+            return false;
+        }
+        times[failed] += 1;
+        self.heard.insert((from, told.judged), (told.number, times));
+        true
+    }
+
     /// How many outcomes of the builds before this one failed, and how many there were.
     pub fn earlier(&self, build: BuildNo, sign: Sign, since: Micros) -> (f64, f64) {
         let records = self.records.range(..build).filter_map(|(_, records)| records.get(&sign));
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -773,3 +773,91 @@
     let ticket = story.ticket(0);
     assert_eq!(story.answers(ticket), ["turned back"]);
 }
+
+#[test]
+fn a_refusal_tells_its_cause() {
+    let mut story = Story::new(&[], vec![]);
+    let nowhere = story.ticket(0);
+    assert_eq!(story.refusal(nowhere), Some(Refusal::NoServer));
+    let mut story = Story::new(&[], fleet(2, 0));
+    story.run(20, 0, &[0, 1], 900 * MS, Ending::Finished);
+    let late = story.ticket(0);
+    let why = story.refusal(late);
+    assert!(
+        matches!(why, Some(Refusal::TooLate { expected, allowed: 350_000, out: 0, .. }) if expected > 350_000)
+    );
+    story.pass(5 * S);
+    let failed = story.ticket(1);
+    story.ends(failed, 0, 20 * MS, Ending::Error);
+    assert_eq!(story.refusal(failed), Some(Refusal::Spent));
+    let open = story.ticket(0);
+    assert_eq!(story.refusal(open), None);
+    story.gate.stops();
+    assert_eq!(story.refusal(open), Some(Refusal::Stopping));
+}
+
+/// One server that has got so many requests at once, to be answered in a second, and has answered the first of them after
+/// these times.
+fn burst(sent: usize, answered_ms: &[Micros]) -> Story {
+    let mut story = Story::new(&[("classes.0.on_time", "1")], fleet(1, 0));
+    let tickets: Vec<u64> = (0..sent).map(|_| story.ticket(0)).collect();
+    let mut passed = 0;
+    for (ticket, at) in tickets.into_iter().zip(answered_ms) {
+        story.pass((at - passed) * MS);
+        passed = *at;
+        story.ends(ticket, 0, at * MS, Ending::Finished);
+    }
+    story
+}
+
+/// How many of ten more requests are refused.
+fn refused_of_ten(story: &mut Story) -> usize {
+    let tickets: Vec<u64> = (0..10).map(|_| story.ticket(0)).collect();
+    tickets.into_iter().filter(|ticket| story.refusal(*ticket).is_some()).count()
+}
+
+// Of sixty clients that came together some got 503 at once, though they waited for 15 s and the only server answered all
+// side by side. On a busy machine the first answers had taken 104 and 110 ms, with none and one other out. The expected
+// time grew in proportion to the attempts out, also fifty times beyond the load that any answer had come under:
+// `refused for=too-late expected_us=1629939 allowed_us=700000 out=50`. It grew so too where eight answers with none to
+// seven beside had all taken 141 ms, so that load was seen not to matter. Both are from traces of
+// `many_clients_at_once_each_get_their_own_answer`: docs/incidents/daemon-refused-on-a-guess.md.
+#[test]
+fn a_load_that_was_never_seen_is_no_reason_to_refuse() {
+    assert_eq!(refused_of_ten(&mut burst(52, &[104, 110])), 0, "two answers, with one other out at most");
+    assert_eq!(refused_of_ten(&mut burst(46, &[141; 8])), 0, "as slow with none beside as with seven");
+}
+
+#[test]
+fn a_server_that_was_seen_to_slow_with_its_load_refuses_what_would_be_late() {
+    // One after the other, 100 ms each, so that one with ten others before it takes 1,100 ms of the 700 that it may.
+    let one_by_one: Vec<Micros> = (1..=6).map(|nth| 100 * nth).collect();
+    assert_eq!(refused_of_ten(&mut burst(16, &one_by_one)), 10);
+    // With none before it the first is answered in 100 ms, the seventh in 700.
+    assert_eq!(refused_of_ten(&mut burst(6, &one_by_one)), 3);
+}
+
+// A server's slowness was its last answers' times over what was usual when each came, and the expected time was the mean of
+// the same answers times that slowness: where all servers slow down together, a slowdown by three counted nearly squared.
+// One row of the traces of `many_clients_at_once_each_get_their_own_answer` shows it: sixteen answers of 147 ms in the mean,
+// the only ones that there were, stood for 872 ms at three times their load, which is twice what they give.
+#[test]
+fn a_slowdown_that_all_servers_share_counts_once() {
+    let mut story = Story::new(&[], fleet(1, 0));
+    story.run(20, 0, &[], 0, Ending::Finished);
+    // Each answer keeps the agreed 500 ms, and what may be filled of them: 350.
+    story.run(20, 0, &[0], 300 * MS, Ending::Finished);
+    assert_eq!(story.read(|book| book.refused.clone()), []);
+}
+
+// `many_clients_at_once_each_get_their_own_answer` names no agreed time for its requests, and its clients wait for 15 s. They
+// were refused for a time of 1 s that nobody had agreed on: `refused for=too-late ... allowed_us=700000` is 0.7 of it.
+// Where settings agree on no time, the client's own is what an answer may take.
+#[test]
+fn without_an_agreed_time_the_clients_own_counts() {
+    let more = [("classes.count", "4"), ("classes.3.repeat", "safe"), ("classes.3.worth", "1")];
+    let mut story = Story::new(&more, fleet(2, 0));
+    story.run(20, 3, &[0, 1], 900 * MS, Ending::Finished);
+    let ticket = story.ticket(3);
+    assert_eq!((story.refusal(ticket), story.trips(ticket).len()), (None, 1), "its client waits for 2 s");
+}
