--- a/crates/cue/src/part.rs
+++ b/crates/cue/src/part.rs
@@ -22,6 +22,12 @@
         Share { foyers: foyers.min(used), connections: (used / foyers).max(1) }
     }
 
+    /// How many foyers come before `own` at an instance, as [`Share::usable`] takes it. Where every foyer may use every
+    /// instance the order does not matter, and 0 saves ranking all foyers at each instance.
+    pub fn before(&self, own: Place, foyers: &[Place], instance: &str) -> usize {
+        if foyers.len() <= self.foyers { 0 } else { before(own, foyers, instance) }
+    }
+
     /// Of a service's instances, those that a foyer may use, by how many foyers come before it at each: where it is among
     /// the first. One that is so nowhere uses the one where the fewest come before it, within what instances accept beyond
     /// `USED`. Guards against a foyer that no instance has a place for, where instances are few.
--- a/crates/cue/tests/part.rs
+++ b/crates/cue/tests/part.rs
@@ -73,3 +73,13 @@
     assert!(load.iter().all(|load| *load <= 100), "{load:?}");
     assert_eq!(share.usable(&[]), [false; 0]);
 }
+
+#[test]
+fn the_order_is_worked_out_only_where_not_everybody_has_a_place() {
+    let all = foyers(9);
+    let (enough, scarce) = (Share::of(94, all.len()), Share::of(4, all.len()));
+    for own in &all {
+        assert_eq!(enough.usable(&[enough.before(*own, &all, "i-1")]), [true]);
+        assert_eq!(scarce.before(*own, &all, "i-1"), before(*own, &all, "i-1"));
+    }
+}
--- a/crates/playhouse/src/floor/desk.rs
+++ b/crates/playhouse/src/floor/desk.rs
@@ -156,6 +156,8 @@
     /// Outcomes that were judged, by build and profile: how many, and how many failed.
     judged: Rc<RefCell<Judged>>,
     room: Rc<RefCell<Room>>,
+    /// The share, or the order of foyers at an instance, has changed since the usable instances were worked out.
+    reach_changed: bool,
     zones: Vec<String>,
 }
 
@@ -196,6 +198,7 @@
             voted: None,
             judged,
             room,
+            reach_changed: false,
             zones: fleet.zones.clone(),
         }
     }
@@ -229,7 +232,10 @@
     ) {
         let news: Vec<Listing> =
             known.filter_map(|(known, before)| self.instance(known, rollout, before)).collect();
-        self.load_usable();
+        if !news.is_empty() || self.reach_changed {
+            self.reach_changed = false;
+            self.load_usable();
+        }
         if !news.is_empty() {
             self.balance.list_changed(news);
             self.load_trial();
@@ -282,7 +288,7 @@
             let mut room = self.room.borrow_mut();
             let most = room.at.len().max(number + 1);
             room.at.resize(most, Reach::default());
-            room.at[number].before = before;
+            self.reach_changed |= std::mem::replace(&mut room.at[number].before, before) != before;
         }
         let zone = self.zones.iter().position(|zone| *zone == known.zone).unwrap_or(self.zones.len());
         let listing = Listing {
@@ -305,7 +311,8 @@
 
     /// How many foyers may use each instance, and how many connections each of them.
     pub fn share(&mut self, share: Share) {
-        self.room.borrow_mut().share = share;
+        let mut room = self.room.borrow_mut();
+        self.reach_changed |= std::mem::replace(&mut room.share, share) != share;
     }
 
     /// A trip goes out to an instance, or has ended there.
--- a/crates/playhouse/src/floor/mod.rs
+++ b/crates/playhouse/src/floor/mod.rs
@@ -402,7 +402,7 @@
             desk.share(share);
             let known = self.house.cast.records().filter(|known| *known.service == *service);
             let own = self.house.own.place;
-            let known = known.map(|known| (known, cue::before(own, &foyers, &known.id.0)));
+            let known = known.map(|known| (known, share.before(own, &foyers, &known.id.0)));
             desk.instances(known, rollout);
             if let Some(rollout) = rollout {
                 desk.rollout(now, cap, rollout);
@@ -461,7 +461,8 @@
             self.fleet.warmup = warmup.min(60 * SECOND);
         }
         let Some(desk) = self.desks.get_mut(known.service.as_str()) else { return };
-        let before = cue::before(self.house.own.place, &self.foyers, &known.id.0);
+        let share = share(self.bill.as_deref(), &known.service, self.foyers.len());
+        let before = share.before(self.house.own.place, &self.foyers, &known.id.0);
         desk.instances([(known, before)].into_iter(), self.house.script.rollouts.get(&known.service));
         let service = desk.service.clone();
         self.decide(&service, |_| {});
