--- a/crates/garnetdoor-gateway/src/lifecycle/serve.rs
+++ b/crates/garnetdoor-gateway/src/lifecycle/serve.rs
@@ -64,13 +64,11 @@
 fn start(config: Config, operator: Operator, file: Option<String>, signals: Signals) -> io::Result<Driver> {
     let clock = Clock::start();
     let (events, inbox) = mpsc::channel();
-    let listener = listen::bind("listen", config.listen, |at| TcpListener::bind(at))?;
+    let listener = listen::bind("listen", config.listen, TcpListener::bind)?;
     let served_at = listener.local_addr()?;
     socket::stamp(listener.inner());
     let peers = match config.peer_listen {
-        Some(at) => {
-            Some(listen::peers(listen::bind("peer_listen", at, |at| UdpSocket::bind(at))?, events.clone()))
-        }
+        Some(at) => Some(listen::peers(listen::bind("peer_listen", at, UdpSocket::bind)?, events.clone())),
         None => None,
     };
     // An eighth: buffers grow by doubling, and what is held is copied on its way.
--- a/crates/cue/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -1,17 +1,17 @@
-//! Cue (the decisions' settings for one service): from the operators' routes, the rules' bounds and what is
+//! Load (the decisions' settings for one service): from the operators' routes, the rules' bounds and what is
 //! known of the fleet, in the words of `garnetdoor`'s settings. No I/O. Each value that is chosen here stands
 //! with its reason; the others follow from the settings file or the configuration.
 
-mod load;
-mod part;
+mod share;
+mod trial;
 
 use bill::{Bill, Kind};
 use garnetdoor::host::{Micros, Settings};
 use indexmap::IndexMap;
 use props::{MS, SECOND};
 
-pub use load::tried;
-pub use part::{Share, before};
+pub use share::{Share, before};
+pub use trial::tried;
 
 /// Clients heed a time to come back up to a third of what they have left; longer ones are cut there, and this
 /// is the longest where much is left: a few answers' time, so that those turned back come again spread.
@@ -25,12 +25,12 @@
 const FALL: Micros = 3 * SECOND;
 /// Idle connections are kept for so long, as the pool keeps them.
 const IDLE_CLOSE: Micros = 4 * SECOND;
-/// A vote back that is not renewed for so long stands no more: three of the rounds in which foyers tell.
+/// A vote back that is not renewed for so long stands no more: three of the rounds in which gateways tell.
 pub const VOTE_LIFE: Micros = 3 * SECOND;
 /// How long the way of a vote to the prompters takes at most in calm.
 const VOTE_WAIT: Micros = 400 * MS;
-/// Of the slack for exposure, this part is spent by all foyers together; the rest is for what is under way
-/// when a verdict comes, and for foyers that began anew.
+/// Of the slack for exposure, this part is spent by all gateways together; the rest is for what is under way
+/// when a verdict comes, and for gateways that began anew.
 const FREE_PART: f64 = 0.25;
 /// What a crossing of zones adds to a server's cost, over 8: half as much again. A zone near by is worth a
 /// shorter queue here, but not one twice as long there.
@@ -42,7 +42,7 @@
     (COME_BACK_SHARE * left.max(0) as f64) as Micros
 }
 
-/// The rules' bounds that bind a foyer's decisions.
+/// The rules' bounds that bind a gateway's decisions.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Bounds {
     pub retry_ratio: f64,
@@ -51,17 +51,17 @@
     pub exposure_slack: f64,
 }
 
-/// What is known of the fleet, and of this foyer in it.
+/// What is known of the fleet, and of this gateway in it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Fleet {
-    pub foyers: usize,
+    pub gateways: usize,
     pub index: usize,
     /// The longest warm-up that an instance has told of.
     pub warmup: Micros,
     /// All zones, and the number of the own one.
     pub zones: Vec<String>,
     pub zone: usize,
-    /// This foyer's part of a whole that all share, for 1.
+    /// This gateway's part of a whole that all share, for 1.
     pub part: f64,
 }
 
@@ -80,7 +80,7 @@
     }
 }
 
-/// The settings of one service's decisions. `settled`: this foyer was up before the trial under way began;
+/// The settings of one service's decisions. `settled`: this gateway was up before the trial under way began;
 /// one that began later does not know what an earlier life sent, and takes nothing of the slack.
 pub fn settings(
     service: &str, bounds: &Bounds, bill: &Bill, fleet: &Fleet, settled: bool, profiles: &mut Profiles,
@@ -102,18 +102,18 @@
         tries = tries.max(route.attempts);
     }
     let mut set = |name: &str, value: String| pairs.push((name.to_owned(), value));
-    let foyers = fleet.foyers.max(1) as f64;
+    let gateways = fleet.gateways.max(1) as f64;
     set("classes.count", profiles.0.len().to_string());
     set("areas", fleet.zones.join(","));
     set("zone", fleet.zone.to_string());
     set("index", fleet.index.to_string());
-    set("fleet_size", foyers.to_string());
+    set("fleet_size", gateways.to_string());
     set("prices.cross_zone", CROSSING.to_string());
     set("policy_limits.try_limit", tries.to_string());
     set("policy_limits.retry_after", "true".to_owned());
     set("policy_limits.max_retry_after", seconds(COME_BACK));
     set("policy_limits.retry_after_share", COME_BACK_SHARE.to_string());
-    // The whole here: each foyer's part is kept by the purse, which the host asks.
+    // The whole here: each gateway's part is kept by the purse, which the host asks.
     set("policy_limits.retry_ratio", bounds.retry_ratio.to_string());
     set("policy_limits.retry_slack", bounds.retry_slack.to_string());
     set("policy_limits.retry_window", seconds(bounds.retry_window));
@@ -121,10 +121,10 @@
     set("safety.cold", seconds(fleet.warmup));
     set("safety.cold_from", COLD_FROM.to_string());
     set("safety.fall", seconds(FALL));
-    // The verdict is the control plane's; these only set how high one foyer's statistic stands.
+    // The verdict is the control plane's; these only set how high one gateway's statistic stands.
     set("domain.gate_mode", "share".to_owned());
-    set("domain.ayes_needed", (foyers / 2.0).ceil().to_string());
-    set("domain.noes_needed", (foyers / 4.0).ceil().to_string());
+    set("domain.ayes_needed", (gateways / 2.0).ceil().to_string());
+    set("domain.noes_needed", (gateways / 4.0).ceil().to_string());
     set("domain.exposure_caps", "0".to_owned());
     set("domain.exposure_since", "order".to_owned());
     set("domain.zones_near", "true".to_owned());
@@ -134,7 +134,7 @@
     set("domain.free", free.to_string());
     set("domain.vote_wait", seconds(VOTE_WAIT));
     set("domain.vote_life", seconds(VOTE_LIFE));
-    // Votes go by datagram, each foyer once a second: no call is scarce.
+    // Votes go by datagram, each gateway once a second: no call is scarce.
     set("domain.votes_per_s", "1000".to_owned());
     pairs.into_iter().collect()
 }
--- a/crates/cue/src/load.rs
+++ b/crates/load/src/trial.rs
@@ -1,9 +1,9 @@
 //! Load (on a version on trial): which of its instances its requests go to: so few that each bears what it will bear in
 //! service. Guards against a version that fails under load only: a trial gets a small part of the requests, and
-//! spread over all its instances they never fill one. All foyers work it out alike, from the list of instances; no
+//! spread over all its instances they never fill one. All gateways work it out alike, from the list of instances; no
 //! messages.
 
-use crate::part::{START, fold, stir};
+use crate::share::{START, fold, stir};
 
 /// How many of `instances` get all of the trial's requests, where `part` of the service's go to it.
 fn loaded(part: f64, instances: usize) -> usize {
--- a/crates/cue/tests/load.rs
+++ b/crates/load/tests/trial.rs
@@ -1,6 +1,6 @@
-//! Which of a trial's instances its requests go to: alike at all foyers, as many as its part, and few move.
+//! Which of a trial's instances its requests go to: alike at all gateways, as many as its part, and few move.
 
-use cue::tried;
+use load::tried;
 
 fn names(count: usize) -> Vec<String> {
     (0..count).map(|number| format!("i-{:08x}", (number as u64 * 0x9e37_79b9) & 0xffff_ffff)).collect()
--- a/crates/playhouse/src/floor/desk.rs
+++ b/crates/playhouse/src/floor/desk.rs
@@ -9,13 +9,13 @@
 
 use bill::{Bill, Kind};
 use cast::{InstanceId, State};
-use cue::{Bounds, Fleet, Profiles, Share, VOTE_LIFE};
 use garnetdoor::balance::Balance;
 use garnetdoor::host::{
     BuildNo, CellId, Condition, GatewayId, Host, KindId, Listing, News, Phase, ProfileId, Refusal, ServerId,
     Settings as Given, StageNo, TicketId, TripNo, Vote, Wake, ZoneId,
 };
 use indexmap::IndexMap;
+use load::{Bounds, Fleet, Profiles, Share, VOTE_LIFE};
 use props::Micros;
 use purse::Purse;
 use script::{Rollout, Tally, Voice};
@@ -170,7 +170,7 @@
         let asked = Rc::new(RefCell::new(VecDeque::new()));
         let judged: Rc<RefCell<Judged>> = Rc::default();
         // No connection to any instance before the share is told.
-        let share = Share { foyers: 0, connections: 0 };
+        let share = Share { gateways: 0, connections: 0 };
         let room = Rc::new(RefCell::new(Room { at: Vec::new(), share }));
         let hand = Hand {
             now: now.clone(),
@@ -181,7 +181,7 @@
             room: room.clone(),
         };
         let mut profiles = Profiles::default();
-        let given = cue::settings(service, &bounds, bill, fleet, false, &mut profiles);
+        let given = load::settings(service, &bounds, bill, fleet, false, &mut profiles);
         Desk {
             now,
             balance: Balance::start(hand, seed, given.clone()),
@@ -210,7 +210,7 @@
             return;
         }
         self.from = (bill.clone(), fleet.clone(), settled);
-        let given = cue::settings(&self.service, &self.bounds, bill, fleet, settled, &mut self.profiles);
+        let given = load::settings(&self.service, &self.bounds, bill, fleet, settled, &mut self.profiles);
         if given != self.given {
             self.given = given.clone();
             self.balance.settings_changed(given);
@@ -265,7 +265,7 @@
         };
         let numbers: Vec<usize> = (0..self.listed.len()).filter(of).collect();
         let names: Vec<&str> = numbers.iter().map(|at| &*self.servers[*at].id.0).collect();
-        let tried = cue::tried(trial.cap, &names);
+        let tried = load::tried(trial.cap, &names);
         for (number, tried) in numbers.into_iter().zip(tried) {
             room.at[number].spared = !tried;
         }
--- a/crates/playhouse/src/floor/mod.rs
+++ b/crates/playhouse/src/floor/mod.rs
@@ -18,8 +18,8 @@
 
 use crate::house::{Happened, House, Letter, Word};
 use crate::settings::{Settings, micros};
-use cue::{Bounds, Fleet, Share};
 use desk::{Desk, Do, Seen};
+use load::{Bounds, Fleet, Share};
 use purse::{Party, Purse};
 use script::Outcome;
 
@@ -169,7 +169,7 @@
             waking: HashMap::new(),
             next_wake: 0,
             open: BTreeMap::new(),
-            fleet: Fleet { foyers: 1, index: 0, warmup: 0, zones, zone, part: 0.0 },
+            fleet: Fleet { gateways: 1, index: 0, warmup: 0, zones, zone, part: 0.0 },
             foyers: vec![],
             bounds,
             purse: Rc::new(RefCell::new(purse)),
@@ -377,7 +377,7 @@
         foyers.push(self.house.own.place);
         foyers.sort_unstable();
         let index = foyers.iter().position(|place| *place == self.house.own.place).unwrap_or(0);
-        (self.fleet.foyers, self.fleet.index) = (foyers.len(), index);
+        (self.fleet.gateways, self.fleet.index) = (foyers.len(), index);
         self.foyers.clone_from(&foyers);
         self.party.note(now, foyers.len());
         self.fleet.part = self.party.part(now, 1.0);
@@ -473,7 +473,7 @@
         let found =
             self.desks.get(service).and_then(|desk| Some((desk.service.clone(), desk.profile(route, kind)?)));
         let Some((service, profile)) = found else {
-            let wait = Some(cue::come_back(left));
+            let wait = Some(load::come_back(left));
             self.count_refusal(UNKNOWN_SERVICE);
             return self.out.push(Out::TurnBack { ticket, wait });
         };
@@ -576,7 +576,7 @@
             return;
         };
         desk.out(server, true);
-        let connections = share(self.bill.as_deref(), service, self.fleet.foyers).connections;
+        let connections = share(self.bill.as_deref(), service, self.fleet.gateways).connections;
         let trip = TripNo(open.out.len() as u32);
         if trip.0 > 0 {
             self.purse.borrow_mut().spent(self.now.get(), service);
--- a/crates/playhouse/src/foyer/front.rs
+++ b/crates/playhouse/src/foyer/front.rs
@@ -248,7 +248,7 @@
     let told = head.headers.get(REMAINING_TIME).and_then(|value| value.to_str().ok());
     let told = told.and_then(|text| text.trim().parse::<f64>().ok()).filter(|left| left.is_finite());
     let told = told.map(|ms| (ms.clamp(0.0, 1e9) * 1e3) as Micros);
-    let Some(bill) = bill else { return turned_back(Some(cue::come_back(told.unwrap_or(SECOND)))) };
+    let Some(bill) = bill else { return turned_back(Some(load::come_back(told.unwrap_or(SECOND)))) };
     let host = head.headers.get(header::HOST).and_then(|host| host.to_str().ok()).unwrap_or("");
     let Some(route) = bill.route(host, head.uri.path()) else {
         return plain(StatusCode::NOT_FOUND, "{\"Error\":\"no route\"}");
@@ -300,7 +300,7 @@
         been: RefCell::default(),
         repeats: route.kind.may_repeat(),
     };
-    let Some(service) = pick(route) else { return turned_back(Some(cue::come_back(left))) };
+    let Some(service) = pick(route) else { return turned_back(Some(load::come_back(left))) };
     let (id, told) = shared.borrow_mut().came(shared, service, route, asked, until);
     let _here = Here { shared: shared.clone(), id };
     match told.await {
