--- a/crates/garnetdoor-gateway/src/memory/desk.rs
+++ b/crates/garnetdoor-gateway/src/memory/desk.rs
@@ -7,7 +7,7 @@
 use garnetdoor::names::Names;
 
 use super::conns::{Conn, Kind};
-use super::refusals::{Refusals, SUMMARY_AFTER};
+use super::refusals::{Cause, Refusals, SUMMARY_AFTER};
 use super::sessions::Room;
 use super::ticket::{Place, Ticket, Trip};
 use super::timers::{Timer, Timers};
@@ -156,16 +156,21 @@
         self.effects.push(Effect::Log(text));
     }
 
+    /// Tells in the log why the decisions refuse a request.
+    pub(super) fn refused(&mut self, why: Refusal) {
+        let server = match why {
+            Refusal::TooLate { server, .. } => self.servers.get(&server).map(|place| place.process.address),
+            _ => None,
+        };
+        self.refused_for(Cause::Decided(why, server));
+    }
+
     /// Tells in the log why a request is refused.
-    pub(super) fn refused(&mut self, why: &Refusal) {
+    pub(super) fn refused_for(&mut self, cause: Cause) {
         if self.refusals.is_empty() {
             self.timers.set(self.now + SUMMARY_AFTER, Timer::Refusals);
         }
-        let server = match why {
-            Refusal::TooLate { server, .. } => self.servers.get(server).map(|place| place.process.address),
-            _ => None,
-        };
-        if let Some(line) = self.refusals.add(why, server) {
+        if let Some(line) = self.refusals.add(&cause) {
             self.log(line);
         }
     }
--- a/crates/garnetdoor-gateway/src/memory/host.rs
+++ b/crates/garnetdoor-gateway/src/memory/host.rs
@@ -131,7 +131,7 @@
     }
 
     fn refused(&mut self, _: TicketId, why: Refusal) {
-        self.0.borrow_mut().refused(&why);
+        self.0.borrow_mut().refused(why);
     }
 
     fn note(&mut self, text: &str) {
--- a/crates/garnetdoor-gateway/src/memory/reducer.rs
+++ b/crates/garnetdoor-gateway/src/memory/reducer.rs
@@ -12,6 +12,7 @@
 use super::conns::{Conn, Kind, Work};
 use super::desk::{Desk, Told};
 use super::host::Handle;
+use super::refusals::Cause;
 use super::sessions::TurnedBack;
 use super::ticket::{Place, Ticket};
 use super::timers::Timer;
@@ -432,12 +433,14 @@
                     desk.answer(id, client::plain(400, true), true);
                 }
                 Asked::Ticket { .. } if surplus || desk.tickets.len() >= desk.max_open => {
+                    desk.refused_for(if surplus { Cause::Descriptors } else { Cause::MostOpen });
                     desk.answer(id, client::turned_back(None, last), last);
                 }
                 Asked::Ticket { arrival, mut request } => {
                     let session = match desk.admit(id, &arrival, &mut request) {
                         Ok(session) => session,
                         Err(TurnedBack(wait)) => {
+                            desk.refused_for(Cause::Session);
                             desk.answer(id, client::turned_back(Some(wait), last), last);
                             continue;
                         }
--- a/crates/garnetdoor-gateway/src/memory/refusals.rs
+++ b/crates/garnetdoor-gateway/src/memory/refusals.rs
@@ -9,6 +9,44 @@
 /// The first refusal of a cause is told at once; how many more there were, after so long.
 pub const SUMMARY_AFTER: Micros = 1_000_000;
 
+/// Why a request is refused here.
+#[derive(Clone, Copy, Debug)]
+pub enum Cause {
+    /// The decisions refuse it; the address is that of the server that they tell of.
+    Decided(Refusal, Option<SocketAddr>),
+    /// Its client is one more than there are descriptors for.
+    Descriptors,
+    /// As many requests are open as settings allow.
+    MostOpen,
+    /// A session would be one too many, or another opening of it took this one's place.
+    Session,
+}
+
+impl Cause {
+    /// The word for it in log lines.
+    fn code(&self) -> &'static str {
+        match self {
+            Cause::Decided(why, _) => why.cause(),
+            Cause::Descriptors => "descriptors",
+            Cause::MostOpen => "max-open",
+            Cause::Session => "session",
+        }
+    }
+
+    fn line(&self) -> String {
+        let code = self.code();
+        match self {
+            Cause::Decided(Refusal::TooLate { expected, allowed, out, .. }, server) => {
+                let server = server.map_or_else(|| "unlisted".to_owned(), |server| server.to_string());
+                format!(
+                    "refused for={code} server={server} expected_us={expected} allowed_us={allowed} out={out}"
+                )
+            }
+            _ => format!("refused for={code}"),
+        }
+    }
+}
+
 /// What has been refused since the last summary, by cause: how many beside the first.
 #[derive(Default)]
 pub struct Refusals(BTreeMap<&'static str, u64>);
@@ -20,10 +58,9 @@
     }
 
     /// Counts a refusal; the line that tells of it, if it is the first of its cause since the last summary.
-    /// `server`: the one that it is about, if it is known.
-    pub fn add(&mut self, why: &Refusal, server: Option<SocketAddr>) -> Option<String> {
-        let more = self.0.entry(why.cause()).and_modify(|more| *more += 1).or_insert(0);
-        (*more == 0).then(|| line(why, server))
+    pub fn add(&mut self, cause: &Cause) -> Option<String> {
+        let more = self.0.entry(cause.code()).and_modify(|more| *more += 1).or_insert(0);
+        (*more == 0).then(|| cause.line())
     }
 
     /// The lines that tell how many more there were; counting begins anew.
@@ -32,17 +69,3 @@
         counted.map(|(cause, more)| format!("refused for={cause} more={more}")).collect()
     }
 }
-
-/// The log line of one refusal.
-fn line(why: &Refusal, server: Option<SocketAddr>) -> String {
-    let cause = why.cause();
-    match why {
-        Refusal::TooLate { expected, allowed, out, .. } => {
-            let server = server.map_or_else(|| "unlisted".to_owned(), |server| server.to_string());
-            format!(
-                "refused for={cause} server={server} expected_us={expected} allowed_us={allowed} out={out}"
-            )
-        }
-        _ => format!("refused for={cause}"),
-    }
-}
--- a/crates/garnetdoor-gateway/src/memory/sessions.rs
+++ b/crates/garnetdoor-gateway/src/memory/sessions.rs
@@ -11,6 +11,7 @@
 use super::conns::{Kind, Work};
 use super::desk::{Desk, MS};
 use super::reducer::Reducer;
+use super::refusals::Cause;
 use super::ticket::Process;
 use super::timers::{Set, Timer};
 use crate::event::{ConnId, Effect, Join, Parting, Reason};
@@ -292,6 +293,7 @@
     /// Another opening took this one's place: its client is answered at once, and its trips are given up.
     fn give_opening_up(&mut self, ticket: TicketId, come_back_in: Micros) {
         let mut desk = self.desk();
+        desk.refused_for(Cause::Session);
         desk.finish(ticket, |last| client::turned_back(Some(come_back_in), last));
         drop(desk);
         self.gate.client_left(ticket);
--- a/crates/garnetdoor-gateway/tests/reducer.rs
+++ b/crates/garnetdoor-gateway/tests/reducer.rs
@@ -1037,3 +1037,15 @@
     rig.views(client);
     assert_eq!(rig.logged("refused for=no-server"), 3);
 }
+
+#[test]
+fn a_request_beyond_those_that_may_be_open_is_told_as_refused() {
+    let mut file = file();
+    file["settings"]["policy_limits"]["max_open"] = json!(1);
+    let mut rig = Rig::with(&file);
+    for _ in 0..2 {
+        let client = rig.client();
+        rig.views(client);
+    }
+    assert_eq!((rig.logged("refused for=max-open"), rig.logged("refused")), (1, 1));
+}
