--- a/review/stand_ins_2/main.rs
+++ b/review/stand_ins_2/main.rs
@@ -4,6 +4,7 @@
 
 mod returned;
 mod stage;
+mod stopped;
 
 use std::path::PathBuf;
 use std::time::Duration;
@@ -19,6 +20,7 @@
     let record = stage::Record::new();
     let broken = match case.as_str() {
         "returned" => returned::play(&record, trouble),
+        "stopped" => stopped::play(&record, trouble),
         _ => stage::give_up("no such case"),
     };
     record.tell(if broken { "the rule was broken" } else { "the rule held" });
