--- a/review/stand_ins_2/main.rs
+++ b/review/stand_ins_2/main.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code)]
 
+mod aim;
 mod completed;
 mod returned;
 mod stage;
@@ -21,6 +22,7 @@
     let record = stage::Record::new();
     let broken = match case.as_str() {
         "returned" => returned::play(&record, trouble),
+        "aim" => aim::play(&record, trouble),
         "completed" => completed::play(&record, trouble),
         "stopped" => stopped::play(&record, trouble),
         _ => stage::give_up("no such case"),
