--- a/crates/playhouse/src/gateway/activity.rs
+++ b/crates/playhouse/src/gateway/activity.rs
@@ -9,6 +9,7 @@
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
+use bytes::{Buf, Bytes};
 use hyper::rt::{Read, ReadBuf, ReadBufCursor, Write};
 use types::Micros;
 
@@ -37,6 +38,10 @@
     write_blocked_since: Rc<Cell<Option<Micros>>>,
     /// Whether part of the request's body is unread. An `Arc`, since bodies, which update it, must be `Send`.
     unread: Arc<AtomicBool>,
+    /// Whether what the client sends next stays in the socket.
+    reading_paused: Rc<Cell<bool>>,
+    /// Whether the connection is being closed.
+    shutting_down: Rc<Cell<bool>>,
 }
 
 /// What to do with a connection now.
@@ -54,7 +59,14 @@
     /// Starts idle.
     pub fn start(clock: Clock) -> Activity {
         let phase = Rc::new(Cell::new(Phase::Idle(clock.now())));
-        Activity { clock, phase, write_blocked_since: Rc::default(), unread: Arc::default() }
+        Activity {
+            clock,
+            phase,
+            write_blocked_since: Rc::default(),
+            unread: Arc::default(),
+            reading_paused: Rc::default(),
+            shutting_down: Rc::default(),
+        }
     }
 
     /// The current phase.
@@ -67,6 +79,19 @@
         &self.unread
     }
 
+    /// Whether no request is being read or answered, all answers have been written, and the connection goes on.
+    pub fn between_requests(&self) -> bool {
+        self.phase.get() != Phase::Serving
+            && self.write_blocked_since.get().is_none()
+            && !self.unread.load(Ordering::Relaxed)
+            && !self.shutting_down.get()
+    }
+
+    /// Leaves what the client sends after the current request in the socket, or reads it again.
+    pub fn pause_reading(&self, paused: bool) {
+        self.reading_paused.set(paused);
+    }
+
     /// Records that a whole head was read (`done` is false), or that its answer is complete (`done` is true).
     pub fn request_served(&self, done: bool) {
         self.phase.set(if done { Phase::Idle(self.clock.now()) } else { Phase::Serving });
@@ -94,8 +119,8 @@
         }
     }
 
-    /// The action now, given the limits for a head and for idleness. A client that reads nothing has as long as an
-    /// idle one.
+    /// The action now, given the limits in force for a head and for idleness. A client that reads nothing has as long
+    /// as an idle one.
     pub fn next_action(&self, head_timeout: Micros, idle_timeout: Micros) -> NextAction {
         let now = self.clock.now();
         if let Some(since) = self.write_blocked_since.get() {
@@ -120,21 +145,42 @@
 pub struct MonitoredIo<T> {
     io: T,
     activity: Activity,
+    /// Bytes that were read from the socket before and are to be read first.
+    read_ahead: Bytes,
     /// Set once writing is shut down: until this time, and for this many bytes, input is read and dropped.
     linger: Option<(Pin<Box<tokio::time::Sleep>>, usize)>,
 }
 
 impl<T> MonitoredIo<T> {
     pub fn new(io: T, activity: Activity) -> MonitoredIo<T> {
-        MonitoredIo { io, activity, linger: None }
+        MonitoredIo { io, activity, read_ahead: Bytes::new(), linger: None }
+    }
+
+    /// The same I/O with bytes in front that were read from it and not used.
+    pub fn with_read_ahead(self, unused: Bytes) -> MonitoredIo<T> {
+        let read_ahead = match self.read_ahead.is_empty() {
+            true => unused,
+            false => [unused, self.read_ahead].concat().into(),
+        };
+        MonitoredIo { read_ahead, ..self }
     }
 }
 
 impl<T: Read + Unpin> Read for MonitoredIo<T> {
     fn poll_read(
-        mut self: Pin<&mut Self>, context: &mut Context<'_>, buffer: ReadBufCursor<'_>,
+        mut self: Pin<&mut Self>, context: &mut Context<'_>, mut buffer: ReadBufCursor<'_>,
     ) -> Poll<std::io::Result<()>> {
-        ready!(Pin::new(&mut self.io).poll_read(context, buffer))?;
+        if self.activity.reading_paused.get() && !self.activity.unread.load(Ordering::Relaxed) {
+            // Whoever ends the pause polls again.
+            return Poll::Pending;
+        }
+        if self.read_ahead.is_empty() {
+            ready!(Pin::new(&mut self.io).poll_read(context, buffer))?;
+        } else {
+            let count = self.read_ahead.len().min(buffer.remaining());
+            buffer.put_slice(&self.read_ahead[..count]);
+            self.read_ahead.advance(count);
+        }
         self.activity.bytes_received();
         Poll::Ready(Ok(()))
     }
@@ -154,6 +200,7 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+        self.activity.shutting_down.set(true);
         if self.linger.is_none() {
             ready!(Pin::new(&mut self.io).poll_shutdown(context))?;
             let reading_head = matches!(self.activity.phase(), Phase::ReadingHead(_));
--- a/crates/playhouse/src/gateway/attempt.rs
+++ b/crates/playhouse/src/gateway/attempt.rs
@@ -9,11 +9,13 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
+use configuration::Limits;
 use garnetdoor::host::AttemptOutcome;
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body as _, Frame, Incoming};
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode, Uri, Version};
+use tokio::sync::watch;
 use types::{Micros, SECOND};
 
 use super::body_budget::BodyReservation;
@@ -409,13 +411,34 @@
     }
 }
 
-/// A large body: the part already read, then the rest as it arrives, up to a number of bytes.
+/// How large a request's body may be: what was allowed when its head was read, or what is allowed now if that is more. A
+/// client that keeps to the limit as it knew it is not cut off.
+#[derive(Clone)]
+pub struct BodyLimit {
+    allowed_at_start: u64,
+    limits: watch::Receiver<Limits>,
+}
+
+impl BodyLimit {
+    /// The limit for a request whose head has just been read.
+    pub fn at_start(limits: watch::Receiver<Limits>) -> BodyLimit {
+        let allowed_at_start = limits.borrow().max_body_bytes;
+        BodyLimit { allowed_at_start, limits }
+    }
+
+    pub fn max_bytes(&self) -> u64 {
+        self.allowed_at_start.max(self.limits.borrow().max_body_bytes)
+    }
+}
+
+/// A large body: the part already read, then the rest as it arrives, up to a limit.
 pub struct PrefixedBody {
     pub first: Option<Bytes>,
     pub rest: Incoming,
-    /// Bytes that may still arrive.
-    pub bytes_left: u64,
-    /// Set when more than that arrived.
+    /// Bytes that have arrived.
+    pub received: u64,
+    pub limit: BodyLimit,
+    /// Set when more than the limit arrived.
     pub too_large: Arc<AtomicBool>,
     /// Reset when the whole body has arrived.
     pub unread: Arc<AtomicBool>,
@@ -436,11 +459,11 @@
         }
         let received = next.as_ref().and_then(|frame| frame.as_ref().ok()?.data_ref());
         let received = received.map_or(0, |data| data.len() as u64);
-        if received > self.bytes_left {
+        self.received += received;
+        if self.received > self.limit.max_bytes() {
             self.too_large.store(true, Ordering::Relaxed);
             return std::task::Poll::Ready(Some(Err("the body is over MaxBodyBytes".into())));
         }
-        self.bytes_left -= received;
         std::task::Poll::Ready(next.map(|frame| frame.map_err(BodyError::from)))
     }
 
--- a/crates/playhouse/src/gateway/frontend.rs
+++ b/crates/playhouse/src/gateway/frontend.rs
@@ -1,45 +1,38 @@
 //! Client side of a gateway: accepts connections, reads requests, and sends answers.
 
 use std::cell::RefCell;
-use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::task::{Context, Poll};
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
+use configuration::{Configuration, Route};
 use garnetdoor::host::RequestId;
 use http_body_util::{BodyExt, Full};
-use hyper::body::{Body as _, Frame, Incoming, SizeHint};
+use hyper::body::{Body as _, Incoming};
 use hyper::header::{self, HeaderValue};
+use hyper::http::request::Parts;
 use hyper::{Request, Response, StatusCode, Uri};
-use hyper_util::rt::{TokioIo, TokioTimer};
 use simd_json::prelude::Writable;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 use tokio::sync::watch;
 use types::{Micros, SECOND};
 
-use super::activity::{Activity, MonitoredIo, NextAction, Phase};
-use super::attempt::{PrefixedBody, REMAINING_TIME, ReplayableRequest, is_chunked, strip_connection_headers};
-use super::client_connections::{ClientConnections, ConnectionSlot};
-use super::pool::{Body, BodyError};
+use super::activity::Activity;
+use super::attempt::{
+    BodyLimit, PrefixedBody, REMAINING_TIME, ReplayableRequest, is_chunked, strip_connection_headers,
+};
+use super::client_connection::{self, FINAL_ACCEPT_WINDOW};
+use super::client_connections::ClientConnections;
+use super::pool::Body;
 use super::{Reply, Shared, retry_after_seconds};
 
-// Operators filter log lines by this name, which is older than the module's.
-const LOG_TARGET: &str = "playhouse::foyer::front";
-
 /// A request's body up to this size in bytes is buffered, so that it can be sent to another instance.
 const MAX_BUFFERED_BODY_BYTES: usize = 512 << 10;
 /// Fraction of the machine's file descriptors for client connections.
 const CLIENT_DESCRIPTOR_SHARE: f64 = 0.6;
-/// When the listener is about to close, the kernel may have accepted connections, with requests on them, that the
-/// process has not seen: for this long they are still accepted, and their requests read.
-const FINAL_ACCEPT_WINDOW: Duration = Duration::from_millis(50);
-/// Limits that apply before the first configuration: time for a head, idle time, and size of a head.
-const DEFAULT_HEAD_TIMEOUT: Micros = 3 * SECOND;
-const DEFAULT_IDLE_TIMEOUT: Micros = 15 * SECOND;
-const DEFAULT_MAX_HEADER_BYTES: u64 = 16 << 10;
+const NO_ROUTE: &str = "{\"Error\":\"no route\"}";
 const BODY_TOO_LARGE: &str = "{\"Error\":\"the body is over MaxBodyBytes\"}";
 
 /// Accepts clients until told to stop; then ends idle connections and lets the others finish.
@@ -53,7 +46,7 @@
         let activity = Activity::start(shared.borrow().clock);
         // Without a slot the connection is closed unread, so that the client can try elsewhere.
         if let Some(slot) = connections.enter(max_clients, &activity).await {
-            crate::tasks::spawn_local(serve_connection(
+            crate::tasks::spawn_local(client_connection::serve(
                 stream,
                 shared.clone(),
                 activity,
@@ -78,106 +71,6 @@
     let _: Result<(), _> = tokio::time::timeout(FINAL_ACCEPT_WINDOW, accept_rest).await;
 }
 
-/// Serves one client connection until it ends.
-async fn serve_connection(
-    stream: TcpStream, shared: Shared, activity: Activity, slot: ConnectionSlot,
-    mut stopping: watch::Receiver<bool>,
-) {
-    let (clock, limits) = {
-        let gateway = shared.borrow();
-        (gateway.clock, gateway.data_plane.configuration().map(|configuration| configuration.limits))
-    };
-    let (head_timeout, idle_timeout) = limits
-        .map_or((DEFAULT_HEAD_TIMEOUT, DEFAULT_IDLE_TIMEOUT), |limits| {
-            (limits.header_timeout, limits.idle_timeout)
-        });
-    let max_header_bytes = limits.map_or(DEFAULT_MAX_HEADER_BYTES, |limits| limits.max_header_bytes);
-    let service = hyper::service::service_fn(|request| {
-        let (shared, activity) = (shared.clone(), activity.clone());
-        activity.request_served(false);
-        async move {
-            let mut answer = answer(shared, request, &activity).await;
-            // One second less, so that a client that honours it never runs into the close.
-            if idle_timeout >= 3 * SECOND && !answer.headers().contains_key(header::CONNECTION) {
-                let keep_alive = format!("timeout={}", idle_timeout / SECOND - 1);
-                if let Ok(value) = HeaderValue::from_str(&keep_alive) {
-                    answer.headers_mut().insert("keep-alive", value);
-                }
-            }
-            Ok::<_, std::convert::Infallible>(answer.map(|body| AnswerBody { body, activity }))
-        }
-    });
-    let connection = hyper::server::conn::http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(None)
-        .max_header_size(max_header_bytes as usize)
-        .max_buf_size((max_header_bytes as usize).clamp(8192, 1 << 20))
-        .serve_connection(MonitoredIo::new(TokioIo::new(stream), activity.clone()), service);
-    let mut connection = std::pin::pin!(connection);
-    let (mut check_at, mut shutdown_begun, accepted_late) =
-        (clock.now() + head_timeout.min(idle_timeout), false, *stopping.borrow());
-    let ended = loop {
-        tokio::select! {
-            // Polled first, so that a request that has already arrived is read before the connection ends.
-            biased;
-            ended = connection.as_mut() => break ended,
-            () = async {
-                let _ = stopping.wait_for(|stop| *stop).await;
-                if accepted_late {
-                    tokio::time::sleep(FINAL_ACCEPT_WINDOW).await;
-                }
-            }, if !shutdown_begun => {
-                shutdown_begun = true;
-                connection.as_mut().graceful_shutdown();
-            }
-            () = slot.yield_requested.notified() => match activity.phase() {
-                Phase::Idle(_) => connection.as_mut().graceful_shutdown(),
-                Phase::ReadingHead(_) => break Ok(()),
-                Phase::Serving => {}
-            },
-            () = tokio::time::sleep_until(clock.at(check_at)) => match activity.next_action(head_timeout, idle_timeout) {
-                NextAction::CheckAt(next) => check_at = next,
-                NextAction::Close => {
-                    check_at = clock.now() + idle_timeout;
-                    connection.as_mut().graceful_shutdown();
-                }
-                NextAction::Abort => break Ok(()),
-            },
-        }
-    };
-    if let Err(error) = ended {
-        log::debug!(target: LOG_TARGET, "a client's connection ended: {error}");
-    }
-}
-
-/// An answer's body; its request counts as being served until this is dropped.
-struct AnswerBody {
-    body: Body,
-    activity: Activity,
-}
-
-impl Drop for AnswerBody {
-    fn drop(&mut self) {
-        self.activity.request_served(true);
-    }
-}
-
-impl hyper::body::Body for AnswerBody {
-    type Data = Bytes;
-    type Error = BodyError;
-    fn poll_frame(
-        mut self: Pin<&mut Self>, context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        Pin::new(&mut self.body).poll_frame(context)
-    }
-    fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
-    }
-    fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
-    }
-}
-
 /// A connection for readiness checks that sends no request is closed after this time.
 const READINESS_HEAD_TIMEOUT: Duration = Duration::from_secs(15);
 
@@ -230,7 +123,10 @@
     }
 }
 
-async fn answer(shared: Shared, request: Request<Incoming>, activity: &Activity) -> Response<Body> {
+/// Answers one request of a client.
+pub(super) async fn answer(
+    shared: Shared, request: Request<Incoming>, activity: &Activity,
+) -> Response<Body> {
     activity.unread().store(!request.body().is_end_stream(), Ordering::Relaxed);
     let mut answer = respond(&shared, request, activity.unread()).await;
     // No other request can follow on the connection if the body was not read completely.
@@ -242,7 +138,7 @@
 
 /// Converts the request target to origin form, a path and a query; a host in the target takes precedence (RFC 9112,
 /// 3.2.2). `None` if the target is ambiguous.
-fn origin_form(head: &mut hyper::http::request::Parts) -> Option<()> {
+fn origin_form(head: &mut Parts) -> Option<()> {
     if head.headers.get_all(header::HOST).iter().count() > 1 || head.method == hyper::Method::CONNECT {
         return None;
     }
@@ -255,6 +151,16 @@
     Some(())
 }
 
+fn find_route<'a>(configuration: &'a Configuration, head: &Parts) -> Option<&'a Route> {
+    let host = head.headers.get(header::HOST).and_then(|host| host.to_str().ok()).unwrap_or("");
+    configuration.find_route(host, head.uri.path())
+}
+
+/// How long a request may be held, given the time that the client allows.
+fn time_limit(route: &Route, remaining: Option<Micros>) -> Micros {
+    remaining.unwrap_or(route.timeout).min(route.timeout)
+}
+
 /// Reads the body, finds the route, and waits for the answer; `unread` is reset once the whole body has been read.
 async fn respond(shared: &Shared, request: Request<Incoming>, unread: &Arc<AtomicBool>) -> Response<Body> {
     let (received_at, configuration, mut reservation) = {
@@ -272,14 +178,13 @@
     let Some(configuration) = configuration else {
         return rejected(Some(load::retry_after(remaining.unwrap_or(SECOND))));
     };
-    let host = head.headers.get(header::HOST).and_then(|host| host.to_str().ok()).unwrap_or("");
-    let Some(route) = configuration.find_route(host, head.uri.path()) else {
-        return plain(StatusCode::NOT_FOUND, "{\"Error\":\"no route\"}");
+    let Some(route) = find_route(&configuration, &head) else {
+        return plain(StatusCode::NOT_FOUND, NO_ROUTE);
     };
-    let time_left = remaining.unwrap_or(route.timeout).min(route.timeout);
+    let time_left = time_limit(route, remaining);
     let deadline = received_at + time_left;
-    let max_bytes = configuration.limits.max_body_bytes;
-    if body.size_hint().lower() > max_bytes {
+    let body_limit = BodyLimit::at_start(shared.borrow().client_limits.subscribe());
+    if body.size_hint().lower() > body_limit.max_bytes() {
         return plain(StatusCode::PAYLOAD_TOO_LARGE, BODY_TOO_LARGE);
     }
     let mut buffered = BytesMut::new();
@@ -303,16 +208,17 @@
     if !is_streamed || body.is_end_stream() {
         unread.store(false, Ordering::Relaxed);
     }
-    let Some(rest_bytes) = max_bytes.checked_sub(buffered.len() as u64) else {
+    let received = buffered.len() as u64;
+    if received > body_limit.max_bytes() {
         return plain(StatusCode::PAYLOAD_TOO_LARGE, BODY_TOO_LARGE);
-    };
+    }
     strip_connection_headers(&mut head.headers);
     head.headers.remove(header::EXPECT);
     let (buffered, too_large) = (reservation.keep(buffered), Arc::<AtomicBool>::default());
     let stream = is_streamed.then(|| {
         let (first, unread) = (Some(buffered.clone()), unread.clone());
-        PrefixedBody { first, rest: body, bytes_left: rest_bytes, too_large: too_large.clone(), unread }
-            .boxed_unsync()
+        let (limit, too_large) = (body_limit, too_large.clone());
+        PrefixedBody { first, rest: body, received, limit, too_large, unread }.boxed_unsync()
     });
     let original = ReplayableRequest {
         method: head.method,
@@ -336,7 +242,7 @@
 }
 
 /// Chooses one of the route's services at random, by weight.
-fn pick_service(route: &configuration::Route) -> Option<&str> {
+fn pick_service(route: &Route) -> Option<&str> {
     if let [only] = route.targets.as_slice() {
         return Some(&only.service);
     }
--- a/crates/playhouse/src/gateway/mod.rs
+++ b/crates/playhouse/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 pub mod attempt;
 #[doc(hidden)]
 pub mod body_budget;
+mod client_connection;
 mod client_connections;
 #[doc(hidden)]
 pub mod connection_state;
@@ -20,10 +21,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use configuration::Limits;
 use garnetdoor::host::{AttemptNo, AttemptOutcome, RequestId};
 use hyper::Response;
 use membership::Role;
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, watch};
 use transport::{ReceivedMessage, SocketTransport};
 use types::{MS, Micros, NodeAddress, RunId, SECOND};
 
@@ -57,6 +59,14 @@
 /// Retry delay if the balancer gives none.
 const DEFAULT_RETRY_AFTER: Micros = 100 * MS;
 
+/// Limits for clients before the first configuration, when every request is rejected without its body being read.
+const INITIAL_CLIENT_LIMITS: Limits = Limits {
+    max_header_bytes: 16 << 10,
+    max_body_bytes: 0,
+    header_timeout: 3 * SECOND,
+    idle_timeout: 15 * SECOND,
+};
+
 /// How a request ends.
 pub enum Reply {
     Answer(Response<Body>),
@@ -88,6 +98,8 @@
     body_budget: BodyBudget,
     next_eviction: Micros,
     wake_loop: Rc<tokio::sync::Notify>,
+    /// The limits for clients by the configuration in force, for connections that outlive a configuration.
+    client_limits: watch::Sender<Limits>,
 }
 
 /// The gateway as its tasks share it.
@@ -125,6 +137,7 @@
         body_budget: BodyBudget::for_memory(settings.limit_set.memory_mb * 1e6),
         next_eviction: 0,
         wake_loop: wake_loop.clone(),
+        client_limits: watch::Sender::new(INITIAL_CLIENT_LIMITS),
     };
     let shared: Shared = Rc::new(RefCell::new(gateway));
     if let Some(port) = metrics_port {
@@ -233,6 +246,7 @@
 
     fn step(&mut self, shared: &Shared, event: Input<'_>) {
         let effects = self.data_plane.step(self.clock.now(), event);
+        self.publish_client_limits();
         for effect in effects {
             match effect {
                 Effect::Send { to, message } => send(&self.transport, to, &message),
@@ -250,6 +264,14 @@
         }
     }
 
+    /// Tells open connections of limits that have changed.
+    fn publish_client_limits(&self) {
+        let Some(configuration) = self.data_plane.configuration() else { return };
+        if *self.client_limits.borrow() != configuration.limits {
+            self.client_limits.send_replace(configuration.limits);
+        }
+    }
+
     /// Opens a request whose head, and as much of its body as is buffered, has been read.
     fn request_arrived(
         &mut self, shared: &Shared, service: &str, route: &configuration::Route, original: ReplayableRequest,
