--- a/crates/playhouse/src/gateway/frontend.rs
+++ b/crates/playhouse/src/gateway/frontend.rs
@@ -182,7 +182,6 @@
         return plain(StatusCode::NOT_FOUND, NO_ROUTE);
     };
     let time_left = time_limit(route, remaining);
-    let deadline = received_at + time_left;
     let body_limit = BodyLimit::at_start(shared.borrow().client_limits.subscribe());
     if body.size_hint().lower() > body_limit.max_bytes() {
         return plain(StatusCode::PAYLOAD_TOO_LARGE, BODY_TOO_LARGE);
@@ -212,6 +211,13 @@
     if received > body_limit.max_bytes() {
         return plain(StatusCode::PAYLOAD_TOO_LARGE, BODY_TOO_LARGE);
     }
+    // The configuration may have changed while the body was read; the request is passed on by the one in force.
+    let configuration = shared.borrow().data_plane.configuration().cloned().unwrap_or(configuration);
+    let Some(route) = find_route(&configuration, &head) else {
+        return plain(StatusCode::NOT_FOUND, NO_ROUTE);
+    };
+    let time_left = time_limit(route, remaining);
+    let deadline = received_at + time_left;
     strip_connection_headers(&mut head.headers);
     head.headers.remove(header::EXPECT);
     let (buffered, too_large) = (reservation.keep(buffered), Arc::<AtomicBool>::default());
--- a/crates/playhouse/tests/limits.rs
+++ b/crates/playhouse/tests/limits.rs
@@ -305,3 +305,26 @@
         }
     });
 }
+
+/// A request whose body is still being read when its route changes is passed on as the newest version has it: to the new
+/// service, or to none. Guards against a route that is looked up when the head is read and used once the body is.
+#[test]
+fn a_request_whose_body_is_being_read_is_passed_on_by_the_newest_route() {
+    run(async {
+        let gate = Arc::new(Semaphore::new(0));
+        let mut cluster = Cluster::open(services(&gate), &[], &[]).await;
+        let (mut moved, mut dropped) = (cluster.line().await, cluster.line().await);
+        let request = |attempt| post_bytes("scan", attempt, 7_000, &pseudorandom_bytes(90_000));
+        moved.send(&request("moved")[..50_000]).await;
+        dropped.send(&request("dropped")[..50_000]).await;
+        cluster.change(&[("\"TargetService\":\"scan\"", "\"TargetService\":\"view\"")]).await;
+        moved.send(&request("moved")[50_000..]).await;
+        assert_eq!(moved.answer().await.map(|answer| answer.status()), Some(200));
+        let received = cluster.record.attempt("moved");
+        assert!(received.len() == 1 && received[0].service == "view" && received[0].whole);
+        cluster.change(&[("\"PathPrefix\":\"/scan/\"", "\"PathPrefix\":\"/gone/\"")]).await;
+        dropped.send(&request("dropped")[50_000..]).await;
+        assert_eq!(dropped.answer().await.map(|answer| answer.status()), Some(404));
+        assert!(cluster.record.attempt("dropped").is_empty());
+    });
+}
