--- a/crates/playhouse/src/data_plane/mod.rs
+++ b/crates/playhouse/src/data_plane/mod.rs
@@ -24,7 +24,7 @@
 use budgets::{GatewayCounts, RetryBudget};
 use control_state::CommandOutcome;
 use load::{BudgetLimits, ConnectionShare, Fleet};
-use service_host::{Action, ServiceHost, TargetInstance};
+use service_host::{Action, ConnectionLimit, ServiceHost, TargetInstance};
 
 const VOTE_INTERVAL: Micros = SECOND;
 /// A gateway that knows instances of some services becomes ready after this time without the others. Two heartbeat
@@ -89,13 +89,13 @@
         to: NodeAddress,
         message: Envelope,
     },
-    /// Sends the request to an instance, over at most `max_connections` connections to it.
+    /// Sends the request to an instance, over at most as many connections to it as `connections` allows.
     StartAttempt {
         request: RequestId,
         attempt: AttemptNo,
         target: TargetInstance,
         deadline: Option<Micros>,
-        max_connections: usize,
+        connections: ConnectionLimit,
     },
     /// Aborts an attempt.
     CancelAttempt {
@@ -648,14 +648,13 @@
             return;
         };
         host.attempt_started(server);
-        let max_connections = connection_share(self.configuration.as_deref(), service, self.fleet.gateways)
-            .connections_per_gateway;
+        let connections = host.connection_limit(server);
         let attempt = AttemptNo(open.attempts.len() as u32);
         if attempt.0 > 0 {
             self.retry_budget.borrow_mut().record_retry(self.now.get(), service);
         }
         open.attempts.push(Some(server));
-        self.effects.push(Effect::StartAttempt { request, attempt, target, deadline, max_connections });
+        self.effects.push(Effect::StartAttempt { request, attempt, target, deadline, connections });
     }
 
     /// Sends this gateway's vote on each trial to the control nodes.
--- a/crates/playhouse/src/data_plane/service_host.rs
+++ b/crates/playhouse/src/data_plane/service_host.rs
@@ -56,8 +56,29 @@
     share: ConnectionShare,
 }
 
+/// How many connections this gateway may hold to one instance. It is shared with the pool, which keeps connections for
+/// longer than a configuration or a number of gateways holds.
+#[derive(Clone, Debug, Default)]
+pub struct ConnectionLimit(Rc<Cell<usize>>);
+
+impl ConnectionLimit {
+    pub fn new(max_connections: usize) -> ConnectionLimit {
+        ConnectionLimit(Rc::new(Cell::new(max_connections)))
+    }
+
+    /// The limit in force now.
+    pub fn get(&self) -> usize {
+        self.0.get()
+    }
+
+    /// Changes the limit for all that share it.
+    pub fn set(&self, max_connections: usize) {
+        self.0.set(max_connections);
+    }
+}
+
 /// The limits of one instance.
-#[derive(Clone, Copy, Default)]
+#[derive(Default)]
 struct InstanceLimit {
     /// How many gateways precede this one in the instance's order of gateways.
     gateways_ahead: usize,
@@ -67,6 +88,8 @@
     outside_trial: bool,
     /// Attempts that have not ended.
     open_attempts: usize,
+    /// Follows from `usable` and this gateway's share.
+    connections: ConnectionLimit,
 }
 
 impl BalancerHost {
@@ -106,7 +129,7 @@
     fn has_capacity(&self, _request: RequestId, server: ServerId, _build: BuildNo) -> bool {
         let limits = self.limits.borrow();
         let accepts = |limit: &InstanceLimit| {
-            limit.usable && !limit.outside_trial && limit.open_attempts < limits.share.connections_per_gateway
+            limit.usable && !limit.outside_trial && limit.open_attempts < limit.connections.get()
         };
         limits.instances.get(server.0 as usize).is_some_and(accepts)
     }
@@ -275,6 +298,10 @@
         for (number, usable) in numbers.into_iter().zip(usable) {
             limits.instances[number].usable = usable;
         }
+        let connections_per_gateway = limits.share.connections_per_gateway;
+        for limit in &limits.instances {
+            limit.connections.set(if limit.usable { connections_per_gateway } else { 0 });
+        }
     }
 
     /// Recomputes which of the trial's instances receive its requests; without a trial, none is excluded.
@@ -312,7 +339,7 @@
         {
             let mut limits = self.limits.borrow_mut();
             let len = limits.instances.len().max(number + 1);
-            limits.instances.resize(len, InstanceLimit::default());
+            limits.instances.resize_with(len, InstanceLimit::default);
             self.limits_changed |=
                 std::mem::replace(&mut limits.instances[number].gateways_ahead, gateways_ahead)
                     != gateways_ahead;
@@ -342,6 +369,15 @@
         self.limits_changed |= std::mem::replace(&mut limits.share, share) != share;
     }
 
+    /// How many connections this gateway may hold to an instance.
+    pub fn connection_limit(&self, server: ServerId) -> ConnectionLimit {
+        let limits = self.limits.borrow();
+        limits
+            .instances
+            .get(server.0 as usize)
+            .map_or_else(ConnectionLimit::default, |limit| limit.connections.clone())
+    }
+
     /// Counts an attempt that is being sent to an instance.
     pub fn attempt_started(&mut self, server: ServerId) {
         if let Some(limit) = self.limits.borrow_mut().instances.get_mut(server.0 as usize) {
--- a/crates/playhouse/src/gateway/attempt.rs
+++ b/crates/playhouse/src/gateway/attempt.rs
@@ -20,7 +20,7 @@
 
 use super::body_budget::BodyReservation;
 use super::pool::{self, Body, BodyError, Connection, Pool};
-use crate::data_plane::service_host::TargetInstance;
+use crate::data_plane::service_host::{ConnectionLimit, TargetInstance};
 use crate::node::Clock;
 
 /// Identifies the request; the instance repeats it in its answer.
@@ -95,7 +95,7 @@
     /// The client's deadline or the route's time-out, whichever is first.
     pub deadline: Micros,
     /// Most connections to the instance from this gateway.
-    pub max_connections: usize,
+    pub connections: ConnectionLimit,
     /// The answer's part of the memory for buffered bodies.
     pub reservation: BodyReservation,
 }
@@ -146,9 +146,10 @@
         let mut needs_new = self.original.tried.borrow().contains(&address);
         let mut unsent: Option<Request<Body>> = None;
         loop {
-            let idle = if needs_new { None } else { self.pool.borrow_mut().take(self.clock.now(), address) };
+            let (now, limit) = (self.clock.now(), &self.connections);
+            let idle = if needs_new { None } else { self.pool.borrow_mut().take(now, address, limit) };
             let is_new = idle.is_none();
-            if is_new && !self.pool.borrow_mut().reserve(self.clock.now(), address, self.max_connections) {
+            if is_new && !self.pool.borrow_mut().reserve(now, address, limit) {
                 self.restore_body(unsent);
                 return AttemptResult::Failed(AttemptOutcome::Rejected);
             }
--- a/crates/playhouse/src/gateway/mod.rs
+++ b/crates/playhouse/src/gateway/mod.rs
@@ -29,7 +29,7 @@
 use transport::{ReceivedMessage, SocketTransport};
 use types::{MS, Micros, NodeAddress, RunId, SECOND};
 
-use crate::data_plane::service_host::TargetInstance;
+use crate::data_plane::service_host::{ConnectionLimit, TargetInstance};
 use crate::data_plane::{DataPlane, Effect, Input};
 use crate::metrics::{self, Metrics, MetricsSource};
 use crate::node::{Clock, NodeCore, random_u64};
@@ -53,7 +53,7 @@
 const FINAL_ANSWER_WINDOW: Duration = Duration::from_millis(400);
 const FRONTEND_BACKLOG: i32 = 1024;
 const READINESS_BACKLOG: i32 = 64;
-/// How often idle connections are checked for expiry.
+/// How often idle connections are checked for expiry, and for limits that have become lower.
 const POOL_EVICTION_INTERVAL: Micros = SECOND;
 
 /// Retry delay if the balancer gives none.
@@ -235,7 +235,7 @@
         let now = self.clock.now();
         if self.next_eviction <= now {
             self.next_eviction = now + POOL_EVICTION_INTERVAL;
-            self.pool.borrow_mut().evict_expired(now);
+            self.pool.borrow_mut().evict(now);
         }
     }
 
@@ -250,8 +250,8 @@
         for effect in effects {
             match effect {
                 Effect::Send { to, message } => send(&self.transport, to, &message),
-                Effect::StartAttempt { request, attempt, target, deadline, max_connections } => {
-                    self.start_attempt(shared, request, attempt, target, deadline, max_connections);
+                Effect::StartAttempt { request, attempt, target, deadline, connections } => {
+                    self.start_attempt(shared, request, attempt, target, deadline, connections);
                 }
                 Effect::CancelAttempt { request, attempt } => {
                     if let Some(open) = self.open_requests.get(&request) {
@@ -318,13 +318,13 @@
 
     fn start_attempt(
         &mut self, shared: &Shared, request: RequestId, attempt: AttemptNo, target: TargetInstance,
-        deadline: Option<Micros>, max_connections: usize,
+        deadline: Option<Micros>, connections: ConnectionLimit,
     ) {
         let Some(open) = self.open_requests.get_mut(&request) else { return };
         let deadline = deadline.unwrap_or(open.deadline).min(open.deadline);
         let (pool, clock, original) = (self.pool.clone(), self.clock, open.original.clone());
         let reservation = self.body_budget.reservation();
-        let attempt_run = Attempt { pool, clock, target, original, deadline, max_connections, reservation };
+        let attempt_run = Attempt { pool, clock, target, original, deadline, connections, reservation };
         let (gateway, sent) = (shared.clone(), clock.now());
         let task = crate::tasks::spawn_local(async move {
             let result = attempt_run.run().await;
--- a/crates/playhouse/src/gateway/pool.rs
+++ b/crates/playhouse/src/gateway/pool.rs
@@ -20,6 +20,7 @@
 use types::{Micros, SECOND};
 
 use super::connection_state::{ConnectionState, ExchangeEnd, SocketState};
+use crate::data_plane::service_host::ConnectionLimit;
 
 // Operators filter log lines by this name, which is older than the module's.
 const LOG_TARGET: &str = "playhouse::foyer::pool";
@@ -108,8 +109,22 @@
 /// The connections to one address.
 #[derive(Default)]
 struct AddressConnections {
+    /// Longest idle first.
     idle: Vec<IdleConnection>,
     in_use: usize,
+    /// Most connections, as the last instance that was used at the address has it.
+    limit: ConnectionLimit,
+}
+
+impl AddressConnections {
+    /// Closes idle connections that have expired or were closed by the instance, and the longest idle ones of those that
+    /// are over the limit.
+    fn evict(&mut self, now: Micros) {
+        self.idle.retain(|idle| idle.expires_at > now && !idle.connection.sender.is_closed());
+        let allowed = self.limit.get().saturating_sub(self.in_use);
+        let excess = self.idle.len().saturating_sub(allowed);
+        self.idle.drain(..excess);
+    }
 }
 
 /// Connections to instances, by address.
@@ -120,8 +135,11 @@
 
 impl Pool {
     /// Takes the most recently used idle connection that is proved empty; the others can then expire.
-    pub fn take(&mut self, now: Micros, address: SocketAddrV4) -> Option<Connection> {
+    pub fn take(
+        &mut self, now: Micros, address: SocketAddrV4, limit: &ConnectionLimit,
+    ) -> Option<Connection> {
         let connections = self.by_address.get_mut(&address)?;
+        connections.limit = limit.clone();
         while let Some(idle) = connections.idle.pop() {
             if idle.expires_at > now && idle.connection.acquire() {
                 connections.in_use += 1;
@@ -131,12 +149,13 @@
         None
     }
 
-    /// Reserves one more connection, of `max_connections`; false if there is no room. If only idle connections stand
-    /// in the way, they cannot be used for this request, and the one idle for longest is closed.
-    pub fn reserve(&mut self, now: Micros, address: SocketAddrV4, max_connections: usize) -> bool {
+    /// Reserves one more connection within `limit`; false if there is no room. If only idle connections stand in the way,
+    /// they cannot be used for this request, and the one idle for longest is closed.
+    pub fn reserve(&mut self, now: Micros, address: SocketAddrV4, limit: &ConnectionLimit) -> bool {
         let connections = self.by_address.entry(address).or_default();
-        connections.idle.retain(|idle| idle.expires_at > now && !idle.connection.sender.is_closed());
-        if connections.in_use + connections.idle.len() >= max_connections.max(1) {
+        connections.limit = limit.clone();
+        connections.evict(now);
+        if connections.in_use + connections.idle.len() >= limit.get().max(1) {
             if connections.idle.is_empty() {
                 return false;
             }
@@ -147,7 +166,8 @@
     }
 
     /// Releases a connection that was handed out, or only its slot if `connection` is `None`. A connection is kept if
-    /// it has served its request completely; `keep_alive` is the idle time-out that the instance announced.
+    /// it has served its request completely and the limit has room for it; `keep_alive` is the idle time-out that the
+    /// instance announced.
     pub fn release(
         &mut self, now: Micros, address: SocketAddrV4, connection: Option<Connection>,
         keep_alive: Option<Micros>,
@@ -160,7 +180,8 @@
         let Some(connection) = connection else { return };
         // If not ready, hyper is still writing a request whose answer has already arrived, or has read more than the
         // answer.
-        let reusable = lifetime > 0 && connection.sender.is_ready();
+        let has_room = connections.in_use + connections.idle.len() < connections.limit.get();
+        let reusable = has_room && lifetime > 0 && connection.sender.is_ready();
         if connection.finish(if reusable { ExchangeEnd::Clean } else { ExchangeEnd::Broken })
             == ConnectionState::Idle
         {
@@ -176,10 +197,11 @@
         })
     }
 
-    /// Closes connections that were idle for too long, and forgets addresses without connections.
-    pub fn evict_expired(&mut self, now: Micros) {
+    /// Closes connections that were idle for too long or are over their limit, and forgets addresses without
+    /// connections.
+    pub fn evict(&mut self, now: Micros) {
         self.by_address.retain(|_, connections| {
-            connections.idle.retain(|idle| idle.expires_at > now && !idle.connection.sender.is_closed());
+            connections.evict(now);
             connections.in_use > 0 || !connections.idle.is_empty()
         });
     }
--- a/crates/rehearsal/src/world/foyer.rs
+++ b/crates/rehearsal/src/world/foyer.rs
@@ -77,9 +77,9 @@
                     attempt: trip,
                     target: to,
                     deadline: until,
-                    max_connections: connections,
+                    connections,
                 } => {
-                    self.trip(at, ticket, trip, &to, until, connections);
+                    self.trip(at, ticket, trip, &to, until, connections.get());
                 }
                 Effect::CancelAttempt { request: ticket, attempt: trip } => self.stop_trip(at, ticket, trip),
                 Effect::Reject { request: ticket, retry_after: wait } => {
