--- a/crates/garnetdoor-gateway/src/event.rs
+++ b/crates/garnetdoor-gateway/src/event.rs
@@ -6,6 +6,7 @@
 use garnetdoor::host::Micros;
 use garnetdoor_operator::OperatorConfig;
 use garnetdoor_sessions::{ConnectionActivity, SessionId, Side, SideEvent};
+use garnetdoor_websocket::frames::MessageLimit;
 
 /// A connection's number. Connections that clients open have even numbers, those that the gateway opens odd
 /// ones.
@@ -107,7 +108,7 @@
     /// What has been read from each connection after its handshake.
     pub already_read: [Vec<u8>; 2],
     pub compressed: bool,
-    pub max_message_bytes: u64,
+    pub message_limit: MessageLimit,
 }
 
 /// How a session closes: the close codes and reasons for client and server, and the mask of the frame to the
--- a/crates/garnetdoor-gateway/src/state/reducer/sessions.rs
+++ b/crates/garnetdoor-gateway/src/state/reducer/sessions.rs
@@ -204,7 +204,7 @@
                 server_connection.buffer.data().to_vec(),
             ],
             compressed: agreement.allows_compression(),
-            max_message_bytes: table.sessions.limits().max_message_bytes,
+            message_limit: table.message_limit.clone(),
         });
         table.by_connection.extend([(client, (session, Side::Client)), (id, (session, Side::Server))]);
         if let Some(entry) = table.entries.get_mut(&session) {
--- a/crates/garnetdoor-gateway/src/state/sessions.rs
+++ b/crates/garnetdoor-gateway/src/state/sessions.rs
@@ -10,6 +10,7 @@
 use garnetdoor_sessions::{
     Admission, Party, Repeatability, SessionId, SessionKey, Sessions, Side, UpgradeRequest,
 };
+use garnetdoor_websocket::frames::MessageLimit;
 
 use super::connections::ConnectionKind;
 use super::gateway_state::GatewayState;
@@ -34,6 +35,8 @@
     pub sessions: Sessions,
     /// The operator file's section; `None` once a reload has removed it.
     pub settings: Option<Websocket>,
+    /// Shared with the sessions that are open.
+    pub(super) message_limit: MessageLimit,
     pub(super) by_request: BTreeMap<RequestId, SessionId>,
     pub(super) by_connection: BTreeMap<ConnectionId, (SessionId, Side)>,
     pub(super) entries: BTreeMap<SessionId, SessionEntry>,
@@ -70,11 +73,13 @@
                     let names = settings.iter().flat_map(|settings| &settings.profiles);
                     names.into_iter().any(|name| name == profiles.name(profile))
                 };
+                table.message_limit.set(limits.max_message_bytes);
                 table.sessions.reload(now, limits, is_listed);
                 table.settings = settings;
             }
             (None, Some((limits, _))) => {
                 self.session_table = Some(SessionTable {
+                    message_limit: limits.max_message_bytes.into(),
                     sessions: Sessions::new(limits, seed),
                     settings,
                     by_request: BTreeMap::new(),
--- a/crates/garnetdoor-gateway/src/wire/relay.rs
+++ b/crates/garnetdoor-gateway/src/wire/relay.rs
@@ -72,7 +72,7 @@
         connections: [&Arc<Connection>; 2], join: &SessionJoin, clock: Clock, events: Sender<Event>,
     ) -> Option<Arc<Self>> {
         let direction = |from| Direction {
-            flow: FrameFilter::new(from, join.compressed, join.max_message_bytes),
+            flow: FrameFilter::new(from, join.compressed, join.message_limit.clone()),
             pending_close: None,
             finished: false,
             cut_off: false,
--- a/crates/garnetdoor-lab/tests/websocket.rs
+++ b/crates/garnetdoor-lab/tests/websocket.rs
@@ -464,6 +464,29 @@
     assert_eq!(rig.refused(&view()).0, 200, "an ordinary ticket from now on");
 }
 
+/// A reload changes `message_bytes` for sessions that are open. Guards against a session that keeps the limit under which
+/// it was opened.
+#[test]
+fn a_reload_changes_the_message_limit_of_open_sessions() {
+    let limit = |bytes: u64| json!({"profiles": ["view-album"], "message_bytes": bytes});
+    let rig = Rig::new(&[OLD], Temper::Echo, limit(1_000));
+    let large = "ü".repeat(2_000);
+    let mut session = rig.open(&view());
+    assert!(session.echo("good"));
+    let reload = |bytes| {
+        rig.daemon.operate(&json!({"websocket": limit(bytes)})).expect("a file");
+        rig.daemon.signal(Signal::SIGHUP);
+    };
+    reload(100_000);
+    assert!(soon(|| rig.open(&view()).echo(&large)), "new sessions go by the raised limit");
+    assert!(session.echo(&large), "raised");
+    reload(1_000);
+    assert!(soon(|| !rig.open(&view()).echo(&large)), "new sessions go by the lowered limit");
+    assert!(session.echo("good"));
+    session.socket.send(Message::text(large)).expect("it is sent");
+    assert_eq!(session.end(), Some(1009), "lowered");
+}
+
 #[test]
 fn a_thousand_guests_that_come_back_at_once_are_all_answered() {
     let rig = Rig::alone(&[OLD, OLD], Temper::Echo, json!({"sessions": 900, "come_back_ms": [50, 300]}));
--- a/crates/garnetdoor-websocket/src/frames.rs
+++ b/crates/garnetdoor-websocket/src/frames.rs
@@ -5,6 +5,8 @@
 //! is kept but up to three bytes of a split UTF-8 character.
 
 use std::io::Cursor;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 
 use tungstenite::protocol::frame::FrameHeader;
 use tungstenite::protocol::frame::coding::{CloseCode, Control, Data, OpCode};
@@ -107,6 +109,8 @@
     is_plain_text: bool,
     /// Payload bytes of all its frames so far, as announced in their heads.
     size: u64,
+    /// The limit when it began, in bytes: a lowered one does not cut it off.
+    allowed_at_start: u64,
 }
 
 /// What [`FrameFilter::feed`] makes of some input.
@@ -126,11 +130,40 @@
     pub error: Option<FrameError>,
 }
 
+/// The largest message that is allowed, in bytes as they are sent. Filters share it, so that a change holds for the
+/// sessions that are open.
+#[derive(Clone, Debug)]
+pub struct MessageLimit(Arc<AtomicU64>);
+
+impl MessageLimit {
+    /// The limit in force now.
+    pub fn get(&self) -> u64 {
+        self.0.load(Ordering::Relaxed)
+    }
+
+    /// Changes the limit for all that share it.
+    pub fn set(&self, bytes: u64) {
+        self.0.store(bytes, Ordering::Relaxed);
+    }
+}
+
+impl From<u64> for MessageLimit {
+    fn from(bytes: u64) -> Self {
+        MessageLimit(Arc::new(AtomicU64::new(bytes)))
+    }
+}
+
+impl PartialEq for MessageLimit {
+    fn eq(&self, other: &Self) -> bool {
+        self.get() == other.get()
+    }
+}
+
 /// Checks the frames of one direction of a session, and says which bytes to forward.
 pub struct FrameFilter {
     from: Side,
     compressed: bool,
-    max_message_bytes: u64,
+    message_limit: MessageLimit,
     /// The start of a frame's head or control frame, until it is complete.
     held: Vec<u8>,
     /// Payload bytes of the current data frame that are still to come.
@@ -163,13 +196,12 @@
 }
 
 impl FrameFilter {
-    /// Checks the direction in which `from` sends. `compressed` says whether the handshake agreed on compression, and
-    /// messages of up to `max_message_bytes` as they are sent are allowed.
-    pub fn new(from: Side, compressed: bool, max_message_bytes: u64) -> Self {
+    /// Checks the direction in which `from` sends. `compressed` says whether the handshake agreed on compression.
+    pub fn new(from: Side, compressed: bool, message_limit: impl Into<MessageLimit>) -> Self {
         FrameFilter {
             from,
             compressed,
-            max_message_bytes,
+            message_limit: message_limit.into(),
             held: Vec::new(),
             payload_remaining: 0,
             mask: None,
@@ -345,11 +377,12 @@
     fn begin_data_frame(&mut self, kind: Data, head: &Head) -> Result<(), FrameError> {
         if kind != Data::Continue {
             let is_plain_text = kind == Data::Text && !head.header.rsv1;
-            self.message = Some(Message { is_plain_text, size: 0 });
+            self.message =
+                Some(Message { is_plain_text, size: 0, allowed_at_start: self.message_limit.get() });
         }
         let message = self.message.as_mut().ok_or(FrameError::Protocol(NOTHING_TO_CONTINUE))?;
         message.size = message.size.saturating_add(head.payload_length);
-        if message.size > self.max_message_bytes {
+        if message.size > message.allowed_at_start.max(self.message_limit.get()) {
             return Err(FrameError::TooLarge);
         }
         (self.payload_remaining, self.is_final_frame) = (head.payload_length, head.header.is_final);
--- a/crates/garnetdoor-websocket/tests/frames.rs
+++ b/crates/garnetdoor-websocket/tests/frames.rs
@@ -1,7 +1,9 @@
 //! One direction of a session: which bytes are forwarded however the input is split, and the error for each kind of
 //! invalid frame.
 
-use garnetdoor_websocket::frames::{FeedResult, FrameError, FrameFilter, Side, close_frame, ping_frame};
+use garnetdoor_websocket::frames::{
+    FeedResult, FrameError, FrameFilter, MessageLimit, Side, close_frame, ping_frame,
+};
 use proptest::prelude::*;
 use test_case::test_case;
 
@@ -127,6 +129,20 @@
     assert_eq!(filter.feed(&second).error, Some(FrameError::TooLarge));
 }
 
+/// A filter in use goes by the newest limit. Guards against one that keeps the limit that it was made with.
+#[test]
+fn a_changed_message_limit_holds_for_the_next_message() {
+    let limit = MessageLimit::from(1000);
+    let mut filter = FrameFilter::new(Side::Server, false, limit.clone());
+    let large = frame(0x82, &[0; 1200], None);
+    limit.set(2000);
+    assert_eq!(filter.feed(&large).error, None, "raised");
+    assert_eq!(filter.feed(&frame(0x02, &[0; 600], None)).error, None);
+    limit.set(1000);
+    assert_eq!(filter.feed(&frame(0x80, &[0; 600], None)).error, None, "it began under the larger limit");
+    assert_eq!(filter.feed(&large).error, Some(FrameError::TooLarge), "lowered");
+}
+
 #[test]
 fn an_end_waits_for_the_current_message_and_a_later_close_is_still_reported() {
     let mut filter = FrameFilter::new(Side::Server, false, MAX_MESSAGE_BYTES);
