--- a/crates/playhouse/src/demo/cluster.rs
+++ b/crates/playhouse/src/demo/cluster.rs
@@ -6,7 +6,7 @@
 use std::net::{Ipv4Addr, SocketAddrV4, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
-use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use membership::Role;
@@ -35,7 +35,7 @@
 /// be done about it.
 const KILL_TIMEOUT: Duration = Duration::from_secs(5);
 
-static CLUSTER_COUNT: AtomicU8 = AtomicU8::new(0);
+static BLOCKS_IN_USE: Mutex<[bool; BLOCK_COUNT as usize]> = Mutex::new([false; BLOCK_COUNT as usize]);
 
 /// Why a cluster can't be set up or a node can't be run.
 #[derive(Debug, thiserror::Error)]
@@ -54,6 +54,31 @@
         "{control_nodes} prompters and {gateways} foyers asked for; 1 to 9 and 1 to {MAX_GATEWAYS} are supported"
     )]
     Size { control_nodes: usize, gateways: usize },
+    #[error("one process supports {BLOCK_COUNT} clusters at a time")]
+    TooManyClusters,
+}
+
+/// A block of addresses that no other cluster of this process has; free again when it is dropped.
+#[derive(Debug)]
+struct Block(u8);
+
+impl Block {
+    fn reserve() -> Option<Block> {
+        let mut in_use = Block::in_use();
+        let free = in_use.iter().position(|in_use| !in_use)?;
+        in_use[free] = true;
+        Some(Block(free as u8))
+    }
+
+    fn in_use() -> MutexGuard<'static, [bool; BLOCK_COUNT as usize]> {
+        BLOCKS_IN_USE.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Drop for Block {
+    fn drop(&mut self) {
+        Block::in_use()[usize::from(self.0)] = false;
+    }
 }
 
 /// The ports that all nodes of a cluster use, each at its own address.
@@ -154,6 +179,7 @@
     nodes: Vec<Node>,
     pub ports: Ports,
     addresses: Addresses,
+    _block: Block,
 }
 
 impl TestCluster {
@@ -166,10 +192,10 @@
             });
         }
         let pid = std::process::id();
-        let block = CLUSTER_COUNT.fetch_add(1, Ordering::Relaxed) % BLOCK_COUNT;
-        let addresses = Addresses::allocate(pid, block, config.gateways > 9);
+        let block = Block::reserve().ok_or(ClusterError::TooManyClusters)?;
+        let addresses = Addresses::allocate(pid, block.0, config.gateways > 9);
         let at = |number: u8| addresses.at(number);
-        let name = format!("garnetdoor-stage-{pid}-{block}");
+        let name = format!("garnetdoor-stage-{pid}-{}", block.0);
         let folder = config.folder.clone().unwrap_or_else(|| std::env::temp_dir().join(name));
         let file_error = |what, path: &Path| {
             let path = path.to_owned();
@@ -188,6 +214,7 @@
             nodes: Vec::new(),
             ports: free_ports(at(0))?,
             addresses,
+            _block: block,
         };
         let roles = [
             (Role::ControlNode, "prompter", config.control_nodes),
