--- a/crates/playhouse/src/demo/fault_injection.rs
+++ b/crates/playhouse/src/demo/fault_injection.rs
@@ -14,7 +14,9 @@
 use super::client::{Connection, HttpRequest, LoadBalancer, LoadGenerator, Workload};
 use super::cluster::{self, ClusterError, NodeIndex, TestCluster, ZONES};
 use super::instance::{Instance, InstanceConfig, RequestLog};
-use super::operator::{Operator, Route, configuration_change, full_configuration};
+use super::operator::{
+    DEFAULT_MAX_HEADER_BYTES, Operator, Route, change_with_limits, full_configuration, limit_set,
+};
 
 /// Number of latest versions whose routes are retained; each new version removes the oldest route.
 pub const RETAINED_VERSIONS: u32 = 3;
@@ -169,7 +171,7 @@
         status
     }
 
-    /// Applies the next version, which adds a route and removes an old one. Any other result than an acknowledgement is an
+    /// Applies the next version, which adds a route, removes an old one, and raises or lowers `MaxHeaderBytes`. Any other result than an acknowledgement is an
     /// error.
     pub async fn change(&mut self) -> Result<(), String> {
         let next = self.version + 1;
@@ -178,7 +180,7 @@
             .filter(|retired| *retired >= 1)
             .map(|retired| format!("r{retired}"));
         let remove: Vec<&str> = retired.iter().map(String::as_str).collect();
-        let text = configuration_change(next, &[route_of_version(next)], &remove);
+        let text = change_with_limits(next, &[route_of_version(next)], limits_of_version(next), &remove);
         let first = self.random_below(CONTROL_NODES);
         match self.operator.modify(first, self.version, &text).await {
             Ok(response) if response.status == StatusCode::OK => {
@@ -253,6 +255,11 @@
     }
 }
 
+/// The limits for clients of a version: each differs from the one before, and allows the requests of the load.
+fn limits_of_version(version: u32) -> String {
+    limit_set(if version.is_multiple_of(2) { DEFAULT_MAX_HEADER_BYTES / 2 } else { DEFAULT_MAX_HEADER_BYTES })
+}
+
 /// The route that a version adds.
 fn route_of_version(version: u32) -> Route {
     Route::new(&format!("r{version}"), HOST, &format!("/v{version}/"), "safe", SERVICE)
--- a/crates/playhouse/src/demo/operator.rs
+++ b/crates/playhouse/src/demo/operator.rs
@@ -247,6 +247,9 @@
     }
 }
 
+/// `MaxHeaderBytes` of a whole configuration.
+pub const DEFAULT_MAX_HEADER_BYTES: u32 = 16_384;
+
 /// A whole configuration as JSON.
 pub fn full_configuration(version: u32, routes: &[Route], services: &[&str]) -> String {
     let service = |name: &&str| {
@@ -255,20 +258,35 @@
              \"HealthPath\":\"/health\",\"MaxConnections\":100,\"Protocol\":\"h1\",\"Tls\":false}}}}"
         )
     };
-    let limits = "{\"ResourceType\":\"LimitSet\",\"HeaderBlock\":{},\"SpecBody\":{\"MaxHeaderBytes\":16384,\
-                  \"MaxBodyBytes\":8388608,\"HeaderTimeoutS\":3,\"IdleTimeoutS\":15}}";
     let items: Vec<String> = routes
         .iter()
         .map(Route::item)
         .chain(services.iter().map(service))
-        .chain([limits.to_owned()])
+        .chain([limit_set(DEFAULT_MAX_HEADER_BYTES)])
         .collect();
     format!("{{\"ConfigVersion\":\"{version:08x}\",\"ResourceSet\":[{}]}}", items.join(","))
 }
 
+/// The limits for clients, as an item of a configuration.
+pub fn limit_set(max_header_bytes: u32) -> String {
+    format!(
+        "{{\"ResourceType\":\"LimitSet\",\"HeaderBlock\":{{}},\"SpecBody\":{{\"MaxHeaderBytes\":{max_header_bytes},\
+         \"MaxBodyBytes\":8388608,\"HeaderTimeoutS\":3,\"IdleTimeoutS\":15}}}}"
+    )
+}
+
 /// A change of named routes as JSON.
 pub fn configuration_change(version: u32, upsert: &[Route], remove: &[&str]) -> String {
-    let upsert: Vec<String> = upsert.iter().map(Route::item).collect();
+    change_of_items(version, &upsert.iter().map(Route::item).collect::<Vec<_>>(), remove)
+}
+
+/// A change of named routes and of the limits for clients as JSON.
+pub fn change_with_limits(version: u32, upsert: &[Route], limits: String, remove: &[&str]) -> String {
+    let items: Vec<String> = upsert.iter().map(Route::item).chain([limits]).collect();
+    change_of_items(version, &items, remove)
+}
+
+fn change_of_items(version: u32, upsert: &[String], remove: &[&str]) -> String {
     let remove: Vec<String> = remove.iter().map(|name| format!("\"{name}\"")).collect();
     format!(
         "{{\"ConfigVersion\":\"{version:08x}\",\"Upsert\":{{\"ResourceSet\":[{}]}},\
--- a/crates/playhouse/tests/soak.rs
+++ b/crates/playhouse/tests/soak.rs
@@ -1,6 +1,7 @@
-//! Soak test (seeded, real processes on loopback): configurations change one after the other while gateways and control
-//! nodes are terminated, reloaded, killed and restarted, in overlapping series. Clients keep using their open connections
-//! until the process is gone. Checked by what the clients and the instances observe:
+//! Soak test (seeded, real processes on loopback): configurations change one after the other, their limits for clients
+//! included, while gateways and control nodes are terminated, reloaded, killed and restarted, in overlapping series.
+//! Clients keep using their open connections until the process is gone. Checked by what the clients and the instances
+//! observe:
 //!
 //! - an acknowledged version is in force within `ConfigApplyS` at each gateway that is connected to the control plane;
 //! - no gateway process goes back to an older version;
