--- a/crates/playhouse/src/demo/fault_injection.rs
+++ b/crates/playhouse/src/demo/fault_injection.rs
@@ -171,8 +171,8 @@
         status
     }
 
-    /// Applies the next version, which adds a route, removes an old one, and raises or lowers `MaxHeaderBytes`. Any other result than an acknowledgement is an
-    /// error.
+    /// Applies the next version, which adds a route, removes an old one, and raises or lowers `MaxHeaderBytes`. Any
+    /// other result than an acknowledgement is an error.
     pub async fn change(&mut self) -> Result<(), String> {
         let next = self.version + 1;
         let retired = next
