--- a/crates/playhouse/src/gateway/client_connection.rs
+++ b/crates/playhouse/src/gateway/client_connection.rs
@@ -61,6 +61,7 @@
     let mut open = OpenConnection::new(io, service, limits.max_header_bytes);
     let accepted_late = *stopping.borrow();
     let mut check_at = clock.now() + limits.header_timeout.min(limits.idle_timeout);
+    let mut arrived_input_read = false;
     let ended = loop {
         tokio::select! {
             // In this order: new limits hold for all that is read from now on, and a request that has already arrived
@@ -89,7 +90,16 @@
             }
             () = tokio::time::sleep_until(clock.at(check_at)) => {
                 match activity.next_action(limits.header_timeout, limits.idle_timeout) {
-                    NextAction::CheckAt(next) => check_at = next,
+                    NextAction::CheckAt(next) => {
+                        check_at = next;
+                        arrived_input_read = false;
+                    }
+                    // A process that stood still finds its timers due before it has seen what arrived meanwhile. The
+                    // runtime looks at its sockets before it resumes a task that has yielded.
+                    NextAction::Close | NextAction::Abort if !arrived_input_read => {
+                        arrived_input_read = true;
+                        tokio::task::yield_now().await;
+                    }
                     NextAction::Close => {
                         check_at = clock.now() + limits.idle_timeout;
                         open.shut_down(&activity);
