--- a/crates/playhouse/src/commands/mod.rs
+++ b/crates/playhouse/src/commands/mod.rs
@@ -22,7 +22,7 @@
 use simd_json::prelude::*;
 
 use crate::settings::{Settings, SettingsError};
-use crate::{control_node, demo, gateway};
+use crate::{build_info, control_node, demo, gateway};
 
 const EXIT_CODES: &str = "Exit codes: 0 success; 1 a check found a problem (faults, differences, damage, a roll-out that was \
 reverted) or a process failed; 2 the command line is wrong; 3 no clear answer from any machine; \
@@ -30,7 +30,12 @@
 
 /// Distributed API gateway: gateways (`foyer`) carry traffic, control nodes (`prompter`) serve the control API.
 #[derive(Debug, Parser)]
-#[command(name = "playhouse", version, after_help = EXIT_CODES)]
+#[command(
+    name = "playhouse",
+    version = build_info::VERSION,
+    long_version = build_info::LONG_VERSION,
+    after_help = EXIT_CODES
+)]
 pub struct CommandLine {
     /// Level of the lines that are logged at once: off, error, warn, info, debug or trace. RUST_LOG overrides it.
     #[arg(long, global = true, default_value = "warn")]
@@ -172,9 +177,11 @@
     };
     match command {
         Command::Gateway(serve) => {
+            build_info::log_start("foyer");
             gateway::run(read_settings(Role::Gateway)?, serve.metrics).await.map_err(terminated)
         }
         Command::ControlNode(serve) => {
+            build_info::log_start("prompter");
             control_node::run(read_settings(Role::ControlNode)?, serve.metrics).await.map_err(terminated)
         }
         Command::Check(check) => check.run(),
--- a/crates/playhouse/src/lib.rs
+++ b/crates/playhouse/src/lib.rs
@@ -3,6 +3,7 @@
 //! `control_plane` and `data_plane` combine that logic, also without I/O.
 
 pub mod api;
+pub mod build_info;
 pub mod carrier_selection;
 pub mod commands;
 pub mod control_node;
--- a/crates/playhouse/src/metrics.rs
+++ b/crates/playhouse/src/metrics.rs
@@ -15,9 +15,11 @@
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::info::Info;
 use prometheus_client::registry::Registry;
 use transport::TransportStats;
 
+use crate::build_info;
 use crate::node::NodeCore;
 
 const PATH: &str = "/metrics";
@@ -33,6 +35,7 @@
     /// The metrics that gateways and control nodes have in common.
     pub fn for_node(node: &NodeCore, stats: TransportStats) -> Metrics {
         let mut metrics = Metrics(Registry::with_prefix("garnetdoor"));
+        metrics.0.register("build", "The program", Info::new(build_info::labels()));
         let replication = node.replicator.stats();
         metrics.gauge("news_held_index", "Last ordered command held here", replication.held_index.0);
         metrics.gauge("news_known_index", "Newest ordered command heard of", replication.known_index.0);
--- a/crates/playhouse/src/ring.rs
+++ b/crates/playhouse/src/ring.rs
@@ -26,6 +26,9 @@
 const DIRECT_BURST_LINES: u32 = 60;
 /// Time in which one more line may be written directly.
 const DIRECT_LINE_INTERVAL: Micros = SECOND;
+/// Target of the line that tells which program starts: it is written at once unless nothing is, so that every log says
+/// which program wrote it.
+pub const START_TARGET: &str = "playhouse::start";
 /// Target prefixes of the packages whose lines go into the buffer; lines of other packages say little about what this
 /// system did.
 pub const PROJECT_TARGETS: [&str; 11] = [
@@ -249,13 +252,25 @@
     }
 }
 
+/// Writes lines up to this level at once, or as `RUST_LOG` says.
+fn direct_logger_builder(level: LevelFilter) -> env_logger::Builder {
+    let mut builder = env_logger::Builder::new();
+    builder.filter_level(level).parse_default_env();
+    builder
+}
+
 /// Installs the logger of the process. Lines up to `direct_level` (or as `RUST_LOG` says) are written at once; lines of
 /// this project's packages up to `ring_level` go into the ring buffer. A panic writes the buffer out. Later calls have
 /// no effect.
 pub fn install(direct_level: LevelFilter, ring_level: LevelFilter) {
-    let direct = env_logger::Builder::new().filter_level(direct_level).parse_default_env().build();
+    let direct_level = direct_logger_builder(direct_level).build().filter();
+    let mut direct_builder = direct_logger_builder(direct_level);
+    if direct_level > LevelFilter::Off {
+        direct_builder.filter_module(START_TARGET, LevelFilter::Info);
+    }
+    let direct = direct_builder.build();
     let max_level = direct.filter().max(ring_level);
-    let limited = direct.filter() <= LevelFilter::Warn;
+    let limited = direct_level <= LevelFilter::Warn;
     let direct_limit =
         limited.then(|| Mutex::new(TokenBucket::new(DIRECT_BURST_LINES, DIRECT_LINE_INTERVAL)));
     let logger = LOGGER.get_or_init(|| RingLogger {
