--- a/crates/playhouse/src/demo/cluster.rs
+++ b/crates/playhouse/src/demo/cluster.rs
@@ -87,6 +87,7 @@
     pub frontend: u16,
     pub readiness: u16,
     pub control: u16,
+    pub metrics: u16,
     /// The first of sixteen ports for traffic between nodes.
     pub internal: u16,
 }
@@ -95,7 +96,13 @@
     /// Ports below the kernel's ephemeral range, so that no outgoing connection occupies one.
     fn numbered(number: u16) -> Ports {
         let base = 20_000 + 40 * number;
-        Ports { frontend: base, readiness: base + 1, control: base + 2, internal: base + 10 }
+        Ports {
+            frontend: base,
+            readiness: base + 1,
+            control: base + 2,
+            metrics: base + 3,
+            internal: base + 10,
+        }
     }
 }
 
@@ -255,6 +262,11 @@
         SocketAddrV4::new(self.nodes[node.0].address, self.ports.readiness)
     }
 
+    /// Address of a node's metrics.
+    pub fn metrics(&self, node: NodeIndex) -> SocketAddrV4 {
+        SocketAddrV4::new(self.nodes[node.0].address, self.ports.metrics)
+    }
+
     /// Address of a control node's control API.
     pub fn control(&self, node: NodeIndex) -> SocketAddrV4 {
         SocketAddrV4::new(self.nodes[node.0].address, self.ports.control)
@@ -342,7 +354,7 @@
             Role::ControlNode => "prompter",
         };
         let child = Command::new(&self.program)
-            .arg(subcommand)
+            .args([subcommand, "--metrics", &self.ports.metrics.to_string()])
             .env(SETTINGS_PATH_VARIABLE, self.path(number, ".toml"))
             .env("RUST_LOG", &self.log)
             .stdin(Stdio::null())
@@ -458,7 +470,7 @@
     let mut last = io::Error::other("none tried");
     for number in 0..MAX_PORT_SETS {
         let ports = Ports::numbered(number);
-        let all = [ports.frontend, ports.readiness, ports.control, ports.internal];
+        let all = [ports.frontend, ports.readiness, ports.control, ports.metrics, ports.internal];
         match all.iter().try_for_each(|port| TcpListener::bind((address, *port)).map(drop)) {
             Ok(()) => return Ok(ports),
             Err(error) => last = error,
--- a/crates/playhouse/src/gateway/activity.rs
+++ b/crates/playhouse/src/gateway/activity.rs
@@ -11,7 +11,7 @@
 
 use bytes::{Buf, Bytes};
 use hyper::rt::{Read, ReadBuf, ReadBufCursor, Write};
-use types::Micros;
+use types::{ConfigVersion, Micros};
 
 use crate::node::Clock;
 
@@ -42,6 +42,8 @@
     reading_paused: Rc<Cell<bool>>,
     /// Whether the connection is being closed.
     shutting_down: Rc<Cell<bool>>,
+    /// The configuration whose limits the connection goes by.
+    limits_version: Rc<Cell<ConfigVersion>>,
 }
 
 /// What to do with a connection now.
@@ -66,9 +68,20 @@
             unread: Arc::default(),
             reading_paused: Rc::default(),
             shutting_down: Rc::default(),
+            limits_version: Rc::default(),
         }
     }
 
+    /// The configuration whose limits the connection goes by; 0 before the first.
+    pub fn limits_version(&self) -> ConfigVersion {
+        self.limits_version.get()
+    }
+
+    /// Records that the connection goes by the limits of this configuration from now on.
+    pub fn set_limits_version(&self, version: ConfigVersion) {
+        self.limits_version.set(version);
+    }
+
     /// The current phase.
     pub fn phase(&self) -> Phase {
         self.phase.get()
@@ -79,10 +92,15 @@
         &self.unread
     }
 
+    /// Whether the client takes none of the bytes to be written.
+    pub fn is_write_blocked(&self) -> bool {
+        self.write_blocked_since.get().is_some()
+    }
+
     /// Whether no request is being read or answered, all answers have been written, and the connection goes on.
     pub fn between_requests(&self) -> bool {
         self.phase.get() != Phase::Serving
-            && self.write_blocked_since.get().is_none()
+            && !self.is_write_blocked()
             && !self.unread.load(Ordering::Relaxed)
             && !self.shutting_down.get()
     }
--- a/crates/playhouse/src/gateway/attempt.rs
+++ b/crates/playhouse/src/gateway/attempt.rs
@@ -9,16 +9,15 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use configuration::Limits;
 use garnetdoor::host::AttemptOutcome;
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body as _, Frame, Incoming};
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode, Uri, Version};
-use tokio::sync::watch;
 use types::{Micros, SECOND};
 
 use super::body_budget::BodyReservation;
+use super::client_limits::BodyLimit;
 use super::pool::{self, Body, BodyError, Connection, Pool};
 use crate::data_plane::service_host::{ConnectionLimit, TargetInstance};
 use crate::node::Clock;
@@ -412,26 +411,6 @@
     }
 }
 
-/// How large a request's body may be: what was allowed when its head was read, or what is allowed now if that is more. A
-/// client that keeps to the limit as it knew it is not cut off.
-#[derive(Clone)]
-pub struct BodyLimit {
-    allowed_at_start: u64,
-    limits: watch::Receiver<Limits>,
-}
-
-impl BodyLimit {
-    /// The limit for a request whose head has just been read.
-    pub fn at_start(limits: watch::Receiver<Limits>) -> BodyLimit {
-        let allowed_at_start = limits.borrow().max_body_bytes;
-        BodyLimit { allowed_at_start, limits }
-    }
-
-    pub fn max_bytes(&self) -> u64 {
-        self.allowed_at_start.max(self.limits.borrow().max_body_bytes)
-    }
-}
-
 /// A large body: the part already read, then the rest as it arrives, up to a limit.
 pub struct PrefixedBody {
     pub first: Option<Bytes>,
--- a/crates/playhouse/src/gateway/client_connections.rs
+++ b/crates/playhouse/src/gateway/client_connections.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 
 use tokio::sync::Notify;
+use types::ConfigVersion;
 
 use super::activity::{Activity, Phase};
 
@@ -34,6 +35,11 @@
         self.open.borrow().len()
     }
 
+    /// How many connections go by the limits of another configuration than this.
+    pub fn with_other_limits(&self, version: ConfigVersion) -> usize {
+        self.open.borrow().values().filter(|(activity, _)| activity.limits_version() != version).count()
+    }
+
     /// A slot for a new connection; `None` if `limit` are open and all of them are being served.
     pub async fn enter(
         self: &Rc<ClientConnections>, limit: usize, activity: &Activity,
--- a/crates/playhouse/src/gateway/frontend.rs
+++ b/crates/playhouse/src/gateway/frontend.rs
@@ -20,11 +20,10 @@
 use types::{Micros, SECOND};
 
 use super::activity::Activity;
-use super::attempt::{
-    BodyLimit, PrefixedBody, REMAINING_TIME, ReplayableRequest, is_chunked, strip_connection_headers,
-};
+use super::attempt::{PrefixedBody, REMAINING_TIME, ReplayableRequest, is_chunked, strip_connection_headers};
 use super::client_connection::{self, FINAL_ACCEPT_WINDOW};
 use super::client_connections::ClientConnections;
+use super::client_limits::BodyLimit;
 use super::pool::Body;
 use super::{Reply, Shared, retry_after_seconds};
 
@@ -33,6 +32,7 @@
 /// Fraction of the machine's file descriptors for client connections.
 const CLIENT_DESCRIPTOR_SHARE: f64 = 0.6;
 const NO_ROUTE: &str = "{\"Error\":\"no route\"}";
+const BODY_TIMEOUT: &str = "{\"Error\":\"the body did not come in time\"}";
 const BODY_TOO_LARGE: &str = "{\"Error\":\"the body is over MaxBodyBytes\"}";
 
 /// Accepts clients until told to stop; then ends idle connections and lets the others finish.
@@ -103,6 +103,22 @@
     answer
 }
 
+/// Refuses a body of more than `max_bytes`.
+fn body_too_large(shared: &Shared, max_bytes: u64) -> Response<Body> {
+    let gateway = shared.borrow();
+    let limits = *gateway.client_limits.borrow();
+    gateway.limit_log.body_too_large(max_bytes, gateway.applied(limits));
+    plain(StatusCode::PAYLOAD_TOO_LARGE, BODY_TOO_LARGE)
+}
+
+/// Refuses a body that took longer than `allowed`.
+fn body_timeout(shared: &Shared, allowed: Micros) -> Response<Body> {
+    let gateway = shared.borrow();
+    let limits = *gateway.client_limits.borrow();
+    gateway.limit_log.body_timeout(allowed, gateway.applied(limits));
+    plain(StatusCode::REQUEST_TIMEOUT, BODY_TIMEOUT)
+}
+
 fn rejected(retry_after: Option<Micros>) -> Response<Body> {
     let mut answer = plain(StatusCode::SERVICE_UNAVAILABLE, "{}");
     if let Ok(value) = HeaderValue::from_str(&retry_after_seconds(retry_after)) {
@@ -184,7 +200,7 @@
     let time_left = time_limit(route, remaining);
     let body_limit = BodyLimit::at_start(shared.borrow().client_limits.subscribe());
     if body.size_hint().lower() > body_limit.max_bytes() {
-        return plain(StatusCode::PAYLOAD_TOO_LARGE, BODY_TOO_LARGE);
+        return body_too_large(shared, body_limit.max_bytes());
     }
     let mut buffered = BytesMut::new();
     let read_timeout = Duration::from_micros(time_left.max(0) as u64);
@@ -200,16 +216,14 @@
     let is_streamed = match tokio::time::timeout(read_timeout, read).await {
         Ok(Ok(whole)) => !whole,
         Ok(Err(_)) => return plain(StatusCode::BAD_REQUEST, "{\"Error\":\"the body broke off\"}"),
-        Err(_) => {
-            return plain(StatusCode::REQUEST_TIMEOUT, "{\"Error\":\"the body did not come in time\"}");
-        }
+        Err(_) => return body_timeout(shared, time_left),
     };
     if !is_streamed || body.is_end_stream() {
         unread.store(false, Ordering::Relaxed);
     }
     let received = buffered.len() as u64;
     if received > body_limit.max_bytes() {
-        return plain(StatusCode::PAYLOAD_TOO_LARGE, BODY_TOO_LARGE);
+        return body_too_large(shared, body_limit.max_bytes());
     }
     // The configuration may have changed while the body was read; the request is passed on by the one in force.
     let configuration = shared.borrow().data_plane.configuration().cloned().unwrap_or(configuration);
@@ -220,6 +234,7 @@
     let deadline = received_at + time_left;
     strip_connection_headers(&mut head.headers);
     head.headers.remove(header::EXPECT);
+    let max_body_bytes = body_limit.max_bytes();
     let (buffered, too_large) = (reservation.keep(buffered), Arc::<AtomicBool>::default());
     let stream = is_streamed.then(|| {
         let (first, unread) = (Some(buffered.clone()), unread.clone());
@@ -242,7 +257,7 @@
     match reply.await {
         Ok(Reply::Answer(response)) => response,
         Ok(Reply::Rejected(retry_after)) => rejected(retry_after),
-        _ if too_large.load(Ordering::Relaxed) => plain(StatusCode::PAYLOAD_TOO_LARGE, BODY_TOO_LARGE),
+        _ if too_large.load(Ordering::Relaxed) => body_too_large(shared, max_body_bytes),
         Ok(Reply::Failed) | Err(_) => plain(StatusCode::BAD_GATEWAY, "{\"Error\":\"no answer\"}"),
     }
 }
--- a/crates/playhouse/src/gateway/mod.rs
+++ b/crates/playhouse/src/gateway/mod.rs
@@ -10,6 +10,8 @@
 mod client_connection;
 mod client_connections;
 #[doc(hidden)]
+pub mod client_limits;
+#[doc(hidden)]
 pub mod connection_state;
 mod frontend;
 #[doc(hidden)]
@@ -21,13 +23,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use configuration::Limits;
 use garnetdoor::host::{AttemptNo, AttemptOutcome, RequestId};
 use hyper::Response;
 use membership::Role;
 use tokio::sync::{oneshot, watch};
 use transport::{ReceivedMessage, SocketTransport};
-use types::{MS, Micros, NodeAddress, RunId, SECOND};
+use types::{ConfigVersion, MS, Micros, NodeAddress, RunId, SECOND};
 
 use crate::data_plane::service_host::{ConnectionLimit, TargetInstance};
 use crate::data_plane::{DataPlane, Effect, Input};
@@ -39,6 +40,7 @@
 use attempt::{Attempt, AttemptResult, ReplayableRequest};
 use body_budget::BodyBudget;
 use client_connections::ClientConnections;
+use client_limits::{Applied, ClientLimits, ConnectionEnd, LimitLog, Setting};
 use pool::{Body, Pool};
 
 // Operators filter log lines by this name, which is older than the module's.
@@ -59,14 +61,6 @@
 /// Retry delay if the balancer gives none.
 const DEFAULT_RETRY_AFTER: Micros = 100 * MS;
 
-/// Limits for clients before the first configuration, when every request is rejected without its body being read.
-const INITIAL_CLIENT_LIMITS: Limits = Limits {
-    max_header_bytes: 16 << 10,
-    max_body_bytes: 0,
-    header_timeout: 3 * SECOND,
-    idle_timeout: 15 * SECOND,
-};
-
 /// How a request ends.
 pub enum Reply {
     Answer(Response<Body>),
@@ -99,7 +93,9 @@
     next_eviction: Micros,
     wake_loop: Rc<tokio::sync::Notify>,
     /// The limits for clients by the configuration in force, for connections that outlive a configuration.
-    client_limits: watch::Sender<Limits>,
+    client_limits: watch::Sender<ClientLimits>,
+    client_connections: Rc<ClientConnections>,
+    limit_log: LimitLog,
 }
 
 /// The gateway as its tasks share it.
@@ -126,6 +122,7 @@
         now,
     );
     let wake_loop = Rc::new(tokio::sync::Notify::new());
+    let connections: Rc<ClientConnections> = Rc::default();
     let gateway = Gateway {
         data_plane: DataPlane::start(node, settings.clone(), random_u64(), now),
         transport: Rc::new(transport),
@@ -137,7 +134,9 @@
         body_budget: BodyBudget::for_memory(settings.limit_set.memory_mb * 1e6),
         next_eviction: 0,
         wake_loop: wake_loop.clone(),
-        client_limits: watch::Sender::new(INITIAL_CLIENT_LIMITS),
+        client_limits: watch::Sender::new(ClientLimits::INITIAL),
+        client_connections: connections.clone(),
+        limit_log: LimitLog::default(),
     };
     let shared: Shared = Rc::new(RefCell::new(gateway));
     if let Some(port) = metrics_port {
@@ -145,7 +144,6 @@
     }
     let (stop_accepting, stopping) = tokio::sync::watch::channel(false);
     let listener = crate::listen::bind_when_free(frontend, FRONTEND_BACKLOG)?;
-    let connections: Rc<ClientConnections> = Rc::default();
     let clients = crate::tasks::spawn_local(frontend::serve(
         listener,
         shared.clone(),
@@ -221,11 +219,51 @@
             "cause",
             refused,
         );
+        self.add_client_metrics(&mut metrics);
         metrics
     }
 }
 
 impl Gateway {
+    /// Adds what tells by which limits open connections go, and what was refused or closed by them.
+    fn add_client_metrics(&self, metrics: &mut Metrics) {
+        let limits = *self.client_limits.borrow();
+        let connections = &self.client_connections;
+        metrics.gauge("client_connections", "Open connections of clients", connections.len() as u64);
+        metrics.gauge(
+            "client_connections_on_other_limits",
+            "Of these, not yet by the limits in force",
+            connections.with_other_limits(limits.version) as u64,
+        );
+        metrics.gauge(
+            "client_limits_version",
+            "Version that brought the limits in force",
+            u64::from(limits.version.0),
+        );
+        let values = Setting::values(&limits.limits).into_iter();
+        metrics.labeled_gauge("client_limit", "Limits in force, bytes and seconds", "setting", values);
+        let refused = self.limit_log.refused().into_iter();
+        metrics.labeled_counter("requests_over_limit", "Requests refused by a limit", "setting", refused);
+        let ended = self.limit_log.ended().into_iter();
+        metrics.labeled_counter(
+            "client_connections_ended",
+            "Connections of clients that ended",
+            "cause",
+            ended,
+        );
+    }
+
+    /// These limits beside the configuration that requests are routed by.
+    fn applied(&self, limits: ClientLimits) -> Applied {
+        let in_force = self.data_plane.configuration().map_or(ConfigVersion(0), |newest| newest.version);
+        Applied { limits, in_force }
+    }
+
+    /// Records the end of a client's connection that went by these limits.
+    fn connection_ended(&self, end: ConnectionEnd, limits: ClientLimits) {
+        self.limit_log.connection_ended(end, self.applied(limits));
+    }
+
     fn due(&self) -> Micros {
         self.data_plane.due().min(self.next_eviction)
     }
@@ -267,8 +305,9 @@
     /// Tells open connections of limits that have changed.
     fn publish_client_limits(&self) {
         let Some(configuration) = self.data_plane.configuration() else { return };
-        if *self.client_limits.borrow() != configuration.limits {
-            self.client_limits.send_replace(configuration.limits);
+        let (limits, version) = (configuration.limits, configuration.version);
+        if self.client_limits.borrow().limits != limits {
+            self.client_limits.send_replace(ClientLimits { limits, version });
         }
     }
 
--- a/crates/playhouse/src/metrics.rs
+++ b/crates/playhouse/src/metrics.rs
@@ -4,6 +4,7 @@
 use std::cell::RefCell;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
+use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -110,6 +111,17 @@
         self.0.register(name, help, family);
     }
 
+    /// Adds a gauge with one series for each value of a label.
+    pub fn labeled_gauge<'a>(
+        &mut self, name: &str, help: &str, label: &str, values: impl Iterator<Item = (&'a str, f64)>,
+    ) {
+        let family: Family<Vec<(String, String)>, Gauge<f64, AtomicU64>> = Family::default();
+        for (value, amount) in values {
+            family.get_or_create(&vec![(label.to_owned(), value.to_owned())]).set(amount);
+        }
+        self.0.register(name, help, family);
+    }
+
     /// The metrics in OpenMetrics text format.
     pub fn text(&self) -> String {
         let mut text = String::new();
