--- a/crates/playhouse/src/gateway/activity.rs
+++ b/crates/playhouse/src/gateway/activity.rs
@@ -20,6 +20,9 @@
 const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
 const LINGER_BYTES: usize = 4 << 20;
 
+/// How much is read at most while reading is paused.
+const READ_AHEAD_BYTES: usize = 1024;
+
 /// The phase of a connection and when it began.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Phase {
@@ -38,7 +41,7 @@
     write_blocked_since: Rc<Cell<Option<Micros>>>,
     /// Whether part of the request's body is unread. An `Arc`, since bodies, which update it, must be `Send`.
     unread: Arc<AtomicBool>,
-    /// Whether what the client sends next stays in the socket.
+    /// Whether what the client sends next is kept back.
     reading_paused: Rc<Cell<bool>>,
     /// Whether the connection is being closed.
     shutting_down: Rc<Cell<bool>>,
@@ -105,7 +108,7 @@
             && !self.shutting_down.get()
     }
 
-    /// Leaves what the client sends after the current request in the socket, or reads it again.
+    /// Keeps what the client sends after the current request back, or hands it on again.
     pub fn pause_reading(&self, paused: bool) {
         self.reading_paused.set(paused);
     }
@@ -184,13 +187,30 @@
     }
 }
 
+impl<T: Read + Unpin> MonitoredIo<T> {
+    /// Ready once the client has left, or at an error. What the client sends meanwhile is kept, to be read when reading
+    /// goes on; whoever ends the pause polls again.
+    fn poll_end_of_input(&mut self, context: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+        if !self.read_ahead.is_empty() {
+            return Poll::Pending;
+        }
+        let mut bytes = [std::mem::MaybeUninit::uninit(); READ_AHEAD_BYTES];
+        let mut buffer = ReadBuf::uninit(&mut bytes);
+        ready!(Pin::new(&mut self.io).poll_read(context, buffer.unfilled()))?;
+        if buffer.filled().is_empty() {
+            return Poll::Ready(Ok(()));
+        }
+        self.read_ahead = Bytes::copy_from_slice(buffer.filled());
+        Poll::Pending
+    }
+}
+
 impl<T: Read + Unpin> Read for MonitoredIo<T> {
     fn poll_read(
         mut self: Pin<&mut Self>, context: &mut Context<'_>, mut buffer: ReadBufCursor<'_>,
     ) -> Poll<std::io::Result<()>> {
         if self.activity.reading_paused.get() && !self.activity.unread.load(Ordering::Relaxed) {
-            // Whoever ends the pause polls again.
-            return Poll::Pending;
+            return self.poll_end_of_input(context);
         }
         if self.read_ahead.is_empty() {
             ready!(Pin::new(&mut self.io).poll_read(context, buffer))?;
--- a/crates/playhouse/tests/limits.rs
+++ b/crates/playhouse/tests/limits.rs
@@ -172,6 +172,30 @@
     });
 }
 
+/// A client that leaves while its request is served is noticed although `MaxHeaderBytes` has changed meanwhile. Guards
+/// against a gateway that reads nothing from such a connection: the instance went on working until the route's time-out.
+#[test]
+fn a_client_that_leaves_after_the_header_limit_has_changed_is_noticed() {
+    const ROUTE_TIMEOUT: Duration = Duration::from_secs(8);
+    run(async {
+        let hang = vec![(
+            "hang",
+            "safe",
+            1,
+            script(|h| if h.attempt == "left" { vec![Body, Hang] } else { correct(h) }),
+        )];
+        let mut cluster = Cluster::open(hang, &[], &[(LARGE_HEADER_LIMIT, SMALL_HEADER_LIMIT)]).await;
+        let mut client = cluster.line().await;
+        client.send(&request_bytes("GET /hang/1", "left", 7_900, "", b"")).await;
+        cluster.heard("left", |heard| heard.attempt == "left").await;
+        cluster.change(&[(SMALL_HEADER_LIMIT, LARGE_HEADER_LIMIT)]).await;
+        drop(client);
+        let left = Instant::now();
+        cluster.heard("its end", |heard| heard.attempt == "left" && heard.broke).await;
+        assert!(left.elapsed() < ROUTE_TIMEOUT / 2, "{:?}", left.elapsed());
+    });
+}
+
 /// Time-outs so long that no check falls into the test, unless the change itself causes one.
 const LONG_TIMEOUTS: [(&str, &str); 2] =
     [("\"HeaderTimeoutS\":3", "\"HeaderTimeoutS\":60"), ("\"IdleTimeoutS\":15", "\"IdleTimeoutS\":90")];
