--- a/crates/consensus/src/disk.rs
+++ b/crates/consensus/src/disk.rs
@@ -40,6 +40,8 @@
     commit_write_at: Option<Micros>,
     /// When to try again, after a failed write.
     retry_at: Option<Micros>,
+    /// How long the last successful write took.
+    last_write_time: Micros,
 }
 
 impl Disk {
@@ -58,9 +60,16 @@
             commit_index,
             commit_write_at: None,
             retry_at: None,
+            last_write_time: 0,
         }
     }
 
+    /// How long a write is expected to take: as long as the last one, or as the one in progress has taken already.
+    pub(crate) fn expected_write_time(&self, now: Micros) -> Micros {
+        let in_progress = self.pending.as_ref().map_or(0, |write| now - write.started_at);
+        self.last_write_time.max(in_progress)
+    }
+
     pub(crate) fn stable_index(&self) -> LogIndex {
         self.stable_index
     }
@@ -144,8 +153,9 @@
     }
 
     /// Records a successful write. Returns whether it is the one in progress.
-    pub(crate) fn synced(&mut self, id: WriteId, last_index: LogIndex) -> bool {
+    pub(crate) fn synced(&mut self, now: Micros, id: WriteId, last_index: LogIndex) -> bool {
         let Some(write) = self.pending.take_if(|write| write.id == id) else { return false };
+        self.last_write_time = now - write.started_at;
         self.term = write.term;
         self.voted_for = write.voted_for;
         self.stable_index =
@@ -157,7 +167,8 @@
         true
     }
 
-    /// Write ids are left out, since only the write in progress is ever answered. `stall_timeout` as in `is_healthy`.
+    /// Write ids are left out, since only the write in progress is ever answered. The time of the last write enters by the
+    /// time-out of a vote. `stall_timeout` as in `is_healthy`.
     pub(crate) fn add_to_fingerprint(&self, hasher: &mut FingerprintHasher, stall_timeout: Micros) {
         let Disk {
             next_id: _,
@@ -170,6 +181,7 @@
             commit_index,
             commit_write_at,
             retry_at,
+            last_write_time: _,
         } = self;
         hasher.add((term, voted_for, stable_index, last_possible_index, snapshot_index, commit_index));
         hasher
--- a/crates/consensus/src/election.rs
+++ b/crates/consensus/src/election.rs
@@ -47,7 +47,7 @@
         self.become_follower(term, None);
         self.voted_for = Some(self.own_id);
         self.role = Role::Candidate(Votes { granted: Vec::new(), next_request_at: Micros::MAX });
-        self.reset_election_deadline();
+        self.set_vote_deadline();
         if std::mem::take(&mut self.is_first_election) {
             self.set_election_deadline_within(RESTART_ELECTION_TIMEOUT);
         }
@@ -151,7 +151,7 @@
         }
         self.become_follower(term, self.leader);
         self.voted_for = Some(from);
-        self.reset_election_deadline();
+        self.set_vote_deadline();
         self.vote_pending = true;
         self.send_pending_vote();
     }
--- a/crates/consensus/src/raft_node.rs
+++ b/crates/consensus/src/raft_node.rs
@@ -17,6 +17,8 @@
 const MAX_PEER_ADDRESSES: usize = 64;
 /// A leader steps down once a write has hung for this many election timeouts.
 const DISK_STALL_ELECTION_TIMEOUTS: Micros = 4;
+/// The candidate writes its own vote, then the others write theirs; one more leaves room for a write that was in progress.
+const WRITES_OF_AN_ELECTION: Micros = 3;
 /// A restarted node starts its first pre-vote after a random delay in this range: long enough to hear a leader that is
 /// still alive, and spread so that few nodes ask at the same moment.
 const RESTART_PRE_VOTE_DELAY: (Micros, Micros) = (30 * MS, 250 * MS);
@@ -163,7 +165,7 @@
             Event::Propose { call, data } => self.propose(call, data),
             Event::Read { call } => self.read(call),
             Event::Synced { write } => {
-                if self.disk.synced(write, self.log.last_index()) {
+                if self.disk.synced(self.now, write, self.log.last_index()) {
                     self.after_sync();
                 }
             }
@@ -213,6 +215,11 @@
         matches!(self.role, Role::Leader(_))
     }
 
+    /// How long a write takes: as long as the last one, or as the one in progress has taken already.
+    pub fn write_time(&self) -> Micros {
+        self.disk.expected_write_time(self.now)
+    }
+
     /// The leader of the current term, where it is known.
     pub fn leader(&self) -> Option<VoterId> {
         self.leader
@@ -298,6 +305,7 @@
         if !self.is_leader() {
             let timeout = timing.election_timeout.max(1);
             hasher.add((hasher.time_until(*election_deadline) + timeout - 1) / timeout);
+            hasher.add(self.vote_timeout() / timeout);
         }
         match role {
             Role::Follower => hasher.add(0u8),
@@ -358,7 +366,21 @@
 
     /// Draws a new election deadline, one to two election timeouts from now.
     pub(crate) fn reset_election_deadline(&mut self) {
-        let timeout = self.timing.election_timeout.max(1);
+        self.draw_election_deadline(self.timing.election_timeout);
+    }
+
+    /// Draws the deadline of an election that this node has a part in, as a candidate or by its vote: long enough for the
+    /// writes that it takes, if the other disks are as slow as this node's.
+    pub(crate) fn set_vote_deadline(&mut self) {
+        self.draw_election_deadline(self.vote_timeout());
+    }
+
+    fn vote_timeout(&self) -> Micros {
+        self.timing.election_timeout.max(WRITES_OF_AN_ELECTION * self.write_time())
+    }
+
+    fn draw_election_deadline(&mut self, timeout: Micros) {
+        let timeout = timeout.max(1);
         self.election_deadline = self.now + timeout + self.rng.rand_range(0..timeout as u64) as Micros;
     }
 
--- a/crates/playhouse/src/control_node.rs
+++ b/crates/playhouse/src/control_node.rs
@@ -208,6 +208,11 @@
     fn metrics(&self) -> Metrics {
         let mut metrics = Metrics::for_node(&self.control.node, self.transport.stats());
         metrics.gauge("leads", "Whether this machine leads", u64::from(self.control.raft().is_leader()));
+        metrics.gauge(
+            "disk_write_micros",
+            "How long a write of the log takes now",
+            self.control.raft().write_time().max(0) as u64,
+        );
         metrics.gauge("calls_waiting", "Calls without an answer yet", self.waiting_calls.len() as u64);
         metrics
     }
